Serve a request from caller to upstream and back

The whole path, thin: look-ups, admission on owned and lent slots, streaming proxy, policies in Rhai, the store through etcd's JSON gateway, links between boxes, stand-ins and a demo.

--- /dev/null
+++ b/crates/daemon/src/control/loans.rs
@@ -0,0 +1,109 @@
+//! Lending and borrowing of slots between the boxes of the zone.
+
+use super::state::Control;
+use brasswinch_decide::slots::Returned;
+use brasswinch_peer::{LinkId, LoanAsk, LoanGrant, LoanReturn, Message, ServiceHoldings};
+use brasswinch_types::{BoxId, ServiceKey, Zone};
+use std::cmp::Reverse;
+
+/// Neighbours that are asked at a time.
+const ASK_NEIGHBOURS: usize = 2;
+
+impl Control {
+    /// Asks the neighbours that report most idle slots.
+    pub(super) fn ask_for_loan(&mut self, service: &ServiceKey, want: u32) {
+        let mut lenders: Vec<(u32, BoxId)> = self
+            .neighbours_heard()
+            .into_iter()
+            .filter_map(|neighbour| {
+                let idle = self.members.load_of(&neighbour.id, service)?.idle;
+                (idle > 0).then_some((idle, neighbour.id))
+            })
+            .collect();
+        lenders.sort_by_key(|(idle, _)| Reverse(*idle));
+        let ask = Message::LoanAsk(LoanAsk {
+            service: service.clone(),
+            want,
+            asked_at: self.now(),
+            incarnation: self.context.incarnation,
+        });
+        for (_, lender) in lenders.into_iter().take(ASK_NEIGHBOURS) {
+            self.send_to(&lender, &ask);
+        }
+    }
+
+    pub(super) fn on_loan_ask(&mut self, link: LinkId, peer: &BoxId, zone: &Zone, ask: LoanAsk) {
+        if *zone != self.context.zone {
+            return;
+        }
+        let Some(service) = self.context.services.get(&ask.service) else {
+            return;
+        };
+        let loans = service.gate.lend(peer, ask.want);
+        if loans.is_empty() {
+            return;
+        }
+        let grant = Message::LoanGrant(LoanGrant {
+            service: ask.service,
+            loans,
+            asked_at: ask.asked_at,
+            incarnation: ask.incarnation,
+        });
+        self.send(link, &grant);
+    }
+
+    pub(super) fn on_loan_grant(&mut self, lender: &BoxId, grant: LoanGrant) {
+        if grant.incarnation != self.context.incarnation {
+            return;
+        }
+        let Some(service) = self.context.services.get(&grant.service) else {
+            return;
+        };
+        let refused = service
+            .gate
+            .borrow(service, lender, &grant.loans, grant.asked_at);
+        for returned in refused {
+            self.return_loan(grant.service.clone(), returned);
+        }
+    }
+
+    pub(super) fn on_loan_return(&mut self, borrower: &BoxId, returned: LoanReturn) {
+        if let Some(service) = self.context.services.get(&returned.service) {
+            service.gate.take_back(service, borrower, returned.loan);
+        }
+    }
+
+    pub(super) fn return_loan(&mut self, service: ServiceKey, returned: Returned) {
+        let message = Message::LoanReturn(LoanReturn {
+            service,
+            loan: returned.loan,
+        });
+        self.send_to(&returned.lender, &message);
+    }
+
+    /// The lender has restarted: nothing new may start on its earlier loans.
+    pub(super) fn drop_loans_from(&mut self, lender: &BoxId) {
+        for service in self.context.services.values() {
+            service.gate.in_use_from(lender);
+        }
+    }
+
+    pub(super) fn on_holdings_ask(&mut self, link: LinkId, lender: &BoxId) {
+        let holdings = self
+            .context
+            .services
+            .values()
+            .map(|service| ServiceHoldings {
+                service: service.key.clone(),
+                slots: service.gate.in_use_from(lender),
+            })
+            .filter(|holdings| !holdings.slots.is_empty())
+            .collect();
+        self.send(link, &Message::Holdings(holdings));
+    }
+
+    pub(super) fn on_holdings(&mut self, peer: &BoxId, holdings: Vec<ServiceHoldings>) {
+        self.units.note_holdings(peer, holdings);
+        self.end_hold_back_if_known();
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,59 @@
+//! The daemon of an entry box.
+
+use argh::FromArgs;
+use brasswinch_observe::{LogFormat, init_logging};
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// Exit code for settings that can't be used.
+const EXIT_SETTINGS: u8 = 2;
+
+/// Exit code for a start that failed.
+const EXIT_START: u8 = 1;
+
+/// Steers callers to regions and upstreams, and carries their requests.
+///
+/// Stops after SIGTERM when its last request has ended.
+#[derive(FromArgs)]
+#[argh(
+    example = "{command_name} --settings box.yaml",
+    error_code(1, "An address could not be listened on."),
+    error_code(2, "The settings are wrong; each problem is printed.")
+)]
+struct Arguments {
+    /// the box's settings file
+    #[argh(option)]
+    settings: PathBuf,
+
+    /// write the log as JSON, an object a line
+    #[argh(switch)]
+    json_log: bool,
+}
+
+fn main() -> ExitCode {
+    let arguments: Arguments = argh::from_env();
+    let settings = match brasswinch_settings::load_settings(&arguments.settings) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("{error}");
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    init_logging(if arguments.json_log {
+        LogFormat::Json
+    } else {
+        LogFormat::Text
+    });
+    match brasswinch_daemon::start(settings) {
+        Ok(daemon) => {
+            println!("{}", daemon.addresses());
+            daemon.stop_on_signal();
+            daemon.wait();
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::from(EXIT_START)
+        }
+    }
+}
--- /dev/null
+++ b/crates/decide/src/lib.rs
@@ -0,0 +1,19 @@
+//! Steering decisions as pure logic.
+//!
+//! Nothing in this package opens a socket, starts a task or reads a clock:
+//! every function takes the time as an argument, so that tests can explore
+//! pauses, lost messages and clocks at will. It knows nothing of transports.
+
+pub mod blocks;
+pub mod config_keeper;
+pub mod health;
+pub mod links;
+pub mod members;
+pub mod once;
+pub mod regions;
+pub mod retry_budget;
+pub mod selector;
+pub mod shift;
+pub mod slots;
+pub mod unit_claims;
+pub mod zone_load;
--- /dev/null
+++ b/crates/decide/src/unit_claims.rs
@@ -0,0 +1,143 @@
+//! Who should own the units of a zone: claiming, giving and reclaiming.
+//!
+//! Every change is one compare-and-swap on the zone's table in the platform's
+//! store. A box gives units up only when they are quiet, and takes units over
+//! from another box only when the platform's list shows that box gone; a box
+//! that is silent, frozen or cut off keeps its units, because it may be serving.
+
+use brasswinch_types::{BoxId, Incarnation, Millis, UNITS, UnitOwner, UnitTable};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Time that a box must be missing from the platform's list before its units
+/// are taken over, in milliseconds.
+pub const GONE_AFTER_MS: Millis = 3_000;
+
+/// Remembers which boxes the platform's list has shown and dropped.
+#[derive(Debug, Default)]
+pub struct ListWatch {
+    missing_since: BTreeMap<BoxId, Millis>,
+    seen: BTreeSet<BoxId>,
+}
+
+impl ListWatch {
+    /// Takes a reading of the list; `holders` are the boxes that own units.
+    pub fn observe(&mut self, listed: &BTreeSet<BoxId>, holders: &[BoxId], now: Millis) {
+        self.seen.extend(listed.iter().cloned());
+        self.missing_since
+            .retain(|id, _| holders.contains(id) && !listed.contains(id));
+        for holder in holders {
+            if !listed.contains(holder) {
+                self.missing_since.entry(holder.clone()).or_insert(now);
+            }
+        }
+    }
+
+    /// Whether `id` has been gone from the list for long enough.
+    ///
+    /// A box that this daemon never saw listed may be too new for the lagging
+    /// list, so it is given `never_seen_ms` instead.
+    pub fn is_gone(&self, id: &BoxId, never_seen_ms: Millis, now: Millis) -> bool {
+        let Some(since) = self.missing_since.get(id) else {
+            return false;
+        };
+        let wait = if self.seen.contains(id) {
+            GONE_AFTER_MS
+        } else {
+            never_seen_ms
+        };
+        now.saturating_sub(*since) >= wait
+    }
+}
+
+/// A change of the table that this box wants to write.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Claim {
+    /// The table to write in place of the one that was read.
+    pub table: UnitTable,
+    /// Units taken over from boxes that are gone, which must be held back.
+    pub taken_over: Vec<usize>,
+}
+
+/// What a box takes: free units and those of gone boxes, up to an equal share of
+/// the `boxes` that are live in the zone.
+pub fn claim(
+    table: &UnitTable,
+    me: &BoxId,
+    incarnation: Incarnation,
+    boxes: usize,
+    gone: impl Fn(&BoxId) -> bool,
+) -> Option<Claim> {
+    let share = UNITS.div_ceil(boxes.max(1));
+    let mut room = share.saturating_sub(table.count_of(me));
+    let mut next = table.clone();
+    let mut taken_over = Vec::new();
+    for (unit, owner) in next.owners.iter_mut().enumerate() {
+        if room == 0 {
+            break;
+        }
+        let takes = match owner {
+            None => true,
+            Some(owner) => owner.box_id != *me && gone(&owner.box_id),
+        };
+        if !takes {
+            continue;
+        }
+        if owner.is_some() {
+            taken_over.push(unit);
+        }
+        *owner = Some(UnitOwner {
+            box_id: me.clone(),
+            incarnation,
+        });
+        room -= 1;
+    }
+    if next == *table {
+        return None;
+    }
+    next.version += 1;
+    Some(Claim {
+        table: next,
+        taken_over,
+    })
+}
+
+/// The units that a box with more than its share should give up, for boxes that
+/// have less than theirs to claim. `quiet` says which units it can give now.
+pub fn surplus(
+    table: &UnitTable,
+    me: &BoxId,
+    boxes: usize,
+    quiet: impl Fn(usize) -> bool,
+) -> Vec<usize> {
+    let share = UNITS.div_ceil(boxes.max(1));
+    let extra = table.count_of(me).saturating_sub(share);
+    owned(table, me)
+        .into_iter()
+        .rev()
+        .filter(|unit| quiet(*unit))
+        .take(extra)
+        .collect()
+}
+
+/// The units that `me` owns.
+pub fn owned(table: &UnitTable, me: &BoxId) -> Vec<usize> {
+    let mine = |owner: &Option<UnitOwner>| owner.as_ref().is_some_and(|o| o.box_id == *me);
+    (0..table.owners.len())
+        .filter(|unit| mine(&table.owners[*unit]))
+        .collect()
+}
+
+/// The table after `me` gives up `units`.
+pub fn give_up(table: &UnitTable, me: &BoxId, units: &[usize]) -> UnitTable {
+    let mut next = table.clone();
+    for unit in units {
+        let Some(owner) = next.owners.get_mut(*unit) else {
+            continue;
+        };
+        if owner.as_ref().is_some_and(|o| o.box_id == *me) {
+            *owner = None;
+        }
+    }
+    next.version += 1;
+    next
+}
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,13 @@
+//! The project's own stand-ins, load and experiments. Nothing here is shipped logic.
+//!
+//! Each stand-in runs as a process of its own (`brasswinch lab …`) or inside a
+//! test or the demo.
+
+pub mod callers;
+pub mod demo;
+pub mod deployment;
+pub mod faults;
+pub mod http;
+pub mod platform;
+pub mod slopes;
+pub mod upstream;
--- /dev/null
+++ b/crates/observe/src/events.rs
@@ -0,0 +1,87 @@
+//! The closed list of log events. `docs/EVENTS.md` is held to it by a test.
+
+/// How much an event matters.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Severity {
+    /// Normal operation.
+    Info,
+    /// Something failed and is being dealt with.
+    Warn,
+    /// An operator should look.
+    Error,
+}
+
+/// One row of the catalogue.
+#[derive(Clone, Copy, Debug)]
+pub struct EventRow {
+    /// The event.
+    pub event: Event,
+    /// Its number; never used again for another event.
+    pub number: u16,
+    /// Its severity.
+    pub severity: Severity,
+    /// What happened.
+    pub meaning: &'static str,
+    /// What an operator does.
+    pub action: &'static str,
+}
+
+macro_rules! events {
+    ($($number:literal $severity:ident $name:ident $meaning:literal $action:literal;)*) => {
+        /// Everything that is logged.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+        pub enum Event {
+            $(#[doc = $meaning] $name,)*
+        }
+
+        impl Event {
+            /// The catalogue, by number.
+            pub const ALL: &'static [EventRow] = &[
+                $(EventRow {
+                    event: Event::$name,
+                    number: $number,
+                    severity: Severity::$severity,
+                    meaning: $meaning,
+                    action: $action,
+                },)*
+            ];
+        }
+    };
+}
+
+events! {
+    100 Info Started "The daemon has started and listens." "None.";
+    101 Info Serving "The daemon knows its policy and load and is handed out by look-ups." "None.";
+    102 Info Leaving "The daemon was asked to stop and takes no new work." "None; it exits when its last request ends.";
+    103 Info Stopped "The daemon has finished every request and exits." "None.";
+    110 Error BindFailed "An address could not be listened on." "Check the address in the settings and what else uses it.";
+    200 Warn StoreUnreachable "The platform's store did not answer." "Check the platform. Boxes serve on with the configuration they hold.";
+    201 Info StoreReached "The platform's store answers again." "None.";
+    202 Error StoreWentBack "The store holds an older version than the one in force." "The store was restored from a copy. Boxes keep the newer version and write it back.";
+    203 Warn ListUnreachable "The platform's list of boxes could not be read." "Check the platform. Units of failed boxes are not taken over meanwhile.";
+    210 Info ConfigInForce "A newer configuration entry is in force here." "None.";
+    211 Error PolicyRefused "A stored policy could not be evaluated; the one before stays in force." "Submit a corrected policy.";
+    212 Warn ConfigMalformed "A stored configuration value can't be read." "Submit the entry again.";
+    300 Info PeerUp "A link to another box is up." "None.";
+    301 Warn PeerDown "A link to another box went down." "Check the box and the network between the zones.";
+    302 Warn PeerMalformed "A peer sent a message that can't be read; its link was closed." "Check that all boxes run versions that speak the same protocol.";
+    303 Warn PeerVersion "A peer speaks another version of the protocol; its link was closed." "Finish the roll-out of one version.";
+    400 Info UnitsClaimed "This box took units of its zone's load." "None.";
+    401 Info UnitsGivenUp "This box gave units of its zone's load up." "None.";
+    402 Warn UnitsTakenOver "This box took over units of a box that is gone." "None; check why the box went.";
+    403 Info HoldBackEnded "Peers reported what they use of this box's load; the rest is free to use." "None.";
+    404 Warn UnitsUnclaimed "This box could not claim units and serves on borrowed load." "Check the platform's store.";
+    500 Warn UpstreamFailed "An upstream could not be reached or broke off." "Check the upstream.";
+    501 Info UpstreamLeaving "An upstream said that it is leaving." "None.";
+    600 Warn CallerCut "An answer or an upload was cut short." "Check the upstream and the caller's network.";
+    601 Warn ClaimLost "A claim's outcome is not known; the request was not run." "Check the platform's store.";
+    700 Warn MetricsFailed "Metrics could not be sent." "Check the metrics address.";
+}
+
+impl Event {
+    /// The event's row in the catalogue.
+    pub fn row(self) -> &'static EventRow {
+        // The macro writes variants and rows in the same order.
+        &Self::ALL[self as usize]
+    }
+}
--- /dev/null
+++ b/crates/observe/src/lib.rs
@@ -0,0 +1,11 @@
+//! What operators see: numbered log events, metrics, latency histograms.
+
+mod events;
+mod histograms;
+mod logging;
+mod metrics;
+
+pub use events::{Event, EventRow, Severity};
+pub use histograms::{ClassLatency, LatencyTable};
+pub use logging::{LogFormat, emit, init_logging};
+pub use metrics::Metrics;
--- /dev/null
+++ b/crates/peer/src/message.rs
@@ -0,0 +1,169 @@
+//! The messages that daemons exchange.
+
+use brasswinch_decide::config_keeper::HeldVersion;
+use brasswinch_decide::members::{BoxRecord, ServiceLoad};
+use brasswinch_decide::shift::Shares;
+use brasswinch_decide::slots::Loan;
+use brasswinch_types::{
+    BoxId, ConfigEntry, Incarnation, Millis, Region, ServiceKey, UnitTable, UpstreamId, Zone,
+};
+use serde::{Deserialize, Serialize};
+
+/// Version of the messages; a peer that speaks another is not linked to.
+pub const PROTOCOL_VERSION: u16 = 1;
+
+/// One message.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Message {
+    /// The first message of each side.
+    Hello(Hello),
+    /// Still here; carries what changes all the time.
+    Heartbeat(Heartbeat),
+    /// Records of boxes that are new to the sender.
+    Records(Vec<BoxRecord>),
+    /// Which configuration the sender holds; asks for what it lacks.
+    ConfigHeld(Vec<HeldVersion>),
+    /// Configuration entries.
+    Config(Vec<ConfigEntry>),
+    /// The unit table of the sender's zone.
+    Units(UnitTable),
+    /// Asks for slots of one service.
+    LoanAsk(LoanAsk),
+    /// Answers a `LoanAsk`; may be empty.
+    LoanGrant(LoanGrant),
+    /// Hands a borrowed slot back.
+    LoanReturn(LoanReturn),
+    /// Asks what the receiver uses on loan from an earlier run of the sender.
+    HoldingsAsk,
+    /// Answers a `HoldingsAsk`.
+    Holdings(Vec<ServiceHoldings>),
+    /// Asks which shares the receiver steers by.
+    SharesAsk,
+    /// Answers a `SharesAsk`.
+    Shares(Vec<OriginShares>),
+    /// Asks the receiver to void a ticket that names it.
+    TicketQuestion(TicketQuestion),
+    /// Answers a `TicketQuestion`.
+    TicketAnswer(TicketAnswer),
+}
+
+/// Who the sender is.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Hello {
+    /// [`PROTOCOL_VERSION`] of the sender.
+    pub version: u16,
+    /// The sender's record.
+    pub record: BoxRecord,
+}
+
+/// Still here.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// The sender's run.
+    pub incarnation: Incarnation,
+    /// Digest of the configuration in force at the sender.
+    pub config_digest: u64,
+    /// Version of the sender's unit table, inside a zone.
+    pub units_version: u64,
+    /// Loads of the sender, inside a zone.
+    pub loads: Vec<ServiceLoad>,
+    /// Loads of the sender's zone, between zones.
+    pub zone_loads: Vec<ZoneLoad>,
+    /// Boxes of the sender's zone that it doesn't hear, between zones.
+    pub silent: Vec<BoxId>,
+    /// Upstreams that said they are leaving, inside a zone.
+    pub leaving: Vec<UpstreamLeaving>,
+}
+
+/// Load of one service in one zone.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ZoneLoad {
+    /// The zone.
+    pub zone: Zone,
+    /// Its load.
+    pub load: ServiceLoad,
+}
+
+/// An upstream's own word that it is leaving.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UpstreamLeaving {
+    /// The service.
+    pub service: ServiceKey,
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// Sequence of the report that said so.
+    pub sequence: u64,
+}
+
+/// Asks for slots.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoanAsk {
+    /// The service.
+    pub service: ServiceKey,
+    /// How many.
+    pub want: u32,
+    /// The asker's clock; comes back in the grant.
+    pub asked_at: Millis,
+    /// The asker's run; a grant to an earlier run is void.
+    pub incarnation: Incarnation,
+}
+
+/// Grants slots.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoanGrant {
+    /// The service.
+    pub service: ServiceKey,
+    /// The slots lent.
+    pub loans: Vec<Loan>,
+    /// The asker's clock, from the request.
+    pub asked_at: Millis,
+    /// The asker's run, from the request.
+    pub incarnation: Incarnation,
+}
+
+/// Hands a slot back.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoanReturn {
+    /// The service.
+    pub service: ServiceKey,
+    /// The slot and the loan it was on.
+    pub loan: Loan,
+}
+
+/// Slots of one service in use on loan from the asker.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceHoldings {
+    /// The service.
+    pub service: ServiceKey,
+    /// The slots.
+    pub slots: Vec<u32>,
+}
+
+/// Shares in use for one service and origin.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct OriginShares {
+    /// The service.
+    pub service: ServiceKey,
+    /// The callers' region.
+    pub origin: Region,
+    /// The shares.
+    pub shares: Shares,
+}
+
+/// Asks to void a ticket.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TicketQuestion {
+    /// Matches the answer to the question.
+    pub question: u64,
+    /// The sealed ticket.
+    pub ticket: String,
+}
+
+/// Says whether the ticket was voided.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TicketAnswer {
+    /// From the question.
+    pub question: u64,
+    /// The ticket has not run here and never will.
+    pub voided: bool,
+}
--- /dev/null
+++ b/crates/types/src/errors.rs
@@ -0,0 +1,296 @@
+//! The closed list of error kinds and the one table from kind to answer.
+//!
+//! Every failed request gets exactly one row of this table. `docs/ERRORS.md`
+//! is held to it by a snapshot test.
+
+use serde::{Deserialize, Serialize};
+use std::fmt;
+
+/// Whether the request reached an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Ran {
+    /// No upstream has run it or will run it.
+    NotRun,
+    /// An upstream may have run it.
+    Unknown,
+}
+
+impl Ran {
+    /// The stable name that callers see.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::NotRun => "not_run",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+impl fmt::Display for Ran {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.name())
+    }
+}
+
+/// When the caller should come back, if at all.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RetryHint {
+    /// Asking again won't help.
+    Never,
+    /// Ask again after about this many milliseconds; the answer adds jitter.
+    After(u64),
+}
+
+/// A row of the table: what a caller is told for one error kind.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Answer {
+    /// HTTP status code.
+    pub status: u16,
+    /// Whether it ran.
+    pub ran: Ran,
+    /// Whether and when to come back.
+    pub retry: RetryHint,
+    /// One sentence for a person.
+    pub text: &'static str,
+}
+
+/// Everything that can go wrong with a caller's request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum ErrorKind {
+    /// The request line, a header or a parameter can't be read.
+    MalformedRequest,
+    /// No credential, or one that isn't known.
+    Unauthenticated,
+    /// The credential belongs to another workspace or role.
+    Forbidden,
+    /// The workspace has no such service in its policy in force.
+    UnknownService,
+    /// No policy of the workspace is in force here yet.
+    NoPolicy,
+    /// The caller's block may not be sent to any region that can serve.
+    NoRegion,
+    /// The region's traffic share may not move yet under the shift cap.
+    ShiftCapped,
+    /// The zone's load for the service is in full use.
+    AtCapacity,
+    /// The workspace has too many requests on this box.
+    WorkspaceLimit,
+    /// This box is leaving and takes no new work.
+    BoxLeaving,
+    /// This box has just started and doesn't yet know what it may use.
+    BoxStarting,
+    /// A `once` request came without a ticket.
+    TicketMissing,
+    /// The ticket isn't genuine or names another service or key.
+    TicketInvalid,
+    /// The ticket has expired.
+    TicketExpired,
+    /// The ticket names another box or an earlier incarnation of this one.
+    TicketElsewhere,
+    /// The box that the ticket names voided it; it has not run and never will.
+    TicketVoided,
+    /// The ticket or the caller's key was already used.
+    AlreadySubmitted,
+    /// The claim on the caller's key can't be written now.
+    ClaimUnavailable,
+    /// No upstream accepted a connection.
+    UpstreamConnect,
+    /// The upstream refused it explicitly without running it.
+    UpstreamRefused,
+    /// The upstream's connection broke after the request may have arrived.
+    UpstreamBroken,
+    /// The deadline passed before the request was sent to an upstream.
+    DeadlineBeforeSend,
+    /// The deadline passed after the request may have arrived at an upstream.
+    DeadlineAfterSend,
+}
+
+use ErrorKind as E;
+
+impl ErrorKind {
+    /// Every kind, in the order of the table.
+    pub const ALL: [ErrorKind; 23] = [
+        E::MalformedRequest,
+        E::Unauthenticated,
+        E::Forbidden,
+        E::UnknownService,
+        E::NoPolicy,
+        E::NoRegion,
+        E::ShiftCapped,
+        E::AtCapacity,
+        E::WorkspaceLimit,
+        E::BoxLeaving,
+        E::BoxStarting,
+        E::TicketMissing,
+        E::TicketInvalid,
+        E::TicketExpired,
+        E::TicketElsewhere,
+        E::TicketVoided,
+        E::AlreadySubmitted,
+        E::ClaimUnavailable,
+        E::UpstreamConnect,
+        E::UpstreamRefused,
+        E::UpstreamBroken,
+        E::DeadlineBeforeSend,
+        E::DeadlineAfterSend,
+    ];
+
+    /// The stable name that callers see.
+    pub fn code(self) -> &'static str {
+        match self {
+            E::MalformedRequest => "malformed_request",
+            E::Unauthenticated => "unauthenticated",
+            E::Forbidden => "forbidden",
+            E::UnknownService => "unknown_service",
+            E::NoPolicy => "no_policy",
+            E::NoRegion => "no_region",
+            E::ShiftCapped => "shift_capped",
+            E::AtCapacity => "at_capacity",
+            E::WorkspaceLimit => "workspace_limit",
+            E::BoxLeaving => "box_leaving",
+            E::BoxStarting => "box_starting",
+            E::TicketMissing => "ticket_missing",
+            E::TicketInvalid => "ticket_invalid",
+            E::TicketExpired => "ticket_expired",
+            E::TicketElsewhere => "ticket_elsewhere",
+            E::TicketVoided => "ticket_voided",
+            E::AlreadySubmitted => "already_submitted",
+            E::ClaimUnavailable => "claim_unavailable",
+            E::UpstreamConnect => "upstream_connect",
+            E::UpstreamRefused => "upstream_refused",
+            E::UpstreamBroken => "upstream_broken",
+            E::DeadlineBeforeSend => "deadline_before_send",
+            E::DeadlineAfterSend => "deadline_after_send",
+        }
+    }
+
+    /// What the caller is told.
+    pub fn answer(self) -> Answer {
+        use Ran::{NotRun, Unknown};
+        use RetryHint::{After, Never};
+        let row = |status, ran, retry, text| Answer {
+            status,
+            ran,
+            retry,
+            text,
+        };
+        match self {
+            E::MalformedRequest => row(400, NotRun, Never, "The request can't be read."),
+            E::Unauthenticated => row(401, NotRun, Never, "A known credential is needed."),
+            E::Forbidden => row(403, NotRun, Never, "This credential may not do that."),
+            E::UnknownService => row(
+                404,
+                NotRun,
+                Never,
+                "The policy in force names no such service.",
+            ),
+            E::NoPolicy => row(503, NotRun, After(1_000), "No policy is in force here yet."),
+            E::NoRegion => row(
+                503,
+                NotRun,
+                After(2_000),
+                "No allowed region can serve now.",
+            ),
+            E::ShiftCapped => row(
+                503,
+                NotRun,
+                After(1_000),
+                "The shift cap lets no more traffic move yet.",
+            ),
+            E::AtCapacity => row(
+                503,
+                NotRun,
+                After(200),
+                "The load allowed here is in full use.",
+            ),
+            E::WorkspaceLimit => row(
+                429,
+                NotRun,
+                After(500),
+                "The workspace has too many requests on this box.",
+            ),
+            E::BoxLeaving => row(
+                503,
+                NotRun,
+                After(50),
+                "This box is leaving; look up another.",
+            ),
+            E::BoxStarting => row(
+                503,
+                NotRun,
+                After(300),
+                "This box is starting; look up another.",
+            ),
+            E::TicketMissing => row(
+                428,
+                NotRun,
+                Never,
+                "This service needs a ticket from a look-up.",
+            ),
+            E::TicketInvalid => row(
+                403,
+                NotRun,
+                Never,
+                "The ticket isn't valid for this request.",
+            ),
+            E::TicketExpired => row(
+                410,
+                Unknown,
+                Never,
+                "The ticket has expired; check before asking anew.",
+            ),
+            E::TicketElsewhere => row(
+                409,
+                Unknown,
+                Never,
+                "The ticket names another run of a box, which may have run it.",
+            ),
+            E::TicketVoided => row(
+                503,
+                NotRun,
+                After(50),
+                "The ticket was voided unused; look up a new one.",
+            ),
+            E::AlreadySubmitted => row(
+                409,
+                Unknown,
+                Never,
+                "This ticket or key was submitted before.",
+            ),
+            E::ClaimUnavailable => row(503, NotRun, After(1_000), "The key can't be claimed now."),
+            E::UpstreamConnect => row(
+                502,
+                NotRun,
+                After(300),
+                "No upstream accepted a connection.",
+            ),
+            E::UpstreamRefused => row(
+                503,
+                NotRun,
+                After(300),
+                "The upstream refused it without running it.",
+            ),
+            E::UpstreamBroken => row(
+                502,
+                Unknown,
+                Never,
+                "The upstream broke off; it may have run.",
+            ),
+            E::DeadlineBeforeSend => row(
+                504,
+                NotRun,
+                After(300),
+                "The deadline passed before it was sent.",
+            ),
+            E::DeadlineAfterSend => {
+                row(504, Unknown, Never, "The deadline passed; it may have run.")
+            }
+        }
+    }
+}
+
+impl fmt::Display for ErrorKind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.code())
+    }
+}
--- /dev/null
+++ b/crates/types/src/ids.rs
@@ -0,0 +1,115 @@
+//! Names of things, each its own type so that one can't stand in for another.
+
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use std::sync::Arc;
+
+/// A reading of a monotonic clock, in milliseconds since an arbitrary start.
+///
+/// Pure logic takes it as an argument; it never reads a clock itself.
+pub type Millis = u64;
+
+macro_rules! name_type {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+        #[serde(transparent)]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// Wraps a name without checking it; settings and policies check theirs.
+            pub fn new(name: impl AsRef<str>) -> Self {
+                Self(Arc::from(name.as_ref()))
+            }
+
+            /// The name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+
+        impl From<&str> for $name {
+            fn from(name: &str) -> Self {
+                Self::new(name)
+            }
+        }
+    };
+}
+
+name_type! {
+    /// A tenant of the system, for example `kavach`.
+    Workspace
+}
+name_type! {
+    /// A service of one workspace, for example `rate-desk`.
+    Service
+}
+name_type! {
+    /// A region, for example `guj-west`.
+    Region
+}
+name_type! {
+    /// An availability zone, for example `guj-west-a`.
+    Zone
+}
+name_type! {
+    /// An entry box. A replaced box gets a new identifier.
+    BoxId
+}
+name_type! {
+    /// An upstream target of one zone.
+    UpstreamId
+}
+
+/// A service together with the workspace that owns it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct ServiceKey {
+    /// The owner.
+    pub workspace: Workspace,
+    /// The service's name within the workspace.
+    pub service: Service,
+}
+
+impl ServiceKey {
+    /// Joins the two names.
+    pub fn new(workspace: impl Into<Workspace>, service: impl Into<Service>) -> Self {
+        Self {
+            workspace: workspace.into(),
+            service: service.into(),
+        }
+    }
+}
+
+impl fmt::Display for ServiceKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.workspace, self.service)
+    }
+}
+
+/// One run of a daemon process on a box, drawn at random when it starts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Incarnation(pub u64);
+
+impl fmt::Display for Incarnation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+/// Identifies one submission, so that a lost answer can be settled by reading back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct SubmissionId(pub u64);
+
+impl fmt::Display for SubmissionId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
--- /dev/null
+++ b/crates/types/src/lib.rs
@@ -0,0 +1,23 @@
+//! Identifiers, documents and error kinds that every package shares.
+//!
+//! Nothing here does any input or output. A type lives in this package when
+//! it crosses a process boundary or is named by more than one package.
+
+mod class;
+mod config;
+mod errors;
+mod ids;
+mod plan;
+mod tickets;
+mod units;
+
+pub use class::{Class, OnceProof};
+pub use config::{ConfigDocument, ConfigEntry, ConfigKey, DrainNotice, PolicyText, Tombstone};
+pub use errors::{Answer, ErrorKind, Ran, RetryHint};
+pub use ids::{
+    BoxId, Incarnation, Millis, Region, Service, ServiceKey, SubmissionId, UpstreamId, Workspace,
+    Zone,
+};
+pub use plan::{Plan, ServicePlan, ShiftCap, WeightRow};
+pub use tickets::{Ticket, TicketError, TicketKey};
+pub use units::{UNITS, UnitOwner, UnitTable, unit_of_slot};
