--- a/crates/lab/src/demo.rs
+++ b/crates/lab/src/demo.rs
@@ -171,13 +171,10 @@
             .iter()
             .map(|daemon| daemon.addresses().caller)
             .collect();
-        let mut tasks = Vec::new();
-        for (service, per_second) in [
-            ("rate-desk", 120.0),
-            ("order-book", 30.0),
-            ("cad-intake", 6.0),
-        ] {
+        let mut loads = Vec::new();
+        for (service, per_second) in LOADS {
             let tally = Arc::new(Tally::default());
+            let mut tasks = Vec::new();
             for zone in 0..self.site.spec.zones() {
                 let caller = Caller::new(caller_ip(zone), boxes.clone());
                 let mut job = Job::small(
