Prove the path with real daemons: three classes, a large upload, bad input

1,000 requests of three classes whole; a 64 MiB upload byte for byte with the daemon's peak memory growing under 16 MiB; settings errors all at once, exit 2.

--- /dev/null
+++ b/crates/daemon/tests/path.rs
@@ -0,0 +1,189 @@
+//! The whole path through real daemons: requests, uploads, memory, bad input.
+#![allow(clippy::unwrap_used, clippy::expect_used)]
+
+mod common;
+
+use brasswinch_lab::callers::{Outcome, new_tag};
+use brasswinch_lab::deployment::Spec;
+use common::{Fleet, alone};
+use std::process::Command;
+use std::time::Duration;
+
+/// Requests of the three classes together.
+const REQUESTS: usize = 1_000;
+
+/// Bytes of the large upload.
+const UPLOAD_BYTES: usize = 64 * 1024 * 1024;
+
+/// Most that the daemon's memory may grow during the upload, in KiB.
+const MEMORY_GROWTH_KIB: u64 = 16 * 1024;
+
+fn one_region() -> Spec {
+    let mut spec = Spec::kavach(2, 2);
+    spec.regions = vec!["guj-west"];
+    spec
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_thousand_requests_of_three_classes_come_back_whole() {
+    let _alone = alone().await;
+    let spec = one_region();
+    let policy = spec.policy(0.2, 5.0);
+    let fleet = Fleet::serving(spec, &policy).await;
+    let mut tasks = Vec::new();
+    for worker in 0..8 {
+        let caller = fleet.caller(worker % 2);
+        let jobs: Vec<_> = ["rate-desk", "order-book", "cad-intake"]
+            .iter()
+            .map(|service| fleet.job(service, 0))
+            .collect();
+        tasks.push(tokio::spawn(async move {
+            let mut outcomes = Vec::new();
+            for turn in 0..REQUESTS / 8 {
+                let mut job = jobs[turn % 3].clone();
+                if job.service == "cad-intake" {
+                    job.upload_bytes = 100_000;
+                }
+                outcomes.push(caller.run(&job).await.outcome);
+            }
+            outcomes
+        }));
+    }
+    let mut whole = 0;
+    for task in tasks {
+        for outcome in task.await.unwrap() {
+            assert_eq!(outcome, Outcome::Whole);
+            whole += 1;
+        }
+    }
+    assert_eq!(whole, REQUESTS);
+    let finished: u64 = fleet
+        .site
+        .upstreams
+        .values()
+        .map(|upstreams| upstreams.counts().sum(|target| target.finished))
+        .sum();
+    assert_eq!(finished as usize, REQUESTS, "each ran exactly once");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_large_upload_streams_through_without_being_held() {
+    let _alone = alone().await;
+    let spec = one_region();
+    let policy = spec.policy(0.2, 5.0);
+    let fleet = Fleet::serving(spec, &policy).await;
+    let name = fleet.site.box_name(0, 1);
+    let daemon = &fleet.daemons[&name];
+    let caller = fleet.caller(0);
+    let small = fleet.job("cad-intake", 0);
+    let warm_up = caller.send_to(daemon.callers, &small, None, &new_tag()).await;
+    assert_eq!(warm_up, Outcome::Whole);
+    let (_, before) = daemon.memory_kib();
+    let mut job = small;
+    job.upload_bytes = UPLOAD_BYTES;
+    let outcome = caller.send_to(daemon.callers, &job, None, &new_tag()).await;
+    assert_eq!(outcome, Outcome::Whole);
+    let (peak, _) = daemon.memory_kib();
+    let growth = peak.saturating_sub(before);
+    assert!(growth < MEMORY_GROWTH_KIB, "grew by {growth} KiB");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_cannot_be_served_gets_its_row_of_the_table_at_once() {
+    let _alone = alone().await;
+    let spec = one_region();
+    let policy = spec.policy(0.2, 5.0);
+    let fleet = Fleet::serving(spec, &policy).await;
+    let address = fleet.callers()[0];
+    let caller = fleet.caller(0);
+    let refused = |error: &str, ran: &str| (error.to_owned(), ran.to_owned());
+    let mut seen = Vec::new();
+    let good = fleet.job("rate-desk", 0);
+    let mut bad_token = good.clone();
+    bad_token.token = "not-a-credential".into();
+    let mut other_workspace = good.clone();
+    other_workspace.workspace = "rival".into();
+    let mut no_service = good.clone();
+    no_service.service = "no-such-desk".into();
+    let once = fleet.job("order-book", 0);
+    for (job, ticket) in [
+        (&bad_token, None),
+        (&other_workspace, None),
+        (&no_service, None),
+        (&once, None),
+        (&once, Some("not-a-ticket")),
+    ] {
+        let outcome = caller.send_to(address, job, ticket, &new_tag()).await;
+        let Outcome::Refused { error, ran, .. } = outcome else {
+            panic!("{outcome:?}");
+        };
+        seen.push((error, ran));
+    }
+    assert_eq!(
+        seen,
+        [
+            refused("unauthenticated", "not_run"),
+            refused("forbidden", "not_run"),
+            refused("unknown_service", "not_run"),
+            refused("ticket_missing", "not_run"),
+            refused("ticket_invalid", "not_run"),
+        ]
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_deadline_that_passes_is_told_before_the_upstream_is_done() {
+    let _alone = alone().await;
+    let spec = one_region();
+    let policy = spec.policy(0.2, 5.0);
+    let fleet = Fleet::serving(spec, &policy).await;
+    for upstreams in fleet.site.upstreams.values() {
+        upstreams.control(|control| control.service_ms = 20_000);
+    }
+    let mut job = fleet.job("rate-desk", 0);
+    job.deadline_ms = Some(300);
+    let began = std::time::Instant::now();
+    let outcome = fleet.caller(0).run(&job).await.outcome;
+    let Outcome::Refused { error, ran, .. } = outcome else {
+        panic!("{outcome:?}");
+    };
+    assert_eq!((error.as_str(), ran.as_str()), ("deadline_after_send", "unknown"));
+    assert!(began.elapsed() < Duration::from_secs(15), "told before the upstream's end");
+}
+
+#[test]
+fn bad_settings_name_every_problem_with_its_path_and_start_nothing() {
+    let folder = std::env::temp_dir().join(format!("brasswinch-settings-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let file = folder.join("box.yaml");
+    std::fs::write(
+        &file,
+        "id: box-1\nzone: nowhere\nheartbeat: 3\npeers:\n  hartbeat_ms: 250\n  links_per_zone: 1000\nloans:\n  term_ms: soon\nadmin_address: here\n",
+    )
+    .unwrap();
+    std::fs::write(
+        folder.join("deployment.yaml"),
+        "ticket_secret: short\nregions:\n- name: west\n  zones: [{name: west-a}]\n",
+    )
+    .unwrap();
+    let output = Command::new(env!("CARGO_BIN_EXE_brasswinchd"))
+        .arg("--settings")
+        .arg(&file)
+        .output()
+        .unwrap();
+    std::fs::remove_dir_all(&folder).unwrap();
+    assert_eq!(output.status.code(), Some(2));
+    assert!(output.stdout.is_empty(), "nothing listens");
+    let told = String::from_utf8(output.stderr).unwrap();
+    for path in [
+        "peers.hartbeat_ms",
+        "did you mean `heartbeat_ms`",
+        "peers.links_per_zone: 1000 is outside 1 to 64",
+        "loans.term_ms",
+        "admin_address",
+        "heartbeat:",
+        "ticket_secret",
+    ] {
+        assert!(told.contains(path), "{path} is not named in:\n{told}");
+    }
+}
