--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -229,7 +229,11 @@
     /// Waits until every daemon sees every daemon serving, all slots of all zones held.
     pub async fn until_all_serve(&self) {
         let spec = &self.site.spec;
-        let slots: u32 = spec.services.iter().map(|s| spec.region_slots(s.name)).sum();
+        let slots: u32 = spec
+            .services
+            .iter()
+            .map(|s| spec.region_slots(s.name))
+            .sum();
         let all = slots * spec.regions.len() as u32;
         self.until_serving(self.daemons.len(), Some(all)).await;
     }
--- a/crates/daemon/tests/path.rs
+++ b/crates/daemon/tests/path.rs
@@ -76,7 +76,9 @@
     let daemon = &fleet.daemons[&name];
     let caller = fleet.caller(0);
     let small = fleet.job("cad-intake", 0);
-    let warm_up = caller.send_to(daemon.callers, &small, None, &new_tag()).await;
+    let warm_up = caller
+        .send_to(daemon.callers, &small, None, &new_tag())
+        .await;
     assert_eq!(warm_up, Outcome::Whole);
     let (_, before) = daemon.memory_kib();
     let mut job = small;
@@ -147,8 +149,14 @@
     let Outcome::Refused { error, ran, .. } = outcome else {
         panic!("{outcome:?}");
     };
-    assert_eq!((error.as_str(), ran.as_str()), ("deadline_after_send", "unknown"));
-    assert!(began.elapsed() < Duration::from_secs(15), "told before the upstream's end");
+    assert_eq!(
+        (error.as_str(), ran.as_str()),
+        ("deadline_after_send", "unknown")
+    );
+    assert!(
+        began.elapsed() < Duration::from_secs(15),
+        "told before the upstream's end"
+    );
 }
 
 #[test]
--- /dev/null
+++ b/crates/decide/tests/places.rs
@@ -0,0 +1,242 @@
+//! Blocks, links, members, zone loads, upstream health and the retry budget.
+#![allow(clippy::unwrap_used, clippy::expect_used)]
+
+use brasswinch_decide::blocks::BlockTable;
+use brasswinch_decide::health::{UpstreamHealth, UpstreamReport};
+use brasswinch_decide::links::{desired, is_watcher};
+use brasswinch_decide::members::{BoxRecord, BoxState, Members, RecordMerge};
+use brasswinch_decide::retry_budget::RetryBudget;
+use brasswinch_decide::zone_load::zone_load;
+use brasswinch_types::{BoxId, Incarnation, Region, Zone};
+use std::collections::BTreeMap;
+
+fn record(zone: usize, index: usize, incarnation: u64, sequence: u64) -> BoxRecord {
+    BoxRecord {
+        id: BoxId::new(format!("box-{zone}-{index}")),
+        incarnation: Incarnation(incarnation),
+        sequence,
+        zone: Zone::new(format!("zone-{zone}")),
+        region: Region::new("region"),
+        caller_address: "127.0.0.1:1".parse().unwrap(),
+        peer_address: "127.0.0.1:2".parse().unwrap(),
+        state: BoxState::Serving,
+    }
+}
+
+#[test]
+fn the_longest_block_decides_and_an_unknown_address_has_none() {
+    let mut blocks = BlockTable::default();
+    let (near, far, six) = (Zone::new("near"), Zone::new("far"), Zone::new("six"));
+    blocks.insert("10.0.0.0/8".parse().unwrap(), &far);
+    blocks.insert("10.1.2.0/24".parse().unwrap(), &near);
+    blocks.insert("2001:db8::/32".parse().unwrap(), &six);
+    let zone = |text: &str| blocks.zone_of(text.parse().unwrap());
+    assert_eq!(zone("10.1.2.3"), Some(&near));
+    assert_eq!(zone("10.1.3.3"), Some(&far));
+    assert_eq!(zone("::ffff:10.1.2.3"), Some(&near));
+    assert_eq!(zone("2001:db8::1"), Some(&six));
+    assert_eq!(zone("192.0.2.1"), None);
+    assert_eq!(blocks.len(), 3);
+}
+
+#[test]
+fn the_parts_of_a_regions_load_add_up_to_it() {
+    for load in 0..200 {
+        for slots in [&[8, 8][..], &[4, 12], &[1, 2, 3], &[0, 8], &[5]] {
+            let parts: Vec<u32> = (0..slots.len())
+                .map(|index| zone_load(load, slots, index))
+                .collect();
+            assert_eq!(parts.iter().sum::<u32>(), load, "{load} over {slots:?}");
+        }
+    }
+    assert_eq!(zone_load(10, &[0, 0], 0), 0);
+}
+
+#[test]
+fn a_box_links_to_its_whole_zone_and_to_a_few_boxes_of_every_other() {
+    let records: Vec<BoxRecord> = (0..96)
+        .flat_map(|zone| (0..40).map(move |index| record(zone, index, 1, 1)))
+        .collect();
+    let me = BoxId::new("box-0-0");
+    let others = || records.iter().filter(|record| record.id != me);
+    let links = desired(&me, &Zone::new("zone-0"), others(), 2, |_| true);
+    assert_eq!(links.len(), 39 + 95 * 2);
+    // A box that can't be reached is replaced by another of its zone.
+    let lost = links
+        .iter()
+        .find(|r| r.zone.as_str() == "zone-7")
+        .unwrap()
+        .id
+        .clone();
+    let relinked = desired(&me, &Zone::new("zone-0"), others(), 2, |id| *id != lost);
+    assert_eq!(relinked.len(), links.len());
+    assert!(relinked.iter().all(|record| record.id != lost));
+    // Far links fall evenly: no box is chosen by many more than its part.
+    let mut chosen: BTreeMap<BoxId, u32> = BTreeMap::new();
+    for chooser in records.iter().filter(|r| r.zone.as_str() != "zone-5") {
+        for link in desired(
+            &chooser.id,
+            &chooser.zone,
+            records[200..240].iter(),
+            2,
+            |_| true,
+        ) {
+            *chosen.entry(link.id.clone()).or_default() += 1;
+        }
+    }
+    let most = chosen.values().max().unwrap();
+    assert!(
+        *most < 2 * 95 * 2,
+        "most chosen {most}, on average {}",
+        95 * 2
+    );
+}
+
+#[test]
+fn some_boxes_of_a_zone_watch_and_others_step_in_when_they_go() {
+    let zone = Zone::new("zone-1");
+    let ids: Vec<BoxId> = (0..10).map(|i| BoxId::new(format!("box-{i}"))).collect();
+    let watchers = |ids: &[BoxId]| -> Vec<BoxId> {
+        ids.iter()
+            .filter(|me| {
+                let others: Vec<BoxId> = ids.iter().filter(|o| o != me).cloned().collect();
+                is_watcher(me, &zone, &others, 2)
+            })
+            .cloned()
+            .collect()
+    };
+    let before = watchers(&ids);
+    assert_eq!(before.len(), 2);
+    let rest: Vec<BoxId> = ids
+        .iter()
+        .filter(|id| !before.contains(id))
+        .cloned()
+        .collect();
+    assert_eq!(watchers(&rest).len(), 2);
+}
+
+#[test]
+fn records_order_themselves_by_run_and_sequence() {
+    let mut members = Members::new(BoxId::new("me"), 100);
+    assert_eq!(members.merge(record(1, 1, 5, 2)), RecordMerge::Newer);
+    assert_eq!(members.merge(record(1, 1, 5, 2)), RecordMerge::Known);
+    assert_eq!(members.merge(record(1, 1, 5, 1)), RecordMerge::Known);
+    assert_eq!(members.merge(record(1, 1, 4, 9)), RecordMerge::Known);
+    assert_eq!(members.merge(record(1, 1, 6, 1)), RecordMerge::Newer);
+}
+
+#[test]
+fn a_box_is_heard_for_a_few_heartbeats_and_only_in_its_present_run() {
+    let mut members = Members::new(BoxId::new("me"), 100);
+    members.merge(record(1, 1, 5, 1));
+    let id = BoxId::new("box-1-1");
+    assert!(!members.is_heard(&id, 1_000));
+    members.heard(&id, Incarnation(4), 1_000);
+    assert!(!members.is_heard(&id, 1_000));
+    members.heard(&id, Incarnation(5), 1_000);
+    assert!(members.is_heard(&id, 1_399));
+    assert!(!members.is_heard(&id, 1_400));
+    assert_eq!(members.silent_in(&Zone::new("zone-1"), 1_400), [id.clone()]);
+    members.heard(&id, Incarnation(5), 1_500);
+    members.merge(record(1, 1, 6, 1));
+    assert!(
+        !members.is_heard(&id, 1_500),
+        "the new run has not been heard"
+    );
+}
+
+fn report(sequence: u64, leaving: bool) -> UpstreamReport {
+    UpstreamReport {
+        sequence,
+        leaving,
+        in_use: 0,
+    }
+}
+
+#[test]
+fn any_one_source_closes_a_leaving_upstream_and_a_stale_report_does_not_open_it() {
+    for source in 0..3 {
+        let mut health = UpstreamHealth::default();
+        assert!(health.cost(4, 0).is_some());
+        match source {
+            0 => health.set_announced(true, 0),
+            1 => health.set_listed_leaving(true),
+            _ => health.report(report(7, true)),
+        }
+        assert_eq!(health.cost(4, 0), None);
+        health.report(report(6, false));
+        assert_eq!(health.cost(4, 0), None, "an older report changes nothing");
+    }
+}
+
+#[test]
+fn an_announced_upstream_stays_closed_whatever_it_says_itself() {
+    let mut health = UpstreamHealth::default();
+    health.set_announced(true, 0);
+    health.report(report(9, false));
+    assert_eq!(health.cost(4, 0), None);
+    health.set_announced(false, 10_000);
+    assert!(health.cost(4, 10_000).is_some());
+}
+
+#[test]
+fn a_cold_upstream_gets_one_request_at_a_time_and_more_as_it_warms() {
+    let mut health = UpstreamHealth::default();
+    health.started(0);
+    assert_eq!(health.cost(4, 100), None);
+    assert!(health.cost(4, 2_500).is_some());
+    health.started(2_500);
+    assert_eq!(health.cost(4, 2_500), None);
+    health.started(5_000);
+    assert!(health.cost(4, 5_000).is_some());
+}
+
+#[test]
+fn an_upstream_that_fails_is_left_alone_longer_each_time() {
+    let mut health = UpstreamHealth::default();
+    health.failed(0);
+    health.failed(0);
+    assert!(health.cost(4, 0).is_some());
+    health.failed(0);
+    assert_eq!(health.cost(4, 499), None);
+    assert!(health.cost(4, 500).is_some());
+    health.failed(500);
+    assert_eq!(health.cost(4, 1_499), None);
+    health.succeeded();
+    health.failed(2_000);
+    assert!(health.cost(4, 2_000).is_some());
+}
+
+#[test]
+fn reports_that_lie_only_order_upstreams_and_never_raise_the_own_limit() {
+    let mut liar = UpstreamHealth::default();
+    liar.report(UpstreamReport {
+        sequence: 1,
+        leaving: false,
+        in_use: 0,
+    });
+    for at in [0, 10_000, 10_000, 10_000] {
+        liar.started(at);
+    }
+    assert_eq!(
+        liar.cost(4, 20_000),
+        None,
+        "four of four are in flight from here"
+    );
+}
+
+#[test]
+fn retries_stay_a_small_part_of_the_tries() {
+    let mut budget = RetryBudget::default();
+    let mut retries = 0;
+    for _ in 0..1_000 {
+        budget.earn();
+        while budget.spend() {
+            retries += 1;
+        }
+    }
+    assert!(
+        (100..=111).contains(&retries),
+        "{retries} retries of 1,000 tries"
+    );
+}
--- a/crates/decide/tests/slots.rs
+++ b/crates/decide/tests/slots.rs
@@ -49,9 +49,26 @@
 
 #[derive(Clone, Debug)]
 enum Letter {
-    Ask { from: usize, to: usize, want: u32, asked_at: Millis, epoch: u32 },
-    Grant { from: usize, to: usize, loans: Vec<Loan>, asked_at: Millis, epoch: u32, lender_epoch: u32 },
-    Return { from: usize, to: usize, loan: Loan },
+    Ask {
+        from: usize,
+        to: usize,
+        want: u32,
+        asked_at: Millis,
+        epoch: u32,
+    },
+    Grant {
+        from: usize,
+        to: usize,
+        loans: Vec<Loan>,
+        asked_at: Millis,
+        epoch: u32,
+        lender_epoch: u32,
+    },
+    Return {
+        from: usize,
+        to: usize,
+        loan: Loan,
+    },
 }
 
 #[derive(Debug)]
@@ -100,7 +117,13 @@
                 if from != to {
                     let epoch = self.epochs[from];
                     let asked_at = self.now;
-                    self.letters.push(Letter::Ask { from, to, want, asked_at, epoch });
+                    self.letters.push(Letter::Ask {
+                        from,
+                        to,
+                        want,
+                        asked_at,
+                        epoch,
+                    });
                 }
             }
             Step::Deliver(index) => {
@@ -183,7 +206,13 @@
 
     fn deliver(&mut self, letter: Letter) {
         match letter {
-            Letter::Ask { from, to, want, asked_at, epoch } => {
+            Letter::Ask {
+                from,
+                to,
+                want,
+                asked_at,
+                epoch,
+            } => {
                 let loans = self.pools[to].lend(&box_id(from), want, self.now);
                 let lender_epoch = self.epochs[to];
                 self.letters.push(Letter::Grant {
@@ -195,7 +224,14 @@
                     lender_epoch,
                 });
             }
-            Letter::Grant { from, to, loans, asked_at, epoch, lender_epoch } => {
+            Letter::Grant {
+                from,
+                to,
+                loans,
+                asked_at,
+                epoch,
+                lender_epoch,
+            } => {
                 // The daemon drops grants to or from an earlier run.
                 if self.epochs[to] != epoch || self.epochs[from] != lender_epoch {
                     return;
@@ -232,7 +268,12 @@
         slots.sort_unstable();
         let all = slots.len();
         slots.dedup();
-        assert_eq!(slots.len(), all, "two requests on one slot: {:?}", self.work);
+        assert_eq!(
+            slots.len(),
+            all,
+            "two requests on one slot: {:?}",
+            self.work
+        );
         assert!(slots.iter().all(|slot| *slot < LOAD));
         self.most = self.most.max(all);
     }
@@ -305,7 +346,11 @@
     let only_borrowed = |slot: u32| borrowed.contains(&slot).then_some(0);
     let within = borrower.admit(asked_at + 99, only_borrowed);
     assert_eq!(within.unwrap().send_before, Some(asked_at + TERMS.term_ms));
-    assert!(borrower.admit(asked_at + TERMS.term_ms, only_borrowed).is_none());
+    assert!(
+        borrower
+            .admit(asked_at + TERMS.term_ms, only_borrowed)
+            .is_none()
+    );
 }
 
 #[test]
--- a/crates/decide/tests/unit_claims.rs
+++ b/crates/decide/tests/unit_claims.rs
@@ -69,7 +69,10 @@
     assert!(!watch.is_gone(&id(0), 600_000, 1_000 + GONE_AFTER_MS - 1));
     assert!(watch.is_gone(&id(0), 600_000, 1_000 + GONE_AFTER_MS));
     watch.observe(&listed, &[id(0)], 5_000);
-    assert!(!watch.is_gone(&id(0), 600_000, 600_000), "the list shows it again");
+    assert!(
+        !watch.is_gone(&id(0), 600_000, 600_000),
+        "the list shows it again"
+    );
 }
 
 #[test]
