--- a/crates/lab/src/demo.rs
+++ b/crates/lab/src/demo.rs
@@ -4,6 +4,7 @@
 //! it; its exit code says the same.
 
 use crate::callers::{Caller, Job, Tally, open_load};
+use crate::counting::largest_shift;
 use crate::deployment::{CALLER_TOKEN, OPERATOR_TOKEN, Site, Spec, caller_ip};
 use crate::http::{LabClient, LabError};
 use crate::upstream::wall_ms;
@@ -38,6 +39,10 @@
 /// The shift cap of the demo's policy: a fraction, and its window in seconds.
 const CAP: (f64, f64) = (0.2, 5.0);
 
+/// A slice of a second counts about 120 requests, each box rounds to whole ones, and
+/// arrivals jitter over a slice's ends: what is counted has this grain.
+const SHIFT_GRAIN: f64 = 0.03;
+
 /// Time in which a drained upstream may still get new work.
 const DRAIN_BOUND_MS: u64 = 2_000;
 
@@ -285,12 +290,9 @@
         }
     }
 
-    /// Counts arrivals of guj-west's callers by region in slices of a second, and takes
-    /// the largest change between two slices at most a window apart.
     fn shift_verdict(&self) -> Verdict {
-        let shift = largest_shift(&self.site, "rate-desk", "guj-west", CAP.1);
-        // A slice counts about 120 requests: the share it shows has a grain.
-        let bound = CAP.0 + 0.03;
+        let shift = largest_shift(&self.site, "rate-desk", "guj-west", LOADS[0].1, CAP.1);
+        let bound = CAP.0 + SHIFT_GRAIN;
         Verdict {
             promise: "shift under its cap",
             held: shift <= bound,
@@ -394,46 +396,6 @@
     }
 }
 
-/// The largest part of `origin`'s requests for `service` that changed region between
-/// two one-second slices at most `window` seconds apart, as the upstreams counted it.
-pub fn largest_shift(site: &Site, service: &str, origin: &str, window: f64) -> f64 {
-    let mut slices: std::collections::BTreeMap<u64, Vec<f64>> = Default::default();
-    for (index, region) in site.spec.regions.iter().enumerate() {
-        let Some(upstreams) = site.upstreams(service, region) else {
-            continue;
-        };
-        for arrival in upstreams.log().arrivals {
-            if arrival.origin != origin {
-                continue;
-            }
-            let slice = slices
-                .entry(arrival.at_ms / 1_000)
-                .or_insert_with(|| vec![0.0; site.spec.regions.len()]);
-            slice[index] += 1.0;
-        }
-    }
-    let shares: Vec<(u64, Vec<f64>)> = slices
-        .into_iter()
-        .map(|(second, counts)| {
-            let sum: f64 = counts.iter().sum();
-            (second, counts.iter().map(|count| count / sum).collect())
-        })
-        .collect();
-    // The first and last slices are cut short and show little.
-    let whole = shares.get(1..shares.len().saturating_sub(1)).unwrap_or(&[]);
-    let mut largest = 0.0_f64;
-    for (index, (second, before)) in whole.iter().enumerate() {
-        for (later, after) in &whole[index + 1..] {
-            if (later - second) as f64 > window - 1.0 {
-                break;
-            }
-            let distance: f64 = before.iter().zip(after).map(|(a, b)| (a - b).abs()).sum();
-            largest = largest.max(distance / 2.0);
-        }
-    }
-    largest
-}
-
 fn whole_verdict(tallies: &[(&'static str, Arc<Tally>)]) -> Verdict {
     let reports = tallies.iter().flat_map(|(_, tally)| tally.reports());
     let (mut all, mut wrong) = (0, 0);
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,6 +4,7 @@
 //! test or the demo.
 
 pub mod callers;
+pub mod counting;
 pub mod demo;
 pub mod deployment;
 pub mod faults;
