--- /dev/null
+++ b/crates/observe/tests/events.rs
@@ -0,0 +1,57 @@
+//! The catalogue of events and the page that shows it.
+#![allow(clippy::unwrap_used, clippy::expect_used)]
+
+use brasswinch_observe::{Event, LatencyTable};
+use brasswinch_types::{Class, Workspace};
+
+fn table() -> String {
+    let mut table = String::from(
+        "| number | severity | event | what happened | what to do |\n| --- | --- | --- | --- | --- |\n",
+    );
+    for row in Event::ALL {
+        table += &format!(
+            "| BW{} | {:?} | {:?} | {} | {} |\n",
+            row.number, row.severity, row.event, row.meaning, row.action
+        );
+    }
+    table
+}
+
+#[test]
+fn the_page_shows_the_catalogue_as_it_is() {
+    let page = include_str!("../../../docs/EVENTS.md");
+    assert!(
+        page.contains(&table()),
+        "docs/EVENTS.md lacks:\n{}",
+        table()
+    );
+}
+
+#[test]
+fn each_event_has_a_number_of_its_own_and_its_own_row() {
+    let numbers: std::collections::BTreeSet<_> = Event::ALL.iter().map(|row| row.number).collect();
+    assert_eq!(numbers.len(), Event::ALL.len());
+    for row in Event::ALL {
+        assert_eq!(row.event.row().number, row.number);
+    }
+}
+
+#[test]
+fn latencies_of_many_workspaces_stay_bounded_and_apart() {
+    let table = LatencyTable::default();
+    for workspace in 0..2_000 {
+        let name = Workspace::new(format!("workspace-{workspace}"));
+        table.record(&name, Class::Repeatable, 1_000);
+        table.record(&name, Class::Upload, 50_000);
+    }
+    let summary = table.summary();
+    assert!(summary.len() <= 1_026, "{}", summary.len());
+    let first = summary
+        .iter()
+        .find(|latency| {
+            latency.workspace == Workspace::new("workspace-0") && latency.class == "upload"
+        })
+        .unwrap();
+    assert_eq!(first.count, 1);
+    assert!((49_000..52_000).contains(&first.p50_us), "{}", first.p50_us);
+}
