Cover other zones by a few boxes instead of linking every box to them

Cause: with two links of every box to every other zone a box would hold 39 + 190 links at 96 zones of 40, and their heartbeats pass 13 KB a second. Ruled out: rarer heartbeats alone, because a lost zone would then be noticed after 38 s. Change: each other zone is covered by two boxes, which pass on what they hear inside the zone; heartbeats announce their interval, which grows with the links. A broken link counts as silence at once, so that a lost region is left sooner.

--- a/crates/daemon/src/control/links.rs
+++ b/crates/daemon/src/control/links.rs
@@ -3,15 +3,15 @@
 use super::state::Control;
 use crate::context::Context;
 use crate::steering::Steering;
-use brasswinch_decide::links::desired;
+use brasswinch_decide::links::LinkChoice;
 use brasswinch_decide::members::{BoxRecord, BoxState, RecordMerge, ServiceLoad};
 use brasswinch_observe::{Event, emit};
 use brasswinch_peer::{
-    Heartbeat, Hello, LinkEvent, LinkId, LinkLimits, LinkSender, Message, OriginShares,
-    PROTOCOL_VERSION, TicketAnswer, ZoneLoad, dial, encode,
+    Heartbeat, Hello, LinkEvent, LinkId, LinkLimits, LinkSender, Message, NearReport, OriginShares,
+    PROTOCOL_VERSION, TicketAnswer, ZoneReport, dial, encode,
 };
 use brasswinch_types::{BoxId, Incarnation, Millis, Region, ServiceKey, Zone};
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::PoisonError;
 use tokio::sync::oneshot;
@@ -19,8 +19,24 @@
 /// A box that was dialled in vain is left alone this long.
 const REDIAL_AFTER_MS: Millis = 1_000;
 
-/// A link on which nothing was heard for this many heartbeats is dropped.
-const DEAD_AFTER_HEARTBEATS: u64 = 16;
+/// A link on which nothing was heard for this many intervals is dropped.
+const DEAD_AFTER_INTERVALS: u64 = 8;
+
+/// A link that is no longer wanted is kept this long, for what still moves over it.
+const KEEP_UNWANTED_MS: Millis = 10_000;
+
+/// Each neighbour lengthens the time between heartbeats inside the zone to at least this
+/// many milliseconds times the neighbours, so that what a box hears stays bounded.
+const NEAR_SPACING_MS: Millis = 50;
+
+/// The same for heartbeats between zones and far links.
+const FAR_SPACING_MS: Millis = 100;
+
+/// What a covered zone's box reported last.
+struct Covered {
+    report: ZoneReport,
+    until: Millis,
+}
 
 /// Configuration is compared with one peer at most this often.
 const COMPARE_EVERY_MS: Millis = 1_000;
@@ -29,7 +45,11 @@
     sender: LinkSender,
     /// The peer, once it has said hello.
     peer: Option<(BoxId, Zone)>,
+    /// Whether this box dialled.
+    dialled: bool,
+    up_since: Millis,
     heard_at: Millis,
+    interval_ms: Millis,
     compared_at: Millis,
 }
 
@@ -39,6 +59,9 @@
     links: HashMap<LinkId, Link>,
     dialling: BTreeSet<SocketAddr>,
     failed_at: HashMap<SocketAddr, Millis>,
+    covered: BTreeMap<Zone, Covered>,
+    near_sent_at: Millis,
+    far_sent_at: Millis,
 }
 
 impl LinkTable {
@@ -99,7 +122,10 @@
         let link_state = Link {
             sender,
             peer: None,
+            dialled: dialled.is_some(),
+            up_since: now,
             heard_at: now,
+            interval_ms: self.far_interval_ms(),
             compared_at: now,
         };
         self.links.links.insert(link, link_state);
@@ -114,7 +140,20 @@
         let removed = link.and_then(|link| self.links.links.remove(&link));
         if let Some((peer, zone)) = removed.and_then(|link| link.peer) {
             emit(Event::PeerDown, format_args!("{peer} in {zone}"));
+            self.note_lost(&peer, &zone);
+        }
+    }
+
+    /// Without a link to `peer`, and without any to its zone, nothing is heard of them.
+    fn note_lost(&mut self, peer: &BoxId, zone: &Zone) {
+        if self.links.to(peer).is_some() {
+            return;
         }
+        self.members.lost(peer);
+        if self.links_where(|linked| linked == zone) == 0 {
+            self.links.covered.remove(zone);
+        }
+        self.publish();
     }
 
     fn on_message(&mut self, link: LinkId, message: Message) {
@@ -194,7 +233,8 @@
         }
         let now = self.now();
         self.on_records(vec![record], Some(link));
-        self.members.heard(&id, incarnation, now);
+        let interval_ms = self.near_interval_ms().max(self.far_interval_ms());
+        self.members.heard(&id, incarnation, interval_ms, now);
         emit(Event::PeerUp, format_args!("{id} in {zone}"));
         let mut known: Vec<BoxRecord> = self.members.records().cloned().collect();
         known.push(self.record.clone());
@@ -227,19 +267,47 @@
 
     fn on_heartbeat_of(&mut self, link: LinkId, peer: &BoxId, zone: &Zone, heartbeat: Heartbeat) {
         let now = self.now();
-        self.members.heard(peer, heartbeat.incarnation, now);
+        let interval_ms = heartbeat.interval_ms;
         self.members
-            .report(peer, heartbeat.config_digest, heartbeat.loads);
-        if *zone != self.context.zone {
-            self.take_zone_report(peer, zone, &heartbeat.silent, &heartbeat.zone_loads);
+            .heard(peer, heartbeat.incarnation, interval_ms, now);
+        if let Some(state) = self.links.links.get_mut(&link) {
+            state.interval_ms = interval_ms;
         }
-        for leaving in heartbeat.leaving {
+        let near = *zone == self.context.zone;
+        let loads = match heartbeat.near {
+            Some(report) if near => self.take_near_report(link, report),
+            _ => Vec::new(),
+        };
+        self.members.report(peer, heartbeat.config_digest, loads);
+        for report in heartbeat.zones {
+            let about_sender = report.zone == *zone;
+            if report.zone == self.context.zone || near == about_sender {
+                continue;
+            }
+            self.take_zone_report(&report, interval_ms);
+            if about_sender {
+                let until = now + interval_ms * DEAD_AFTER_INTERVALS / 2;
+                let covered = Covered { report, until };
+                self.links.covered.insert(zone.clone(), covered);
+            }
+        }
+        self.compare_config(link, heartbeat.config_digest);
+    }
+
+    fn take_near_report(&mut self, link: LinkId, report: NearReport) -> Vec<ServiceLoad> {
+        for leaving in report.leaving {
             self.take_upstream_leaving(leaving);
         }
-        if *zone == self.context.zone && heartbeat.units_version < self.units.table.version {
+        if report.units_version < self.units.table.version {
             self.send(link, &Message::Units(self.units.table.clone()));
         }
-        if heartbeat.config_digest == self.config.keeper.digest() {
+        report.loads
+    }
+
+    /// Asks a peer that holds another configuration for what this box lacks.
+    fn compare_config(&mut self, link: LinkId, digest: u64) {
+        let now = self.now();
+        if digest == self.config.keeper.digest() {
             return;
         }
         let Some(state) = self.links.links.get_mut(&link) else {
@@ -251,85 +319,116 @@
         }
     }
 
-    /// A linked box of another zone speaks for its neighbours there.
-    fn take_zone_report(
-        &mut self,
-        peer: &BoxId,
-        zone: &Zone,
-        silent: &[BoxId],
-        loads: &[ZoneLoad],
-    ) {
+    /// Someone who hears another zone speaks for all boxes there.
+    fn take_zone_report(&mut self, report: &ZoneReport, interval_ms: Millis) {
         let now = self.now();
         let heard: Vec<(BoxId, Incarnation)> = self
             .members
-            .known_in(zone)
+            .known_in(&report.zone)
             .into_iter()
-            .filter(|record| record.id != *peer && !silent.contains(&record.id))
+            .filter(|record| !report.silent.contains(&record.id))
             .map(|record| (record.id.clone(), record.incarnation))
             .collect();
         for (id, incarnation) in heard {
-            self.members.heard(&id, incarnation, now);
+            self.members.heard(&id, incarnation, interval_ms, now);
         }
-        for report in loads {
-            let index = self.context.zone_index(&report.zone);
-            let service = self.context.services.get(&report.load.service);
-            if let (Some(index), Some(service)) = (index, service) {
-                service.zone_loads[index].set(&report.load, now);
+        let Some(index) = self.context.zone_index(&report.zone) else {
+            return;
+        };
+        for load in &report.loads {
+            if let Some(service) = self.context.services.get(&load.service) {
+                service.zone_loads[index].set(load, now);
             }
         }
     }
 
+    fn near_interval_ms(&self) -> Millis {
+        let neighbours = self.links_where(|zone| *zone == self.context.zone);
+        let spaced = neighbours * NEAR_SPACING_MS;
+        self.context
+            .settings
+            .this_box
+            .peers
+            .heartbeat_ms
+            .max(spaced)
+    }
+
+    fn far_interval_ms(&self) -> Millis {
+        let peers = &self.context.settings.this_box.peers;
+        let far = self.links_where(|zone| *zone != self.context.zone);
+        (peers.heartbeat_ms * peers.far_heartbeat_factor).max(far * FAR_SPACING_MS)
+    }
+
+    fn links_where(&self, wanted: impl Fn(&Zone) -> bool) -> u64 {
+        let peers = self.links.links.values().filter_map(|l| l.peer.as_ref());
+        peers.filter(|(_, zone)| wanted(zone)).count() as u64
+    }
+
+    /// Sends the heartbeats that are due and drops the links that went silent.
     pub(super) fn send_heartbeats(&mut self) {
-        let factor = self.context.settings.this_box.peers.far_heartbeat_factor;
-        let far_due = self.heartbeats.is_multiple_of(factor);
-        let near = Message::Heartbeat(self.near_heartbeat());
-        let far = far_due.then(|| Message::Heartbeat(self.far_heartbeat()));
-        let near = encode(&near).map(bytes::Bytes::from);
-        let far = far.map(|far| encode(&far).map(bytes::Bytes::from));
         let now = self.now();
-        let silent_ms = self.context.settings.this_box.peers.heartbeat_ms * factor;
-        let dead_ms = silent_ms * DEAD_AFTER_HEARTBEATS;
+        let near_due = now.saturating_sub(self.links.near_sent_at) >= self.near_interval_ms();
+        let far_due = now.saturating_sub(self.links.far_sent_at) >= self.far_interval_ms();
+        self.links.covered.retain(|_, covered| now < covered.until);
+        let near = near_due
+            .then(|| self.encoded(self.near_heartbeat()))
+            .flatten();
+        let far = far_due
+            .then(|| self.encoded(self.far_heartbeat()))
+            .flatten();
+        if near_due {
+            self.links.near_sent_at = now;
+        }
+        if far_due {
+            self.links.far_sent_at = now;
+        }
         let my_zone = &self.context.zone;
         self.links.links.retain(|_, link| {
-            if now.saturating_sub(link.heard_at) > dead_ms {
+            let silent = now.saturating_sub(link.heard_at);
+            if silent > link.interval_ms * DEAD_AFTER_INTERVALS {
                 return false;
             }
             let Some((_, zone)) = &link.peer else {
                 return true;
             };
-            let bytes = if zone == my_zone {
-                Some(&near)
-            } else {
-                far.as_ref()
-            };
-            match bytes {
-                Some(Ok(bytes)) => link.sender.send_encoded(bytes.clone()),
-                _ => true,
-            }
+            let due = if zone == my_zone { &near } else { &far };
+            due.as_ref()
+                .is_none_or(|bytes| link.sender.send_encoded(bytes.clone()))
         });
     }
 
+    fn encoded(&self, heartbeat: Heartbeat) -> Option<bytes::Bytes> {
+        encode(&Message::Heartbeat(heartbeat))
+            .map(bytes::Bytes::from)
+            .ok()
+    }
+
     fn near_heartbeat(&self) -> Heartbeat {
+        let covered = self.links.covered.values();
         Heartbeat {
             incarnation: self.context.incarnation,
+            interval_ms: self.near_interval_ms(),
             config_digest: self.config.keeper.digest(),
-            units_version: self.units.table.version,
-            loads: self.own_loads(),
-            zone_loads: Vec::new(),
-            silent: Vec::new(),
-            leaving: self.config.upstreams_leaving.clone(),
+            near: Some(NearReport {
+                units_version: self.units.table.version,
+                loads: self.own_loads(),
+                leaving: self.config.upstreams_leaving.clone(),
+            }),
+            zones: covered.map(|covered| covered.report.clone()).collect(),
         }
     }
 
     fn far_heartbeat(&self) -> Heartbeat {
         Heartbeat {
             incarnation: self.context.incarnation,
+            interval_ms: self.far_interval_ms(),
             config_digest: self.config.keeper.digest(),
-            units_version: 0,
-            loads: Vec::new(),
-            zone_loads: self.own_zone_loads(),
-            silent: self.members.silent_in(&self.context.zone, self.now()),
-            leaving: Vec::new(),
+            near: None,
+            zones: vec![ZoneReport {
+                zone: self.context.zone.clone(),
+                silent: self.members.silent_in(&self.context.zone, self.now()),
+                loads: self.own_zone_loads(),
+            }],
         }
     }
 
@@ -349,23 +448,19 @@
             .collect()
     }
 
-    fn own_zone_loads(&self) -> Vec<ZoneLoad> {
+    fn own_zone_loads(&self) -> Vec<ServiceLoad> {
         let Some(index) = self.context.zone_index(&self.context.zone) else {
             return Vec::new();
         };
-        let zone_load = |service: &std::sync::Arc<crate::service::ServiceRuntime>| ZoneLoad {
-            zone: self.context.zone.clone(),
-            load: ServiceLoad {
-                service: service.key.clone(),
-                idle: service.zone_loads[index].idle(),
-                total: service.zone_loads[index].total(),
-            },
-        };
         self.context
             .services
             .values()
             .filter(|service| !service.upstreams.is_empty())
-            .map(zone_load)
+            .map(|service| ServiceLoad {
+                service: service.key.clone(),
+                idle: service.zone_loads[index].idle(),
+                total: service.zone_loads[index].total(),
+            })
             .collect()
     }
 
@@ -406,17 +501,26 @@
             record.is_some_and(|record| !recently_failed(&record.peer_address))
         };
         let settings = &self.context.settings.this_box.peers;
-        let mut dial_now: BTreeSet<SocketAddr> = desired(
-            &self.context.id,
-            &self.context.zone,
-            self.members.records(),
-            settings.links_per_zone,
-            usable,
-        )
-        .into_iter()
-        .filter(|record| !linked.contains(&record.id))
-        .map(|record| record.peer_address)
-        .collect();
+        let neighbours: Vec<BoxId> = self.neighbours_heard().into_iter().map(|r| r.id).collect();
+        let choice = LinkChoice {
+            me: &self.context.id,
+            zone: &self.context.zone,
+            neighbours: &neighbours,
+            links_per_zone: settings.links_per_zone,
+        };
+        // A starting box doesn't know its neighbours yet and would cover every zone.
+        let starting = self.record.state == BoxState::Starting;
+        let wanted: BTreeMap<BoxId, SocketAddr> = choice
+            .desired(self.members.records(), usable)
+            .into_iter()
+            .filter(|record| !starting || record.zone == self.context.zone)
+            .map(|record| (record.id.clone(), record.peer_address))
+            .collect();
+        let mut dial_now: BTreeSet<SocketAddr> = wanted
+            .iter()
+            .filter(|(id, _)| !linked.contains(id))
+            .map(|(_, address)| *address)
+            .collect();
         let known: BTreeSet<SocketAddr> = self.members.records().map(|r| r.peer_address).collect();
         for seed in &settings.seeds {
             if !known.contains(seed) && *seed != self.record.peer_address && !recently_failed(seed)
@@ -424,6 +528,16 @@
                 dial_now.insert(*seed);
             }
         }
+        if !starting {
+            self.links.links.retain(|_, link| {
+                let Some((id, zone)) = &link.peer else {
+                    return true;
+                };
+                let old = now.saturating_sub(link.up_since) > KEEP_UNWANTED_MS;
+                let wanted = !link.dialled || *zone == self.context.zone || wanted.contains_key(id);
+                wanted || !old
+            });
+        }
         for address in dial_now {
             if !self.links.dialling.insert(address) {
                 continue;
--- a/crates/daemon/src/control/state.rs
+++ b/crates/daemon/src/control/state.rs
@@ -36,7 +36,6 @@
     pub(super) questions: HashMap<u64, oneshot::Sender<bool>>,
     pub(super) shares_heard: bool,
     pub(super) store_reached: Option<bool>,
-    pub(super) heartbeats: u64,
     watching: watch::Sender<bool>,
     leaving_since: Option<Millis>,
     finished: bool,
@@ -50,7 +49,6 @@
         link_events: mpsc::Sender<LinkEvent>,
         watching: watch::Sender<bool>,
     ) -> Self {
-        let settings = &context.settings.this_box;
         let record = BoxRecord {
             id: context.id.clone(),
             incarnation: context.incarnation,
@@ -62,7 +60,7 @@
             state: BoxState::Starting,
         };
         Self {
-            members: Members::new(context.id.clone(), settings.peers.heartbeat_ms),
+            members: Members::new(context.id.clone()),
             links: LinkTable::default(),
             link_events,
             config: ConfigState::default(),
@@ -70,7 +68,6 @@
             questions: HashMap::new(),
             shares_heard: false,
             store_reached: None,
-            heartbeats: 0,
             watching,
             leaving_since: None,
             finished: false,
@@ -122,7 +119,6 @@
     }
 
     pub(super) fn on_heartbeat(&mut self) {
-        self.heartbeats += 1;
         for service in self.context.services.values() {
             for returned in service.gate.tick(service) {
                 let key = service.key.clone();
--- a/crates/decide/src/links.rs
+++ b/crates/decide/src/links.rs
@@ -1,48 +1,73 @@
 //! Which boxes a box links to.
 //!
-//! Inside the zone, every box. Of each other zone, a few chosen by rendezvous
-//! hashing, so that each box of a zone is chosen about equally often and a box
-//! that goes away moves only its own links. Heartbeats of the linked boxes
-//! speak for their whole zone.
+//! Inside the zone, every box. Every other zone is covered by a few boxes of this one,
+//! chosen by rendezvous hashing; each of them links to one box there and passes on what
+//! it hears in its heartbeats inside the zone. A box's links then grow with its zone
+//! and with the number of zones for each box of its own, not with the fleet.
 
 use crate::members::BoxRecord;
 use brasswinch_types::{BoxId, Zone};
 use std::collections::BTreeMap;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// The boxes to link to. `usable` leaves out boxes that were just dialled in vain.
-pub fn desired<'a>(
-    me: &BoxId,
-    my_zone: &Zone,
-    records: impl Iterator<Item = &'a BoxRecord>,
-    links_per_zone: usize,
-    usable: impl Fn(&BoxId) -> bool,
-) -> Vec<&'a BoxRecord> {
-    let mut chosen = Vec::new();
-    let mut far: BTreeMap<&Zone, Vec<&BoxRecord>> = BTreeMap::new();
-    for record in records {
-        if !usable(&record.id) {
-            continue;
-        }
-        if &record.zone == my_zone {
-            chosen.push(record);
-        } else {
-            far.entry(&record.zone).or_default().push(record);
+/// What the choice of links depends on.
+pub struct LinkChoice<'a> {
+    /// The box that chooses.
+    pub me: &'a BoxId,
+    /// Its zone.
+    pub zone: &'a Zone,
+    /// The other boxes of its zone that are heard.
+    pub neighbours: &'a [BoxId],
+    /// How many boxes of a zone cover each other zone.
+    pub links_per_zone: usize,
+}
+
+impl LinkChoice<'_> {
+    /// The boxes of `records` to link to. `usable` leaves out boxes that were just
+    /// dialled in vain.
+    pub fn desired<'r>(
+        &self,
+        records: impl Iterator<Item = &'r BoxRecord>,
+        usable: impl Fn(&BoxId) -> bool,
+    ) -> Vec<&'r BoxRecord> {
+        let mut chosen = Vec::new();
+        let mut far: BTreeMap<&Zone, &BoxRecord> = BTreeMap::new();
+        for record in records.filter(|record| usable(&record.id)) {
+            if &record.zone == self.zone {
+                chosen.push(record);
+                continue;
+            }
+            let best = far.entry(&record.zone).or_insert(record);
+            if self.distance(record) < self.distance(best) {
+                *best = record;
+            }
         }
+        let covered = far.into_iter().filter(|(zone, _)| self.covers(zone));
+        chosen.extend(covered.map(|(_, record)| record));
+        chosen
+    }
+
+    /// Whether this box is one of those that cover `zone` for their neighbours.
+    pub fn covers(&self, zone: &Zone) -> bool {
+        is_chosen(self.me, zone, self.neighbours, self.links_per_zone)
     }
-    for mut candidates in far.into_values() {
-        candidates.sort_by_key(|record| score(me.as_str(), record.id.as_str()));
-        chosen.extend(candidates.into_iter().take(links_per_zone));
+
+    fn distance(&self, record: &BoxRecord) -> u64 {
+        score(self.me.as_str(), record.id.as_str())
     }
-    chosen
 }
 
 /// Whether `me` is one of the `count` boxes of its zone that watch the store.
 pub fn is_watcher(me: &BoxId, zone: &Zone, others: &[BoxId], count: usize) -> bool {
-    let mine = score(zone.as_str(), me.as_str());
+    is_chosen(me, zone, others, count)
+}
+
+/// Whether `me` ranks among the first `count` of itself and `others` for `task`.
+fn is_chosen(me: &BoxId, task: &Zone, others: &[BoxId], count: usize) -> bool {
+    let mine = score(task.as_str(), me.as_str());
     let before_me = others
         .iter()
-        .filter(|other| score(zone.as_str(), other.as_str()) < mine)
+        .filter(|other| score(task.as_str(), other.as_str()) < mine)
         .count();
     before_me < count
 }
--- a/crates/decide/src/members.rs
+++ b/crates/decide/src/members.rs
@@ -59,13 +59,15 @@
     pub total: u32,
 }
 
-/// Time without a heartbeat after which a box counts as silent, in heartbeats.
-const SILENT_AFTER_HEARTBEATS: u64 = 4;
+/// Time without a heartbeat after which a box counts as silent, in intervals that its
+/// last heartbeat announced.
+const SILENT_AFTER_INTERVALS: u64 = 4;
 
 #[derive(Clone, Debug)]
 struct Member {
     record: BoxRecord,
-    heard_at: Option<Millis>,
+    /// Until when the last heartbeat counts.
+    heard_until: Option<Millis>,
     config_digest: u64,
     loads: Vec<ServiceLoad>,
 }
@@ -74,7 +76,6 @@
 #[derive(Debug)]
 pub struct Members {
     me: BoxId,
-    heartbeat_ms: Millis,
     members: BTreeMap<BoxId, Member>,
 }
 
@@ -89,10 +90,9 @@
 
 impl Members {
     /// Knows nobody yet.
-    pub fn new(me: BoxId, heartbeat_ms: Millis) -> Self {
+    pub fn new(me: BoxId) -> Self {
         Self {
             me,
-            heartbeat_ms,
             members: BTreeMap::new(),
         }
     }
@@ -107,7 +107,7 @@
             Some(member) => {
                 if record.incarnation != member.record.incarnation {
                     member.loads.clear();
-                    member.heard_at = None;
+                    member.heard_until = None;
                 }
                 member.record = record;
                 RecordMerge::Newer
@@ -115,7 +115,7 @@
             None => {
                 let member = Member {
                     record,
-                    heard_at: None,
+                    heard_until: None,
                     config_digest: 0,
                     loads: Vec::new(),
                 };
@@ -125,13 +125,29 @@
         }
     }
 
-    /// A heartbeat of `id` arrived, directly or by a neighbour's word.
-    pub fn heard(&mut self, id: &BoxId, incarnation: Incarnation, now: Millis) {
+    /// A heartbeat of `id` arrived, directly or by a neighbour's word; the next is due
+    /// within `interval_ms`.
+    pub fn heard(
+        &mut self,
+        id: &BoxId,
+        incarnation: Incarnation,
+        interval_ms: Millis,
+        now: Millis,
+    ) {
         let Some(member) = self.members.get_mut(id) else {
             return;
         };
-        if member.record.incarnation == incarnation {
-            member.heard_at = Some(now);
+        if member.record.incarnation != incarnation {
+            return;
+        }
+        let until = now + interval_ms * SILENT_AFTER_INTERVALS;
+        member.heard_until = Some(member.heard_until.map_or(until, |held| held.max(until)));
+    }
+
+    /// The link to `id` broke: it counts as silent until someone hears it again.
+    pub fn lost(&mut self, id: &BoxId) {
+        if let Some(member) = self.members.get_mut(id) {
+            member.heard_until = None;
         }
     }
 
@@ -161,11 +177,10 @@
 
     /// Whether `id` was heard recently.
     pub fn is_heard(&self, id: &BoxId, now: Millis) -> bool {
-        let silent_after = self.heartbeat_ms * SILENT_AFTER_HEARTBEATS;
         self.members
             .get(id)
-            .and_then(|member| member.heard_at)
-            .is_some_and(|heard_at| now.saturating_sub(heard_at) < silent_after)
+            .and_then(|member| member.heard_until)
+            .is_some_and(|until| now < until)
     }
 
     /// The boxes of `zone` that are heard and serving.
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -10,6 +10,6 @@
 pub use codec::{CodecError, decode, encode};
 pub use link::{LinkEvent, LinkId, LinkLimits, LinkSender, dial, listen};
 pub use message::{
-    Heartbeat, Hello, LoanAsk, LoanGrant, LoanReturn, Message, OriginShares, PROTOCOL_VERSION,
-    ServiceHoldings, TicketAnswer, TicketQuestion, UpstreamLeaving, ZoneLoad,
+    Heartbeat, Hello, LoanAsk, LoanGrant, LoanReturn, Message, NearReport, OriginShares,
+    PROTOCOL_VERSION, ServiceHoldings, TicketAnswer, TicketQuestion, UpstreamLeaving, ZoneReport,
 };
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -61,27 +61,37 @@
 pub struct Heartbeat {
     /// The sender's run.
     pub incarnation: Incarnation,
+    /// The next heartbeat is due within this time, in milliseconds.
+    pub interval_ms: Millis,
     /// Digest of the configuration in force at the sender.
     pub config_digest: u64,
-    /// Version of the sender's unit table, inside a zone.
+    /// What only neighbours need.
+    pub near: Option<NearReport>,
+    /// What the sender knows of zones that it speaks for: of its own to other zones,
+    /// of those it covers to its neighbours.
+    pub zones: Vec<ZoneReport>,
+}
+
+/// What boxes of one zone tell each other.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct NearReport {
+    /// Version of the sender's unit table.
     pub units_version: u64,
-    /// Loads of the sender, inside a zone.
+    /// Loads of the sender.
     pub loads: Vec<ServiceLoad>,
-    /// Loads of the sender's zone, between zones.
-    pub zone_loads: Vec<ZoneLoad>,
-    /// Boxes of the sender's zone that it doesn't hear, between zones.
-    pub silent: Vec<BoxId>,
-    /// Upstreams that said they are leaving, inside a zone.
+    /// Upstreams that said they are leaving.
     pub leaving: Vec<UpstreamLeaving>,
 }
 
-/// Load of one service in one zone.
+/// What is known of one zone.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ZoneLoad {
+pub struct ZoneReport {
     /// The zone.
     pub zone: Zone,
-    /// Its load.
-    pub load: ServiceLoad,
+    /// Boxes of the zone that are known but not heard there.
+    pub silent: Vec<BoxId>,
+    /// The zone's load by service.
+    pub loads: Vec<ServiceLoad>,
 }
 
 /// An upstream's own word that it is leaving.
--- a/crates/settings/src/peers.rs
+++ b/crates/settings/src/peers.rs
@@ -9,9 +9,10 @@
 pub struct PeerSettings {
     /// Peer addresses to ask first; boxes of the own zone serve best.
     pub seeds: Vec<SocketAddr>,
-    /// Time between heartbeats inside the zone, in milliseconds.
+    /// Least time between heartbeats inside the zone, in milliseconds. It grows with the
+    /// number of neighbours.
     pub heartbeat_ms: u64,
-    /// How many boxes of each other zone to link to.
+    /// How many boxes of this zone link to each other zone, one box there each.
     pub links_per_zone: usize,
     /// Heartbeats to other zones are this many times rarer.
     pub far_heartbeat_factor: u64,
