--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -462,7 +462,7 @@
             .await
         }
         LabSubcommand::Slopes(slopes) => {
-            brasswinch_lab::slopes::run(slopes.json).await?;
+            brasswinch_lab::slopes::run(slopes.json, crate::allocated_bytes).await?;
             Ok(EXIT_OK)
         }
     }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -9,6 +9,7 @@
 mod context;
 mod control;
 mod gate;
+mod measure;
 mod probe;
 mod service;
 mod start;
@@ -18,6 +19,7 @@
 pub use admin::{BoxView, PolicyView, ServiceView, StatusView, SubmitAnswer, SubmitOutcome};
 pub use clock::Clock;
 pub use config_store::{CONFIG_PREFIX, units_key};
+pub use measure::LookupMeasure;
 pub use start::{DaemonError, DaemonHandle, ListenAddresses, start};
 pub use traffic::{
     DEADLINE_HEADER, ERROR_HEADER, KEY_HEADER, LookupAnswer, LookupBox, RAN_HEADER,
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -206,7 +206,7 @@
     })
 }
 
-fn new_context(settings: Settings, commands: mpsc::UnboundedSender<Command>) -> Context {
+pub(crate) fn new_context(settings: Settings, commands: mpsc::UnboundedSender<Command>) -> Context {
     let clock = Clock::default();
     let incarnation = clock.new_incarnation();
     let id = BoxId::new(&settings.this_box.id);
--- a/crates/daemon/src/traffic/mod.rs
+++ b/crates/daemon/src/traffic/mod.rs
@@ -12,6 +12,7 @@
 
 pub(crate) use claim::Claims;
 pub(crate) use connections::ConnectionPool;
+pub(crate) use lookup::lookup;
 pub use lookup::{LookupAnswer, LookupBox};
 pub(crate) use server::serve;
 
