Send loads when they changed; adopt the table that a refused write brings back

Cause: at 39 neighbours heartbeats passed 79 to 100 KB a second, mostly loads of covered zones that had not changed, under full names. Ruled out: the number of far links, whose own part was 8 to 12 KB. Change: loads are short arrays under a hashed name, sent when they moved by an eighth, all of them every eighth heartbeat; intervals grow by 75 ms a neighbour and 200 ms a far link. A box waits a second before it claims units, and takes the present table from a refused write instead of reading it again.

--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -9,7 +9,9 @@
 use brasswinch_decide::once::TicketLedger;
 use brasswinch_observe::{LatencyTable, Metrics};
 use brasswinch_settings::Settings;
-use brasswinch_types::{BoxId, Incarnation, Region, ServiceKey, TicketKey, Workspace, Zone};
+use brasswinch_types::{
+    BoxId, Incarnation, Region, ServiceKey, ServiceTag, TicketKey, Workspace, Zone,
+};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::atomic::AtomicUsize;
@@ -56,6 +58,7 @@
     pub(crate) blocks: BlockTable,
     pub(crate) snapshot: ArcSwap<Snapshot>,
     pub(crate) services: HashMap<ServiceKey, Arc<ServiceRuntime>>,
+    pub(crate) services_by_tag: HashMap<ServiceTag, Arc<ServiceRuntime>>,
     pub(crate) callers: HashMap<String, Arc<WorkspaceRuntime>>,
     pub(crate) operators: HashMap<String, Workspace>,
     pub(crate) ticket_key: TicketKey,
@@ -80,6 +83,11 @@
             .position(|candidate| candidate == region)
     }
 
+    /// The service with a short name.
+    pub(crate) fn service_by_tag(&self, tag: ServiceTag) -> Option<&Arc<ServiceRuntime>> {
+        self.services_by_tag.get(&tag)
+    }
+
     /// Tells the control thread something. It outlives traffic, so this can't fail usefully.
     pub(crate) fn tell(&self, command: Command) {
         let _ = self.commands.send(command);
--- a/crates/daemon/src/control/links.rs
+++ b/crates/daemon/src/control/links.rs
@@ -4,13 +4,14 @@
 use crate::context::Context;
 use crate::steering::Steering;
 use brasswinch_decide::links::LinkChoice;
-use brasswinch_decide::members::{BoxRecord, BoxState, RecordMerge, ServiceLoad};
+use brasswinch_decide::load_reports::{LoadReporter, ServiceLoad};
+use brasswinch_decide::members::{BoxRecord, BoxState, RecordMerge};
 use brasswinch_observe::{Event, emit};
 use brasswinch_peer::{
     Heartbeat, Hello, LinkEvent, LinkId, LinkLimits, LinkSender, Message, NearReport, OriginShares,
     PROTOCOL_VERSION, TicketAnswer, ZoneReport, dial, encode,
 };
-use brasswinch_types::{BoxId, Incarnation, Millis, Region, ServiceKey, Zone};
+use brasswinch_types::{BoxId, Incarnation, Millis, Region, ServiceKey, ServiceTag, Zone};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::PoisonError;
@@ -27,15 +28,18 @@
 
 /// Each neighbour lengthens the time between heartbeats inside the zone to at least this
 /// many milliseconds times the neighbours, so that what a box hears stays bounded.
-const NEAR_SPACING_MS: Millis = 50;
+const NEAR_SPACING_MS: Millis = 75;
 
 /// The same for heartbeats between zones and far links.
-const FAR_SPACING_MS: Millis = 100;
+const FAR_SPACING_MS: Millis = 200;
 
-/// What a covered zone's box reported last.
+/// What boxes of a covered zone reported.
 struct Covered {
-    report: ZoneReport,
+    silent: Vec<BoxId>,
+    loads: BTreeMap<ServiceTag, ServiceLoad>,
     until: Millis,
+    /// Chooses what the neighbours are told of it.
+    reporter: LoadReporter,
 }
 
 /// Configuration is compared with one peer at most this often.
@@ -62,6 +66,19 @@
     covered: BTreeMap<Zone, Covered>,
     near_sent_at: Millis,
     far_sent_at: Millis,
+    near_reporter: LoadReporter,
+    far_reporter: LoadReporter,
+}
+
+impl LinkTable {
+    /// A new link has heard nothing yet: the next heartbeats tell everything.
+    fn report_all_next(&mut self) {
+        self.near_reporter.send_all_next();
+        self.far_reporter.send_all_next();
+        for covered in self.covered.values_mut() {
+            covered.reporter.send_all_next();
+        }
+    }
 }
 
 impl LinkTable {
@@ -236,6 +253,7 @@
         let interval_ms = self.near_interval_ms().max(self.far_interval_ms());
         self.members.heard(&id, incarnation, interval_ms, now);
         emit(Event::PeerUp, format_args!("{id} in {zone}"));
+        self.links.report_all_next();
         let mut known: Vec<BoxRecord> = self.members.records().cloned().collect();
         known.push(self.record.clone());
         self.send(link, &Message::Records(known));
@@ -286,14 +304,30 @@
             }
             self.take_zone_report(&report, interval_ms);
             if about_sender {
-                let until = now + interval_ms * DEAD_AFTER_INTERVALS / 2;
-                let covered = Covered { report, until };
-                self.links.covered.insert(zone.clone(), covered);
+                self.cover(report, now + interval_ms * DEAD_AFTER_INTERVALS / 2);
             }
         }
         self.compare_config(link, heartbeat.config_digest);
     }
 
+    /// Keeps what a box says of its own zone, for the neighbours.
+    fn cover(&mut self, report: ZoneReport, until: Millis) {
+        let covered = self
+            .links
+            .covered
+            .entry(report.zone)
+            .or_insert_with(|| Covered {
+                silent: Vec::new(),
+                loads: BTreeMap::new(),
+                until,
+                reporter: LoadReporter::default(),
+            });
+        covered.silent = report.silent;
+        covered.until = until;
+        let by_service = report.loads.into_iter().map(|load| (load.service, load));
+        covered.loads.extend(by_service);
+    }
+
     fn take_near_report(&mut self, link: LinkId, report: NearReport) -> Vec<ServiceLoad> {
         for leaving in report.leaving {
             self.take_upstream_leaving(leaving);
@@ -336,10 +370,13 @@
             return;
         };
         for load in &report.loads {
-            if let Some(service) = self.context.services.get(&load.service) {
+            if let Some(service) = self.context.service_by_tag(load.service) {
                 service.zone_loads[index].set(load, now);
             }
         }
+        for service in self.context.services.values() {
+            service.zone_loads[index].confirm(now);
+        }
     }
 
     fn near_interval_ms(&self) -> Millis {
@@ -370,12 +407,8 @@
         let near_due = now.saturating_sub(self.links.near_sent_at) >= self.near_interval_ms();
         let far_due = now.saturating_sub(self.links.far_sent_at) >= self.far_interval_ms();
         self.links.covered.retain(|_, covered| now < covered.until);
-        let near = near_due
-            .then(|| self.encoded(self.near_heartbeat()))
-            .flatten();
-        let far = far_due
-            .then(|| self.encoded(self.far_heartbeat()))
-            .flatten();
+        let near = near_due.then(|| self.near_heartbeat()).and_then(encoded);
+        let far = far_due.then(|| self.far_heartbeat()).and_then(encoded);
         if near_due {
             self.links.near_sent_at = now;
         }
@@ -397,28 +430,34 @@
         });
     }
 
-    fn encoded(&self, heartbeat: Heartbeat) -> Option<bytes::Bytes> {
-        encode(&Message::Heartbeat(heartbeat))
-            .map(bytes::Bytes::from)
-            .ok()
-    }
-
-    fn near_heartbeat(&self) -> Heartbeat {
-        let covered = self.links.covered.values();
+    fn near_heartbeat(&mut self) -> Heartbeat {
+        let loads = self.own_loads();
+        let loads = self.links.near_reporter.due(loads);
+        let zones = self.links.covered.iter_mut().map(|(zone, covered)| {
+            let loads = covered.loads.values().copied().collect();
+            ZoneReport {
+                zone: zone.clone(),
+                silent: covered.silent.clone(),
+                loads: covered.reporter.due(loads),
+            }
+        });
+        let zones = zones.collect();
         Heartbeat {
             incarnation: self.context.incarnation,
             interval_ms: self.near_interval_ms(),
             config_digest: self.config.keeper.digest(),
             near: Some(NearReport {
                 units_version: self.units.table.version,
-                loads: self.own_loads(),
+                loads,
                 leaving: self.config.upstreams_leaving.clone(),
             }),
-            zones: covered.map(|covered| covered.report.clone()).collect(),
+            zones,
         }
     }
 
-    fn far_heartbeat(&self) -> Heartbeat {
+    fn far_heartbeat(&mut self) -> Heartbeat {
+        let loads = self.own_zone_loads();
+        let loads = self.links.far_reporter.due(loads);
         Heartbeat {
             incarnation: self.context.incarnation,
             interval_ms: self.far_interval_ms(),
@@ -427,7 +466,7 @@
             zones: vec![ZoneReport {
                 zone: self.context.zone.clone(),
                 silent: self.members.silent_in(&self.context.zone, self.now()),
-                loads: self.own_zone_loads(),
+                loads,
             }],
         }
     }
@@ -440,7 +479,7 @@
             .map(|service| {
                 let counts = service.gate.counts();
                 ServiceLoad {
-                    service: service.key.clone(),
+                    service: service.tag,
                     idle: counts.idle,
                     total: counts.held + counts.borrowed,
                 }
@@ -457,7 +496,7 @@
             .values()
             .filter(|service| !service.upstreams.is_empty())
             .map(|service| ServiceLoad {
-                service: service.key.clone(),
+                service: service.tag,
                 idle: service.zone_loads[index].idle(),
                 total: service.zone_loads[index].total(),
             })
@@ -472,12 +511,12 @@
         let now = self.now();
         let neighbours = self.neighbours_heard();
         for load in self.own_loads() {
-            let Some(service) = self.context.services.get(&load.service) else {
+            let Some(service) = self.context.service_by_tag(load.service) else {
                 continue;
             };
             let mut sum = load;
             for neighbour in &neighbours {
-                if let Some(load) = self.members.load_of(&neighbour.id, &sum.service) {
+                if let Some(load) = self.members.load_of(&neighbour.id, sum.service) {
                     sum.idle += load.idle;
                     sum.total += load.total;
                 }
@@ -672,3 +711,9 @@
         ledger.void(&ticket, wall_ms) == brasswinch_decide::once::TicketState::Voided
     }
 }
+
+fn encoded(heartbeat: Heartbeat) -> Option<bytes::Bytes> {
+    encode(&Message::Heartbeat(heartbeat))
+        .map(bytes::Bytes::from)
+        .ok()
+}
--- a/crates/daemon/src/control/loans.rs
+++ b/crates/daemon/src/control/loans.rs
@@ -12,11 +12,12 @@
 impl Control {
     /// Asks the neighbours that report most idle slots.
     pub(super) fn ask_for_loan(&mut self, service: &ServiceKey, want: u32) {
+        let tag = service.tag();
         let mut lenders: Vec<(u32, BoxId)> = self
             .neighbours_heard()
             .into_iter()
             .filter_map(|neighbour| {
-                let idle = self.members.load_of(&neighbour.id, service)?.idle;
+                let idle = self.members.load_of(&neighbour.id, tag)?.idle;
                 (idle > 0).then_some((idle, neighbour.id))
             })
             .collect();
--- a/crates/daemon/src/control/units.rs
+++ b/crates/daemon/src/control/units.rs
@@ -7,7 +7,7 @@
 use brasswinch_decide::unit_claims::{self, ListWatch};
 use brasswinch_observe::{Event, emit};
 use brasswinch_peer::{Message, ServiceHoldings};
-use brasswinch_store::{CasOutcome, StoreError};
+use brasswinch_store::{CasOutcome, StoreError, StoredValue};
 use brasswinch_types::{BoxId, Millis, ServiceKey, UNITS, UnitTable};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -15,6 +15,9 @@
 /// Time between readings of the table while this box lacks units.
 const READ_WHILE_SHORT_MS: Millis = 1_000;
 
+/// Time after the start before units are claimed: neighbours are heard by then.
+const CLAIM_AFTER_MS: Millis = 1_000;
+
 /// Longest wait, after the last request, for loans to come back before leaving.
 const LEAVE_LOANS_WAIT_MS: Millis = 5_000;
 
@@ -234,10 +237,12 @@
     /// Claims what this box lacks, or gives up what it has too much of.
     fn rebalance_units(&mut self) {
         let leaving = self.record.state == brasswinch_decide::members::BoxState::Leaving;
-        if self.units.writing || self.units.revision.is_none() || leaving {
+        let now = self.now();
+        // A box that claimed before it knew its neighbours would give most of it up again.
+        let too_early = now < CLAIM_AFTER_MS;
+        if self.units.writing || self.units.revision.is_none() || leaving || too_early {
             return;
         }
-        let now = self.now();
         let boxes = self.boxes_in_zone();
         let grace = self.context.settings.this_box.platform.unlisted_grace_ms;
         let list = &self.units.list;
@@ -309,9 +314,10 @@
                 self.units.revision = Some(revision);
                 self.units_were_written(write.table, write.purpose);
             }
-            // Someone else wrote, or the outcome isn't known: what is really held is
-            // read back. Units being given up stay unused until then.
-            Ok(CasOutcome::Conflict(_)) => self.units.revision = None,
+            // Someone else wrote first: their table comes back with the refusal.
+            Ok(CasOutcome::Conflict(held)) => self.on_units_conflict(held),
+            // The outcome isn't known: what is really held is read back. Units being
+            // given up stay unused until then.
             Err(error) => {
                 self.units.unsettled_takeover |= write.purpose.takes_over();
                 self.units.revision = None;
@@ -321,6 +327,27 @@
         }
     }
 
+    fn on_units_conflict(&mut self, held: Option<StoredValue>) {
+        let stored = held.and_then(|held| {
+            let table = table_from(&held.value)?;
+            let revision = held.revision;
+            Some(StoredTable { table, revision })
+        });
+        let Some(stored) = stored else {
+            self.units.revision = None;
+            return;
+        };
+        self.units.revision = Some(stored.revision);
+        self.units.read_at = self.now();
+        // Units that were being given up and still are this box's are used again.
+        let same_version = stored.table.version == self.units.table.version;
+        if same_version {
+            self.use_table(stored.table, HoldBack::No);
+        } else {
+            self.adopt_units(stored.table);
+        }
+    }
+
     fn units_were_written(&mut self, table: UnitTable, purpose: WritePurpose) {
         let count = table.count_of(&self.context.id);
         match purpose {
--- a/crates/daemon/src/measure.rs
+++ b/crates/daemon/src/measure.rs
@@ -2,7 +2,8 @@
 
 use crate::context::{Candidate, Context, Snapshot};
 use crate::traffic::lookup;
-use brasswinch_decide::members::{BoxState, ServiceLoad};
+use brasswinch_decide::load_reports::ServiceLoad;
+use brasswinch_decide::members::BoxState;
 use brasswinch_policy::{PolicyError, PolicyLimits, evaluate};
 use brasswinch_settings::Settings;
 use brasswinch_types::{BoxId, Incarnation, Workspace};
@@ -36,7 +37,7 @@
             service.plan.store(service_plan.map(Arc::new));
             for (cell, slots) in service.zone_loads.iter().zip(&service.zone_slots) {
                 let idle = ServiceLoad {
-                    service: service.key.clone(),
+                    service: service.tag,
                     idle: *slots,
                     total: *slots,
                 };
--- a/crates/daemon/src/service.rs
+++ b/crates/daemon/src/service.rs
@@ -4,8 +4,8 @@
 use crate::steering::Steering;
 use crate::traffic::ConnectionPool;
 use arc_swap::ArcSwapOption;
-use brasswinch_decide::members::ServiceLoad;
-use brasswinch_types::{Millis, ServiceKey, ServicePlan, UpstreamId};
+use brasswinch_decide::load_reports::ServiceLoad;
+use brasswinch_types::{Millis, ServiceKey, ServicePlan, ServiceTag, UpstreamId};
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicI64, AtomicU32, AtomicU64, Ordering};
@@ -22,6 +22,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct ZoneLoadCell {
     idle: AtomicI64,
+    reported_idle: AtomicU32,
     total: AtomicU32,
     reported_at: AtomicU64,
 }
@@ -29,8 +30,21 @@
 impl ZoneLoadCell {
     /// Takes a report.
     pub(crate) fn set(&self, load: &ServiceLoad, now: Millis) {
-        self.idle.store(i64::from(load.idle), Ordering::Relaxed);
+        self.reported_idle.store(load.idle, Ordering::Relaxed);
         self.total.store(load.total, Ordering::Relaxed);
+        self.confirm_from(now);
+    }
+
+    /// The zone was heard and reported no change: the last report holds.
+    pub(crate) fn confirm(&self, now: Millis) {
+        if self.reported_at.load(Ordering::Relaxed) > 0 {
+            self.confirm_from(now);
+        }
+    }
+
+    fn confirm_from(&self, now: Millis) {
+        let idle = self.reported_idle.load(Ordering::Relaxed);
+        self.idle.store(i64::from(idle), Ordering::Relaxed);
         self.reported_at.store(now, Ordering::Relaxed);
     }
 
@@ -59,6 +73,8 @@
 /// One service on one box.
 pub(crate) struct ServiceRuntime {
     pub(crate) key: ServiceKey,
+    /// The key's short name on links.
+    pub(crate) tag: ServiceTag,
     /// Upstreams of the own zone.
     pub(crate) upstreams: Vec<Upstream>,
     /// Slots of all upstreams in each zone, in the deployment's order of zones.
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -227,6 +227,7 @@
         regions: regions.len(),
         commands: &commands,
     };
+    let services = maker.all();
     Context {
         clock,
         incarnation,
@@ -235,7 +236,11 @@
             state: BoxState::Starting,
             candidates: BTreeMap::new(),
         }),
-        services: maker.all(),
+        services_by_tag: services
+            .values()
+            .map(|service| (service.tag, Arc::clone(service)))
+            .collect(),
+        services,
         callers: callers(&settings),
         operators: operators(&settings),
         ticket_key: TicketKey::new(deployment.ticket_secret.as_bytes()),
@@ -355,6 +360,7 @@
             self.commands.clone(),
         );
         ServiceRuntime {
+            tag: key.tag(),
             key,
             upstreams,
             zone_slots: self.zones.iter().map(slots_in).collect(),
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod config_keeper;
 pub mod health;
 pub mod links;
+pub mod load_reports;
 pub mod members;
 pub mod once;
 pub mod regions;
--- a/crates/decide/src/members.rs
+++ b/crates/decide/src/members.rs
@@ -5,7 +5,8 @@
 //! in the record: it is what each box hears over its own links, plus what boxes
 //! linked to another zone say of the neighbours they hear there.
 
-use brasswinch_types::{BoxId, Incarnation, Millis, Region, ServiceKey, Zone};
+use crate::load_reports::ServiceLoad;
+use brasswinch_types::{BoxId, Incarnation, Millis, Region, ServiceTag, Zone};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -48,17 +49,6 @@
     }
 }
 
-/// The load of one service at one box, as its heartbeat reports it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ServiceLoad {
-    /// The service.
-    pub service: ServiceKey,
-    /// Slots that it could start work on.
-    pub idle: u32,
-    /// Slots it holds or has borrowed.
-    pub total: u32,
-}
-
 /// Time without a heartbeat after which a box counts as silent, in intervals that its
 /// last heartbeat announced.
 const SILENT_AFTER_INTERVALS: u64 = 4;
@@ -69,7 +59,7 @@
     /// Until when the last heartbeat counts.
     heard_until: Option<Millis>,
     config_digest: u64,
-    loads: Vec<ServiceLoad>,
+    loads: BTreeMap<ServiceTag, ServiceLoad>,
 }
 
 /// Everything known of the other boxes.
@@ -117,7 +107,7 @@
                     record,
                     heard_until: None,
                     config_digest: 0,
-                    loads: Vec::new(),
+                    loads: BTreeMap::new(),
                 };
                 self.members.insert(member.record.id.clone(), member);
                 RecordMerge::Newer
@@ -151,13 +141,15 @@
         }
     }
 
-    /// Takes the load report and configuration digest of a heartbeat.
+    /// Takes the configuration digest of a heartbeat and the loads that it reports;
+    /// loads that it leaves out are as they were.
     pub fn report(&mut self, id: &BoxId, config_digest: u64, loads: Vec<ServiceLoad>) {
         let Some(member) = self.members.get_mut(id) else {
             return;
         };
         member.config_digest = config_digest;
-        member.loads = loads;
+        let by_service = loads.into_iter().map(|load| (load.service, load));
+        member.loads.extend(by_service);
     }
 
     /// The record held of `id`.
@@ -192,9 +184,8 @@
     }
 
     /// The load that `id` last reported for `service`.
-    pub fn load_of(&self, id: &BoxId, service: &ServiceKey) -> Option<&ServiceLoad> {
-        let member = self.members.get(id)?;
-        member.loads.iter().find(|load| &load.service == service)
+    pub fn load_of(&self, id: &BoxId, service: ServiceTag) -> Option<&ServiceLoad> {
+        self.members.get(id)?.loads.get(&service)
     }
 
     /// The boxes of `zone`, heard or not.
--- a/crates/decide/tests/places.rs
+++ b/crates/decide/tests/places.rs
@@ -241,3 +241,29 @@
         "{retries} retries of 1,000 tries"
     );
 }
+
+#[test]
+fn loads_are_reported_when_they_changed_enough_and_all_of_them_now_and_then() {
+    use brasswinch_decide::load_reports::{LoadReporter, ServiceLoad};
+    let load = |service: u64, idle: u32| ServiceLoad {
+        service: brasswinch_types::ServiceTag(service),
+        idle,
+        total: 40,
+    };
+    let mut reporter = LoadReporter::default();
+    assert_eq!(
+        reporter.due(vec![load(1, 20), load(2, 5)]).len(),
+        2,
+        "the first is full"
+    );
+    assert_eq!(reporter.due(vec![load(1, 16), load(2, 5)]), []);
+    assert_eq!(reporter.due(vec![load(1, 15), load(2, 5)]), [load(1, 15)]);
+    assert_eq!(reporter.due(vec![load(1, 15), load(2, 1)]), []);
+    assert_eq!(reporter.due(vec![load(1, 15), load(2, 0)]), [load(2, 0)]);
+    assert_eq!(reporter.due(vec![load(1, 15), load(2, 1)]), [load(2, 1)]);
+    reporter.send_all_next();
+    let steady = || vec![load(1, 15), load(2, 1)];
+    let sent: Vec<usize> = (0..17).map(|_| reporter.due(steady()).len()).collect();
+    assert_eq!(sent.iter().filter(|count| **count == 2).count(), 3);
+    assert_eq!(sent.iter().sum::<usize>(), 6);
+}
--- a/crates/lab/src/slopes/peers.rs
+++ b/crates/lab/src/slopes/peers.rs
@@ -1,12 +1,14 @@
 //! Made-up peers: links that speak the real protocol and count bytes.
 
 use super::scale::Scale;
-use brasswinch_decide::members::{BoxRecord, BoxState, ServiceLoad};
+use brasswinch_decide::load_reports::{LoadReporter, ServiceLoad};
+use brasswinch_decide::members::{BoxRecord, BoxState};
 use brasswinch_peer::{
     Heartbeat, Hello, LinkEvent, LinkLimits, Message, NearReport, PROTOCOL_VERSION, ZoneReport,
     dial, encode,
 };
 use brasswinch_types::{BoxId, Incarnation, Region, ServiceKey, Zone};
+use std::collections::BTreeMap;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -77,6 +79,7 @@
             let link = tokio::spawn(dial(daemon, local, LIMITS, events));
             let mut due = tokio::time::interval(self.interval);
             let mut sender = None;
+            let mut reporters = BTreeMap::new();
             loop {
                 tokio::select! {
                     event = inbox.recv() => match event {
@@ -90,7 +93,7 @@
                     },
                     _ = due.tick() => {
                         if let Some(sender) = &sender {
-                            let heartbeat = self.heartbeat();
+                            let heartbeat = self.heartbeat(&mut reporters);
                             traffic.count(&heartbeat);
                             sender.send(&heartbeat);
                         }
@@ -108,12 +111,14 @@
         })
     }
 
-    fn heartbeat(&self) -> Message {
+    fn heartbeat(&self, reporters: &mut BTreeMap<usize, LoadReporter>) -> Message {
+        let mut due = |zone: usize| reporters.entry(zone).or_default().due(self.loads(zone));
         let near = self.zone == 0;
         let zones = if near {
-            self.covers.iter().map(|zone| self.report(*zone)).collect()
+            let covered = self.covers.iter();
+            covered.map(|zone| self.report(*zone, due(*zone))).collect()
         } else {
-            vec![self.report(self.zone)]
+            vec![self.report(self.zone, due(self.zone))]
         };
         Message::Heartbeat(Heartbeat {
             incarnation: Incarnation(1),
@@ -121,28 +126,33 @@
             config_digest: 0,
             near: near.then(|| NearReport {
                 units_version: 0,
-                loads: self.loads(0),
+                loads: due(0),
                 leaving: Vec::new(),
             }),
             zones,
         })
     }
 
-    fn report(&self, zone: usize) -> ZoneReport {
+    fn report(&self, zone: usize, loads: Vec<ServiceLoad>) -> ZoneReport {
         ZoneReport {
             zone: Zone::new(self.scale.zone_name(zone)),
             silent: Vec::new(),
-            loads: self.loads(zone),
+            loads,
         }
     }
 
+    /// Idle slots that wander as those of a busy service do: most changes are small.
+    fn idle(&self) -> u32 {
+        6 + rand::random::<u32>() % 4
+    }
+
     fn loads(&self, zone: usize) -> Vec<ServiceLoad> {
         self.scale
             .services_in(zone)
             .into_iter()
             .map(|service| ServiceLoad {
-                service: ServiceKey::new("measured", service.as_str()),
-                idle: 7,
+                service: ServiceKey::new("measured", service.as_str()).tag(),
+                idle: self.idle(),
                 total: 16,
             })
             .collect()
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -1,7 +1,8 @@
 //! The messages that daemons exchange.
 
 use brasswinch_decide::config_keeper::HeldVersion;
-use brasswinch_decide::members::{BoxRecord, ServiceLoad};
+use brasswinch_decide::load_reports::ServiceLoad;
+use brasswinch_decide::members::BoxRecord;
 use brasswinch_decide::shift::Shares;
 use brasswinch_decide::slots::Loan;
 use brasswinch_types::{
@@ -56,19 +57,24 @@
     pub record: BoxRecord,
 }
 
-/// Still here.
+/// Still here. Sent so often that its fields have short names on links.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Heartbeat {
     /// The sender's run.
+    #[serde(rename = "i")]
     pub incarnation: Incarnation,
     /// The next heartbeat is due within this time, in milliseconds.
+    #[serde(rename = "n")]
     pub interval_ms: Millis,
     /// Digest of the configuration in force at the sender.
+    #[serde(rename = "d")]
     pub config_digest: u64,
     /// What only neighbours need.
+    #[serde(rename = "r")]
     pub near: Option<NearReport>,
     /// What the sender knows of zones that it speaks for: of its own to other zones,
     /// of those it covers to its neighbours.
+    #[serde(rename = "z")]
     pub zones: Vec<ZoneReport>,
 }
 
@@ -76,10 +82,13 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct NearReport {
     /// Version of the sender's unit table.
+    #[serde(rename = "u")]
     pub units_version: u64,
-    /// Loads of the sender.
+    /// Loads of the sender that changed.
+    #[serde(rename = "l")]
     pub loads: Vec<ServiceLoad>,
     /// Upstreams that said they are leaving.
+    #[serde(rename = "g")]
     pub leaving: Vec<UpstreamLeaving>,
 }
 
@@ -87,10 +96,13 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ZoneReport {
     /// The zone.
+    #[serde(rename = "z")]
     pub zone: Zone,
     /// Boxes of the zone that are known but not heard there.
+    #[serde(rename = "s")]
     pub silent: Vec<BoxId>,
-    /// The zone's load by service.
+    /// The zone's load by service, where it changed.
+    #[serde(rename = "l")]
     pub loads: Vec<ServiceLoad>,
 }
 
--- a/crates/types/src/ids.rs
+++ b/crates/types/src/ids.rs
@@ -86,6 +86,19 @@
     }
 }
 
+/// A service's short name on links: a hash of its key. Two services that share one
+/// would only mix their load hints; admission never goes by it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct ServiceTag(pub u64);
+
+impl ServiceKey {
+    /// The short name.
+    pub fn tag(&self) -> ServiceTag {
+        ServiceTag(xxhash_rust::xxh3::xxh3_64(self.to_string().as_bytes()))
+    }
+}
+
 impl fmt::Display for ServiceKey {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}/{}", self.workspace, self.service)
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -15,8 +15,8 @@
 pub use config::{ConfigDocument, ConfigEntry, ConfigKey, DrainNotice, PolicyText, Tombstone};
 pub use errors::{Answer, ErrorKind, Ran, RetryHint};
 pub use ids::{
-    BoxId, Incarnation, Millis, Region, Service, ServiceKey, SubmissionId, UpstreamId, Workspace,
-    Zone,
+    BoxId, Incarnation, Millis, Region, Service, ServiceKey, ServiceTag, SubmissionId, UpstreamId,
+    Workspace, Zone,
 };
 pub use plan::{Plan, ServicePlan, ShiftCap, WeightRow};
 pub use tickets::{Ticket, TicketError, TicketKey};
