Read the unit table after a random while, right before a change of it

Ruled out: the platform's speed; each call takes a millisecond. Change: a box that wants other units reads the table after a random while of up to 20 ms a box and writes at once.

--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -321,6 +321,11 @@
 #[derive(FromArgs)]
 #[argh(subcommand, name = "slopes")]
 struct LabSlopes {
+    /// run only measurements whose name starts so: blocks, decisions, socket, members,
+    /// sites, neighbours, far-links, changes, zone-start
+    #[argh(positional, default = "String::new()")]
+    only: String,
+
     /// print JSON
     #[argh(switch)]
     json: bool,
@@ -462,7 +467,7 @@
             .await
         }
         LabSubcommand::Slopes(slopes) => {
-            brasswinch_lab::slopes::run(slopes.json, crate::allocated_bytes).await?;
+            brasswinch_lab::slopes::run(&slopes.only, slopes.json, crate::allocated_bytes).await?;
             Ok(EXIT_OK)
         }
     }
--- a/crates/daemon/src/control/links.rs
+++ b/crates/daemon/src/control/links.rs
@@ -28,7 +28,7 @@
 
 /// Each neighbour lengthens the time between heartbeats inside the zone to at least this
 /// many milliseconds times the neighbours, so that what a box hears stays bounded.
-const NEAR_SPACING_MS: Millis = 75;
+const NEAR_SPACING_MS: Millis = 100;
 
 /// The same for heartbeats between zones and far links.
 const FAR_SPACING_MS: Millis = 200;
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -61,6 +61,8 @@
     BoxesListed(Vec<ListedBox>),
     /// The zone's unit table was read.
     UnitsRead(Option<StoredTable>),
+    /// The zone's unit table could not be read.
+    UnitsUnread(String),
     /// A write of the zone's unit table ended.
     UnitsWritten(units::UnitWrite),
     /// An entry was accepted by the store.
--- a/crates/daemon/src/control/state.rs
+++ b/crates/daemon/src/control/state.rs
@@ -106,6 +106,7 @@
             Command::StoreFailed(reason) => self.on_store_failed(&reason),
             Command::BoxesListed(listed) => self.on_boxes_listed(&listed),
             Command::UnitsRead(stored) => self.on_units_read(stored),
+            Command::UnitsUnread(reason) => self.on_units_unread(&reason),
             Command::UnitsWritten(write) => self.on_units_written(write),
             Command::Accepted(entry) => self.merge_config(vec![entry], None),
             Command::Held { key, answer } => {
--- a/crates/daemon/src/control/units.rs
+++ b/crates/daemon/src/control/units.rs
@@ -3,6 +3,7 @@
 use super::state::Control;
 use super::{Command, StoredTable};
 use crate::config_store::{table_bytes, table_from, units_key};
+use brasswinch_decide::members::BoxState;
 use brasswinch_decide::slots::HoldBack;
 use brasswinch_decide::unit_claims::{self, ListWatch};
 use brasswinch_observe::{Event, emit};
@@ -11,9 +12,11 @@
 use brasswinch_types::{BoxId, Millis, ServiceKey, UNITS, UnitTable};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
+use std::time::Duration;
 
-/// Time between readings of the table while this box lacks units.
-const READ_WHILE_SHORT_MS: Millis = 1_000;
+/// Readings that lead to writes are spread over this time for each box of the zone; a
+/// reading and its write take a few milliseconds.
+const SPREAD_PER_BOX_MS: Millis = 20;
 
 /// Time after the start before units are claimed: neighbours are heard by then.
 const CLAIM_AFTER_MS: Millis = 1_000;
@@ -33,6 +36,7 @@
     pub(super) usable: UnitTable,
     revision: Option<i64>,
     read_at: Millis,
+    reading: bool,
     writing: bool,
     held_back_since: Option<Millis>,
     holdings: BTreeMap<BoxId, Vec<ServiceHoldings>>,
@@ -83,36 +87,67 @@
 }
 
 impl Control {
-    /// Regular work on the table.
+    /// Regular work on the table: reads it now and then, and before each change of it.
     pub(super) fn maintain_units(&mut self) {
         self.end_hold_back_if_known();
-        let now = self.now();
-        let settings = &self.context.settings.this_box.platform;
-        let share = UNITS.div_ceil(self.boxes_in_zone());
-        let short = self.units.table.count_of(&self.context.id) < share;
-        let every = if short {
-            READ_WHILE_SHORT_MS
-        } else {
-            settings.compare_interval_ms
-        };
-        let due = self.units.revision.is_none() || now.saturating_sub(self.units.read_at) >= every;
-        if due && !self.units.writing {
-            self.read_units();
+        if self.units.writing || self.units.reading {
             return;
         }
-        self.rebalance_units();
+        let every = self.context.settings.this_box.platform.compare_interval_ms;
+        let overdue = self.now().saturating_sub(self.units.read_at) >= every;
+        if self.units.revision.is_none() || overdue || self.wants_other_units() {
+            self.read_units();
+        }
+    }
+
+    /// Whether this box would claim or give up units, by the table as it knows it.
+    fn wants_other_units(&self) -> bool {
+        !self.holds_still() && (self.wanted_claim().is_some() || !self.wanted_surplus().is_empty())
+    }
+
+    /// A box that claimed before it knew its neighbours would give most of it up again;
+    /// one that leaves hands everything back in its own time.
+    fn holds_still(&self) -> bool {
+        self.now() < CLAIM_AFTER_MS || self.record.state == BoxState::Leaving
+    }
+
+    fn wanted_claim(&self) -> Option<unit_claims::Claim> {
+        let now = self.now();
+        let grace = self.context.settings.this_box.platform.unlisted_grace_ms;
+        unit_claims::claim(
+            &self.units.table,
+            &self.context.id,
+            self.context.incarnation,
+            self.boxes_in_zone(),
+            |id| self.units.list.is_gone(id, grace, now),
+        )
+    }
+
+    fn wanted_surplus(&self) -> Vec<usize> {
+        unit_claims::surplus(
+            &self.units.table,
+            &self.context.id,
+            self.boxes_in_zone(),
+            |unit| self.unit_is_quiet(unit),
+        )
     }
 
     fn boxes_in_zone(&self) -> usize {
         self.neighbours_heard().len() + 1
     }
 
+    /// Reads the table after a random while. Boxes that all want to change it at once
+    /// would otherwise refuse each other's writes over and over.
     fn read_units(&mut self) {
+        self.units.reading = true;
         self.units.read_at = self.now();
         let store = self.store.clone();
         let key = units_key(&self.context.zone);
         let context = Arc::clone(&self.context);
+        let spread_ms = SPREAD_PER_BOX_MS * self.boxes_in_zone() as u64;
+        let delay = Duration::from_millis(rand::random::<u64>() % spread_ms.max(1));
         tokio::spawn(async move {
+            tokio::time::sleep(delay).await;
             match store.get(&key).await {
                 Ok(Some(stored)) => {
                     let table = table_from(&stored.value).unwrap_or_default();
@@ -120,12 +155,18 @@
                     context.tell(Command::UnitsRead(Some(StoredTable { table, revision })));
                 }
                 Ok(None) => context.tell(Command::UnitsRead(None)),
-                Err(error) => context.tell(Command::StoreFailed(error.to_string())),
+                Err(error) => context.tell(Command::UnitsUnread(error.to_string())),
             }
         });
     }
 
+    pub(super) fn on_units_unread(&mut self, reason: &str) {
+        self.units.reading = false;
+        self.on_store_failed(reason);
+    }
+
     pub(super) fn on_units_read(&mut self, stored: Option<StoredTable>) {
+        self.units.reading = false;
         self.store_answered();
         let (table, revision) = match stored {
             Some(stored) => (stored.table, stored.revision),
@@ -234,35 +275,20 @@
         emit(Event::HoldBackEnded, format_args!("{}", self.context.id));
     }
 
-    /// Claims what this box lacks, or gives up what it has too much of.
+    /// Claims what this box lacks, or gives up what it has too much of. The table was
+    /// read just now.
     fn rebalance_units(&mut self) {
-        let leaving = self.record.state == brasswinch_decide::members::BoxState::Leaving;
-        let now = self.now();
-        // A box that claimed before it knew its neighbours would give most of it up again.
-        let too_early = now < CLAIM_AFTER_MS;
-        if self.units.writing || self.units.revision.is_none() || leaving || too_early {
+        if self.units.writing || self.holds_still() {
             return;
         }
-        let boxes = self.boxes_in_zone();
-        let grace = self.context.settings.this_box.platform.unlisted_grace_ms;
-        let list = &self.units.list;
-        let claim = unit_claims::claim(
-            &self.units.table,
-            &self.context.id,
-            self.context.incarnation,
-            boxes,
-            |id| list.is_gone(id, grace, now),
-        );
-        if let Some(claim) = claim {
+        if let Some(claim) = self.wanted_claim() {
             let purpose = WritePurpose::Claim {
                 taken_over: claim.taken_over,
             };
             self.write_units(claim.table, purpose);
             return;
         }
-        let surplus = unit_claims::surplus(&self.units.table, &self.context.id, boxes, |unit| {
-            self.unit_is_quiet(unit)
-        });
+        let surplus = self.wanted_surplus();
         if !surplus.is_empty() {
             self.give_up(&surplus);
         }
@@ -384,7 +410,7 @@
         if waited >= LEAVE_STORE_WAIT_MS || self.store_reached == Some(false) {
             return true;
         }
-        if self.units.writing {
+        if self.units.writing || self.units.reading {
             return false;
         }
         if self.units.revision.is_none() {
--- a/crates/lab/src/slopes/daemon_cost.rs
+++ b/crates/lab/src/slopes/daemon_cost.rs
@@ -20,6 +20,9 @@
 /// Time over which cost is measured.
 const MEASURE: Duration = Duration::from_secs(6);
 
+/// Heartbeats from one full report of loads to the next.
+const FULL_ROUND: u32 = 8;
+
 /// Boxes of a zone at the size designed for.
 const BOXES_PER_ZONE: usize = 40;
 
@@ -28,7 +31,7 @@
 
 /// The interval of heartbeats inside a zone with `neighbours`, as daemons space them.
 fn near_interval(neighbours: usize) -> Duration {
-    Duration::from_millis((75 * neighbours as u64).max(250))
+    Duration::from_millis((100 * neighbours as u64).max(250))
 }
 
 /// The interval of heartbeats between zones with `links`, as daemons space them.
@@ -59,10 +62,12 @@
     }
 
     /// Part of a core that the control thread takes, and bytes a second both ways.
-    async fn cost(&self) -> (f64, f64) {
-        tokio::time::sleep(SETTLE).await;
+    ///
+    /// Measured over whole rounds of heartbeats: every eighth reports all loads.
+    async fn cost(&self, interval: Duration) -> (f64, f64) {
+        tokio::time::sleep(SETTLE.max(interval * 2)).await;
         let (cpu, bytes, began) = (control_seconds(), self.traffic.bytes(), Instant::now());
-        tokio::time::sleep(MEASURE).await;
+        tokio::time::sleep(MEASURE.max(interval * FULL_ROUND)).await;
         let elapsed = began.elapsed().as_secs_f64();
         let cpu = (control_seconds() - cpu) / elapsed;
         (cpu, (self.traffic.bytes() - bytes) as f64 / elapsed)
@@ -138,7 +143,7 @@
         let scale = Scale { sites, ..DESIGNED };
         let before = allocated();
         let measured = Measured::start(scale, address).await?;
-        let (used, _) = measured.cost().await;
+        let (used, _) = measured.cost(Duration::ZERO).await;
         memory.add(sites, allocated().saturating_sub(before) as f64);
         cpu.add(sites, used);
         measured.stop().await;
@@ -164,7 +169,7 @@
                 records: Vec::new(),
             });
         }
-        let (used, passed) = measured.cost().await;
+        let (used, passed) = measured.cost(near_interval(count)).await;
         cpu.add(count, used);
         bytes.add(count, passed);
         measured.stop().await;
@@ -189,7 +194,7 @@
                 records: Vec::new(),
             });
         }
-        let (used, passed) = measured.cost().await;
+        let (used, passed) = measured.cost(far_interval(count)).await;
         cpu.add(count, used);
         bytes.add(count, passed);
         measured.stop().await;
