--- a/crates/daemon/src/control/loans.rs
+++ b/crates/daemon/src/control/loans.rs
@@ -12,6 +12,9 @@
 impl Control {
     /// Asks the neighbours that report most idle slots.
     pub(super) fn ask_for_loan(&mut self, service: &ServiceKey, want: u32) {
+        if !self.context.settings.this_box.loans.borrow {
+            return;
+        }
         let tag = service.tag();
         let mut lenders: Vec<(u32, BoxId)> = self
             .neighbours_heard()
--- a/crates/settings/src/loans.rs
+++ b/crates/settings/src/loans.rs
@@ -2,10 +2,12 @@
 
 use serde::{Deserialize, Serialize};
 
-/// How long loans last.
+/// Whether and how long boxes lend.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct LoanSettings {
+    /// Whether this box borrows from its neighbours. Without, it serves on its own load.
+    pub borrow: bool,
     /// Time from asking during which a borrower may start work, in milliseconds.
     pub term_ms: u64,
     /// Allowance for clocks that differ and for late cancellation, in milliseconds.
@@ -19,6 +21,7 @@
 impl Default for LoanSettings {
     fn default() -> Self {
         Self {
+            borrow: true,
             term_ms: 2_000,
             margin_ms: 500,
             orphan_grace_ms: 1_000,
--- a/crates/settings/src/reference.rs
+++ b/crates/settings/src/reference.rs
@@ -74,6 +74,7 @@
     number("peers.far_heartbeat_factor", "times", 1, 1_000, "Heartbeats to other zones are this many times rarer."),
     number("peers.queue_messages", "messages", 16, 1_000_000, "Messages that wait on one link before it is dropped."),
     number("peers.message_bytes", "bytes", 65_536, 67_108_864, "Longest message between boxes."),
+    text("loans.borrow", "true or false", "Whether this box borrows from its neighbours; without, it serves on its own load."),
     number("loans.term_ms", "ms", 50, 600_000, "Time from asking in which a borrower may start work."),
     number("loans.margin_ms", "ms", 0, 600_000, "Allowance for clocks that differ and late cancellation."),
     number("loans.orphan_grace_ms", "ms", 0, 600_000, "Time after a restart in which work of the earlier run may still end."),
