Read client blocks from a file of lines; lab measure

Cause: a deployment with 67,500 blocks in YAML is refused by the YAML library's budget of 250,000 nodes, so 270,000 could not be loaded at all. Ruled out: raising the budget, because the parsed tree would take many times the table's memory. Change: client_blocks_file, read line by line and not kept.

--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -234,6 +234,7 @@
     Faults(LabFaults),
     Callers(LabCallers),
     Slopes(LabSlopes),
+    Measure(LabMeasure),
 }
 
 /// Run Kavach in small in one process, with load, a shift, a drain and a stop.
@@ -331,6 +332,19 @@
     json: bool,
 }
 
+/// Measure latency, headroom and drain time beside a static equal split.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "measure")]
+struct LabMeasure {
+    /// run only deployments whose name starts so: kavach, kaunti-shamba
+    #[argh(positional, default = "String::new()")]
+    only: String,
+
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
+}
+
 /// Carries a command out and gives its exit code.
 pub(crate) fn run(arguments: Arguments) -> ExitCode {
     let runtime = match tokio::runtime::Builder::new_multi_thread()
@@ -466,6 +480,10 @@
             })
             .await
         }
+        LabSubcommand::Measure(measure) => {
+            brasswinch_lab::measure::run(&measure.only, measure.json).await?;
+            Ok(EXIT_OK)
+        }
         LabSubcommand::Slopes(slopes) => {
             brasswinch_lab::slopes::run(&slopes.only, slopes.json, crate::allocated_bytes).await?;
             Ok(EXIT_OK)
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -260,8 +260,12 @@
 
 fn block_table(settings: &Settings) -> BlockTable {
     let mut blocks = BlockTable::default();
-    for block in &settings.deployment.client_blocks {
-        blocks.insert(block.block, &Zone::new(&block.zone));
+    let filled = settings.deployment.for_each_block(|block, zone| {
+        blocks.insert(block, zone);
+    });
+    if let Err(error) = filled {
+        // The file was right when the settings were checked.
+        emit(Event::BlocksUnread, format_args!("{error}"));
     }
     blocks
 }
--- a/crates/lab/src/callers.rs
+++ b/crates/lab/src/callers.rs
@@ -95,6 +95,8 @@
     pub answer_bytes: usize,
     /// Time the request may take, in milliseconds.
     pub deadline_ms: Option<u64>,
+    /// Send to the first box known, without a look-up, as a cached answer would.
+    pub direct: bool,
 }
 
 impl Job {
@@ -110,6 +112,7 @@
             upload_pause: Duration::ZERO,
             answer_bytes: 200,
             deadline_ms: None,
+            direct: false,
         }
     }
 }
@@ -179,6 +182,14 @@
     pub async fn run(&self, job: &Job) -> Report {
         let began = Instant::now();
         let tag = new_tag();
+        if job.direct {
+            return Report {
+                outcome: self.send_to(self.boxes[0], job, None, &tag).await,
+                tag,
+                took: began.elapsed(),
+                region: None,
+            };
+        }
         let lookup = match self.lookup(job).await {
             Ok(lookup) => lookup,
             Err(outcome) => {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod deployment;
 pub mod faults;
 pub mod http;
+pub mod measure;
 pub mod platform;
 pub mod slopes;
 pub mod upstream;
--- a/crates/lab/src/slopes/scale.rs
+++ b/crates/lab/src/slopes/scale.rs
@@ -97,6 +97,7 @@
             ticket_secret: "ticket-secret-of-the-lab".into(),
             regions,
             client_blocks: (0..self.blocks).map(|index| self.block(index)).collect(),
+            client_blocks_file: String::new(),
             workspaces: vec![WorkspaceSettings {
                 name: "measured".into(),
                 caller_token: CALLER_TOKEN.into(),
--- a/crates/settings/src/deployment.rs
+++ b/crates/settings/src/deployment.rs
@@ -1,10 +1,12 @@
 //! The file that all daemons of a deployment share: places, workspaces, upstreams.
 
+use crate::{SettingsError, block_file};
 use brasswinch_policy::{Inventory, ServiceInventory};
 use brasswinch_types::{Region, Service, UpstreamId, Workspace, Zone};
 use ipnet::IpNet;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
+use std::path::Path;
 
 /// One deployment.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
@@ -17,6 +19,9 @@
     pub regions: Vec<RegionSettings>,
     /// Blocks of client addresses and the zone nearest to each.
     pub client_blocks: Vec<BlockSettings>,
+    /// File with more client blocks, a line each: `BLOCK ZONE`; relative to this file,
+    /// empty for none.
+    pub client_blocks_file: String,
     /// Workspaces and their services.
     pub workspaces: Vec<WorkspaceSettings>,
 }
@@ -145,6 +150,18 @@
             .collect()
     }
 
+    /// Hands every client block and its zone to `take`, those of the file included.
+    pub fn for_each_block(&self, mut take: impl FnMut(IpNet, &Zone)) -> Result<(), SettingsError> {
+        for block in &self.client_blocks {
+            take(block.block, &Zone::new(&block.zone));
+        }
+        if self.client_blocks_file.is_empty() {
+            return Ok(());
+        }
+        let path = Path::new(&self.client_blocks_file);
+        block_file::read(path, &self.zones(), take)
+    }
+
     /// The settings of a workspace.
     pub fn workspace(&self, name: &Workspace) -> Option<&WorkspaceSettings> {
         self.workspaces
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -3,6 +3,7 @@
 //! Defaults stand in code, on each struct. A file is checked whole: every
 //! problem is reported at once, each with its path in the file.
 
+mod block_file;
 mod box_settings;
 mod check;
 mod deployment;
--- a/crates/settings/src/load.rs
+++ b/crates/settings/src/load.rs
@@ -8,7 +8,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 /// Environment variable that goes before the file's ticket secret.
 const TICKET_SECRET_VARIABLE: &str = "BRASSWINCH_TICKET_SECRET";
@@ -32,10 +32,7 @@
         return Err(wrong(path, problems));
     };
     check::check_box(&value, &this_box, &mut problems);
-    let deployment_path = path
-        .parent()
-        .unwrap_or(Path::new("."))
-        .join(&this_box.deployment);
+    let deployment_path = beside(path, &this_box.deployment);
     let deployment = match load_deployment(&deployment_path) {
         Ok(deployment) => deployment,
         Err(error) if problems.is_empty() => return Err(error),
@@ -66,12 +63,24 @@
         deployment.ticket_secret = secret;
     }
     check::check_deployment(&deployment, &mut problems);
+    if !deployment.client_blocks_file.is_empty() {
+        let file = beside(path, &deployment.client_blocks_file);
+        deployment.client_blocks_file = file.display().to_string();
+        if let Err(error) = deployment.for_each_block(|_, _| {}) {
+            problems.push(Problem::new("client_blocks_file", error.to_string()));
+        }
+    }
     if !problems.is_empty() {
         return Err(wrong(path, problems));
     }
     Ok(deployment)
 }
 
+/// A path that a file names, relative to that file.
+fn beside(path: &Path, named: &str) -> PathBuf {
+    path.parent().unwrap_or(Path::new(".")).join(named)
+}
+
 /// The value as a `T`, or `None` where its shape is wrong.
 fn typed<T: Serialize + DeserializeOwned>(
     value: &mut Value,
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -100,6 +100,46 @@
     }
 }
 
+#[test]
+fn blocks_in_a_file_are_read_and_wrong_lines_are_told() {
+    let folder = std::env::temp_dir().join(format!("brasswinch-blocks-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let deployment = "ticket_secret: long-enough-to-be-one
+client_blocks_file: blocks.txt
+regions:
+- name: west
+  zones: [{name: west-a}]
+";
+    let file = folder.join("deployment.yaml");
+    std::fs::write(&file, deployment).unwrap();
+    let blocks = folder.join("blocks.txt");
+    std::fs::write(
+        &blocks,
+        "# comment\n10.0.0.0/8 west-a\n\n2001:db8::/32\twest-a\n",
+    )
+    .unwrap();
+    let mut read = Vec::new();
+    let loaded = load_deployment(&file).unwrap();
+    loaded
+        .for_each_block(|block, zone| read.push(format!("{block} {zone}")))
+        .unwrap();
+    std::fs::write(
+        &blocks,
+        "10.0.0.0/8 west-a\n10.0.0.0/99 west-a\nx\n10.0.0.0/8 east\n",
+    )
+    .unwrap();
+    let told = load_deployment(&file).unwrap_err().to_string();
+    std::fs::remove_dir_all(&folder).unwrap();
+    assert_eq!(read, ["10.0.0.0/8 west-a", "2001:db8::/32 west-a"]);
+    for line in [
+        "line 2: `10.0.0.0/99`",
+        "line 3: expected",
+        "line 4: no zone `east`",
+    ] {
+        assert!(told.contains(line), "{line} is not told in:\n{told}");
+    }
+}
+
 #[test]
 fn every_problem_of_a_deployment_is_told_at_once() {
     let folder = std::env::temp_dir().join(format!("brasswinch-deployment-{}", std::process::id()));
