Draw zones by their room; announce configuration before sending it

Cause: look-ups ranked the zones of a region by idle slots from reports some hundred milliseconds old, less what they had sent; once both seemed full, all callers went to one zone until the next report. At 0.7 of the region's capacity 18% were refused while the other zone idled. Ruled out: cold upstreams (warmed up for 6 s before), loans.

Configuration. Every link of a zone of 40 carried every new text. Versions are announced now and the text is asked for once.

--- a/crates/daemon/src/control/config.rs
+++ b/crates/daemon/src/control/config.rs
@@ -4,7 +4,7 @@
 use super::state::Control;
 use crate::config_store::{config_key, entry_bytes};
 use crate::service::ServiceRuntime;
-use brasswinch_decide::config_keeper::{ConfigKeeper, Merge};
+use brasswinch_decide::config_keeper::{ConfigKeeper, HeldVersion, Merge};
 use brasswinch_decide::health::UpstreamReport;
 use brasswinch_decide::slots::{HoldBack, LoanTerms};
 use brasswinch_decide::zone_load::zone_load;
@@ -13,11 +13,22 @@
 use brasswinch_policy::{PolicyLimits, evaluate};
 use brasswinch_store::{ListedBox, ListedState};
 use brasswinch_types::{
-    ConfigDocument, ConfigEntry, ConfigKey, Plan, ServiceKey, ServicePlan, UpstreamId, Workspace,
+    ConfigDocument, ConfigEntry, ConfigKey, Millis, Plan, ServiceKey, ServicePlan, UpstreamId,
+    Workspace,
 };
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
+/// An entry that was asked for and hasn't come is asked for again, of another peer,
+/// after this time. Comparing with peers makes good what no news announces again.
+const ASK_AGAIN_MS: Millis = 300;
+
+/// An entry that was asked for.
+struct Asked {
+    version: u64,
+    at: Millis,
+}
+
 /// What is in force here.
 #[derive(Default)]
 pub(super) struct ConfigState {
@@ -25,6 +36,8 @@
     /// Whether the store or a peer has told what there is.
     pub(super) known: bool,
     pub(super) plans: BTreeMap<Workspace, Plan>,
+    /// Announced entries that were asked for.
+    asked: BTreeMap<ConfigKey, Asked>,
     /// Upstreams that said they are leaving, for the neighbours.
     pub(super) upstreams_leaving: Vec<UpstreamLeaving>,
 }
@@ -43,8 +56,10 @@
         if newer.is_empty() {
             return;
         }
-        self.broadcast_except(&Message::Config(newer.clone()), from);
+        let news = newer.iter().map(HeldVersion::from).collect();
+        self.broadcast_except(&Message::ConfigNews(news), from);
         for entry in &newer {
+            self.config.asked.remove(&entry.key);
             if let ConfigKey::Policy(workspace) = &entry.key {
                 self.evaluate_policy(workspace, entry);
             }
@@ -58,6 +73,40 @@
         }
     }
 
+    /// Asks one of those who announce an entry for it. Every link announces; a text
+    /// sent over every link would cost a box of a large zone forty copies.
+    pub(super) fn on_config_news(&mut self, link: LinkId, news: &[HeldVersion]) {
+        let now = self.now();
+        let mut wanted = Vec::new();
+        for offered in news {
+            if !self.config.keeper.lacks(offered) {
+                continue;
+            }
+            let asked = self.config.asked.get(&offered.key);
+            let waiting = asked.is_some_and(|asked| {
+                asked.version >= offered.version && now < asked.at + ASK_AGAIN_MS
+            });
+            if waiting {
+                continue;
+            }
+            let asked = Asked {
+                version: offered.version,
+                at: now,
+            };
+            self.config.asked.insert(offered.key.clone(), asked);
+            wanted.push(offered.key.clone());
+        }
+        if !wanted.is_empty() {
+            self.send(link, &Message::ConfigWanted(wanted));
+        }
+    }
+
+    pub(super) fn on_config_wanted(&mut self, link: LinkId, keys: &[ConfigKey]) {
+        let held = keys.iter().filter_map(|key| self.config.keeper.get(key));
+        let entries = held.cloned().collect();
+        self.send(link, &Message::Config(entries));
+    }
+
     fn evaluate_policy(&mut self, workspace: &Workspace, entry: &ConfigEntry) {
         let ConfigDocument::Policy(policy) = &entry.document else {
             self.config.plans.remove(workspace);
--- a/crates/daemon/src/control/links.rs
+++ b/crates/daemon/src/control/links.rs
@@ -194,6 +194,8 @@
                 self.config.known = true;
                 self.send(link, &Message::Config(missing));
             }
+            Message::ConfigNews(news) => self.on_config_news(link, &news),
+            Message::ConfigWanted(keys) => self.on_config_wanted(link, &keys),
             Message::Config(entries) => {
                 self.config.known = true;
                 self.merge_config(entries, Some(link));
--- a/crates/daemon/src/steering.rs
+++ b/crates/daemon/src/steering.rs
@@ -5,6 +5,7 @@
 use brasswinch_decide::regions::{RegionFactors, RegionReport};
 use brasswinch_decide::selector::Selector;
 use brasswinch_decide::shift::{Shares, ShiftState};
+use brasswinch_decide::zone_rank::{self, ZoneRoom};
 use brasswinch_types::{ErrorKind, Millis, Region, ServicePlan, Zone};
 use std::sync::PoisonError;
 
@@ -83,8 +84,7 @@
     Ok(region)
 }
 
-/// The zones of `region` that can be handed out, best first: the caller's own zone
-/// while it has room, then the most idle.
+/// The zones of `region` that can be handed out, best first.
 pub(crate) fn rank_zones(
     context: &Context,
     service: &ServiceRuntime,
@@ -92,7 +92,7 @@
     region: &Region,
     caller_zone: &Zone,
 ) -> Vec<Zone> {
-    let mut ranked: Vec<(bool, u32, Zone)> = context
+    let (zones, rooms): (Vec<Zone>, Vec<ZoneRoom>) = context
         .settings
         .deployment
         .zones_of(region)
@@ -103,13 +103,20 @@
             if service.zone_slots.get(index).copied().unwrap_or(0) == 0 {
                 return None;
             }
-            let idle = service.zone_loads[index].idle();
-            let near = &zone == caller_zone && idle > 0;
-            Some((near, idle, zone))
+            let cell = &service.zone_loads[index];
+            let room = ZoneRoom {
+                near: &zone == caller_zone,
+                idle: cell.idle(),
+                total: cell.total(),
+            };
+            Some((zone, room))
         })
-        .collect();
-    ranked.sort_by(|a, b| b.cmp(a));
-    ranked.into_iter().map(|(_, _, zone)| zone).collect()
+        .unzip();
+    let order = zone_rank::rank(&rooms, || 1.0 - rand::random::<f64>());
+    order
+        .into_iter()
+        .map(|index| zones[index].clone())
+        .collect()
 }
 
 fn region_report(
--- a/crates/decide/src/config_keeper.rs
+++ b/crates/decide/src/config_keeper.rs
@@ -20,6 +20,16 @@
     pub submission: SubmissionId,
 }
 
+impl From<&ConfigEntry> for HeldVersion {
+    fn from(entry: &ConfigEntry) -> Self {
+        Self {
+            key: entry.key.clone(),
+            version: entry.version,
+            submission: entry.submission,
+        }
+    }
+}
+
 /// What became of an entry that was offered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Merge {
@@ -73,14 +83,14 @@
 
     /// The versions held, for a peer to compare with its own.
     pub fn held(&self) -> Vec<HeldVersion> {
-        self.entries
-            .values()
-            .map(|entry| HeldVersion {
-                key: entry.key.clone(),
-                version: entry.version,
-                submission: entry.submission,
-            })
-            .collect()
+        self.entries.values().map(HeldVersion::from).collect()
+    }
+
+    /// Whether `offered` is newer than what is held under its key.
+    pub fn lacks(&self, offered: &HeldVersion) -> bool {
+        self.entries.get(&offered.key).is_none_or(|held| {
+            (offered.version, offered.submission) > (held.version, held.submission)
+        })
     }
 
     /// The entries that a peer holding `theirs` lacks or holds older.
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -18,3 +18,4 @@
 pub mod slots;
 pub mod unit_claims;
 pub mod zone_load;
+pub mod zone_rank;
--- a/crates/decide/tests/config_keeper.rs
+++ b/crates/decide/tests/config_keeper.rs
@@ -75,6 +75,7 @@
         let to_b = a.missing_from(&b.held());
         let to_a = b.missing_from(&a.held());
         for entry in to_b {
+            prop_assert!(b.lacks(&(&entry).into()));
             prop_assert_eq!(b.merge(entry), Merge::Newer);
         }
         for entry in to_a {
--- a/crates/decide/tests/places.rs
+++ b/crates/decide/tests/places.rs
@@ -267,3 +267,39 @@
     assert_eq!(sent.iter().filter(|count| **count == 2).count(), 3);
     assert_eq!(sent.iter().sum::<usize>(), 6);
 }
+
+#[test]
+fn zones_that_all_seem_full_share_the_callers_and_the_own_zone_goes_first_while_it_has_room() {
+    use brasswinch_decide::zone_rank::{ZoneRoom, rank};
+    let zone = |near, idle| ZoneRoom {
+        near,
+        idle,
+        total: 8,
+    };
+    let mut state = 1_u64;
+    let mut draw = || {
+        state = state
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1);
+        ((state >> 33) + 1) as f64 / (1_u64 << 31) as f64
+    };
+    let mut firsts = |zones: &[ZoneRoom]| {
+        let mut counts = vec![0; zones.len()];
+        for _ in 0..10_000 {
+            counts[rank(zones, &mut draw)[0]] += 1;
+        }
+        counts
+    };
+    let full = firsts(&[zone(true, 0), zone(false, 0)]);
+    assert!(
+        full.iter().all(|count| (4_500..5_500).contains(count)),
+        "{full:?}"
+    );
+    assert_eq!(firsts(&[zone(true, 3), zone(false, 8)]), [10_000, 0]);
+    let fuller = firsts(&[zone(false, 0), zone(false, 6)]);
+    assert!(
+        (2_200..2_800).contains(&fuller[0]),
+        "3 of 12 parts: {fuller:?}"
+    );
+    assert_eq!(rank(&[], &mut draw), Vec::<usize>::new());
+}
--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -40,6 +40,7 @@
     situation: &'static str,
     offered: f64,
     whole_part: f64,
+    outcomes: BTreeMap<String, usize>,
     most_in_use: u32,
     load: u32,
     p50_ms: f64,
@@ -62,10 +63,10 @@
             self.p50_ms,
             self.p99_ms
         )?;
-        match self.drain_ms {
-            Some(ms) => write!(f, ", drain {ms} ms"),
-            None => Ok(()),
+        if let Some(ms) = self.drain_ms {
+            write!(f, ", drain {ms} ms")?;
         }
+        write!(f, " {:?}", self.outcomes)
     }
 }
 
@@ -191,6 +192,7 @@
         situation: situation.name(),
         offered,
         whole_part: whole as f64 / all.max(1) as f64,
+        outcomes: counts,
         most_in_use,
         load,
         p50_ms: ms(0.5),
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -6,7 +6,8 @@
 use brasswinch_decide::shift::Shares;
 use brasswinch_decide::slots::Loan;
 use brasswinch_types::{
-    BoxId, ConfigEntry, Incarnation, Millis, Region, ServiceKey, UnitTable, UpstreamId, Zone,
+    BoxId, ConfigEntry, ConfigKey, Incarnation, Millis, Region, ServiceKey, UnitTable, UpstreamId,
+    Zone,
 };
 use serde::{Deserialize, Serialize};
 
@@ -24,6 +25,10 @@
     Records(Vec<BoxRecord>),
     /// Which configuration the sender holds; asks for what it lacks.
     ConfigHeld(Vec<HeldVersion>),
+    /// Versions that are new at the sender; who lacks them asks for them.
+    ConfigNews(Vec<HeldVersion>),
+    /// Asks for entries that the receiver announced.
+    ConfigWanted(Vec<ConfigKey>),
     /// Configuration entries.
     Config(Vec<ConfigEntry>),
     /// The unit table of the sender's zone.
