Return a leaving neighbour's slots at once; announce the interval in the hello

Ruled out: requests in flight (20 ms each). Change: who hears that its lender is leaving hands idle slots back and busy ones as their work ends.

Change: the first message announces the sender's interval.

--- a/crates/daemon/src/control/links.rs
+++ b/crates/daemon/src/control/links.rs
@@ -135,6 +135,7 @@
         sender.send(&Message::Hello(Hello {
             version: PROTOCOL_VERSION,
             record: self.record.clone(),
+            interval_ms: self.near_interval_ms().max(self.far_interval_ms()),
         }));
         let link_state = Link {
             sender,
@@ -249,11 +250,11 @@
         }
         if let Some(state) = self.links.links.get_mut(&link) {
             state.peer = Some((id.clone(), zone.clone()));
+            state.interval_ms = hello.interval_ms;
         }
         let now = self.now();
         self.on_records(vec![record], Some(link));
-        let interval_ms = self.near_interval_ms().max(self.far_interval_ms());
-        self.members.heard(&id, incarnation, interval_ms, now);
+        self.members.heard(&id, incarnation, hello.interval_ms, now);
         emit(Event::PeerUp, format_args!("{id} in {zone}"));
         self.links.report_all_next();
         let mut known: Vec<BoxRecord> = self.members.records().cloned().collect();
@@ -282,6 +283,11 @@
             return;
         }
         self.publish();
+        let leavers = newer.iter().filter(|r| r.state == BoxState::Leaving);
+        let leavers: Vec<BoxId> = leavers.map(|record| record.id.clone()).collect();
+        for leaver in leavers {
+            self.return_loans_of_leaver(&leaver);
+        }
         self.broadcast_except(&Message::Records(newer), from);
     }
 
--- a/crates/daemon/src/control/loans.rs
+++ b/crates/daemon/src/control/loans.rs
@@ -5,6 +5,7 @@
 use brasswinch_peer::{LinkId, LoanAsk, LoanGrant, LoanReturn, Message, ServiceHoldings};
 use brasswinch_types::{BoxId, ServiceKey, Zone};
 use std::cmp::Reverse;
+use std::sync::Arc;
 
 /// Neighbours that are asked at a time.
 const ASK_NEIGHBOURS: usize = 2;
@@ -89,6 +90,16 @@
         self.send_to(&returned.lender, &message);
     }
 
+    /// A neighbour is leaving: it gets its slots back at once, or when their work ends.
+    pub(super) fn return_loans_of_leaver(&mut self, leaver: &BoxId) {
+        let context = Arc::clone(&self.context);
+        for service in context.services.values() {
+            for returned in service.gate.recall(leaver) {
+                self.return_loan(service.key.clone(), returned);
+            }
+        }
+    }
+
     /// The lender has restarted: nothing new may start on its earlier loans.
     pub(super) fn drop_loans_from(&mut self, lender: &BoxId) {
         for service in self.context.services.values() {
--- a/crates/daemon/src/gate.rs
+++ b/crates/daemon/src/gate.rs
@@ -224,6 +224,11 @@
         self.change(service, |state, _| state.pool.take_back(borrower, loan));
     }
 
+    /// Hands back what a leaving neighbour lent, as far as it is idle.
+    pub(crate) fn recall(&self, leaving: &BoxId) -> Vec<Returned> {
+        self.lock().pool.recall(leaving)
+    }
+
     /// The slots in use on loan from `lender`.
     pub(crate) fn in_use_from(&self, lender: &BoxId) -> Vec<u32> {
         self.lock().pool.in_use_from(lender)
--- a/crates/decide/src/slots.rs
+++ b/crates/decide/src/slots.rs
@@ -303,6 +303,29 @@
         returned
     }
 
+    /// The lender is leaving: hands its idle slots back now, the others when their work
+    /// ends, so that it needn't wait for the term.
+    pub fn recall(&mut self, leaving: &BoxId) -> Vec<Returned> {
+        let mut returned = Vec::new();
+        for slot in 0..self.slots.len() as u32 {
+            let entry = &mut self.slots[slot as usize];
+            let Right::Borrowed {
+                lender, use_before, ..
+            } = &mut entry.right
+            else {
+                continue;
+            };
+            if lender != leaving {
+                continue;
+            }
+            *use_before = 0;
+            if !entry.busy {
+                returned.extend(self.give_back(slot));
+            }
+        }
+        returned
+    }
+
     /// The slots this box uses on loan from `lender`, for a lender that has restarted.
     ///
     /// Idle ones are dropped on the spot, so only those with work are reported.
--- a/crates/decide/tests/slots.rs
+++ b/crates/decide/tests/slots.rs
@@ -45,6 +45,7 @@
     Advance(Millis),
     ReturnIdle(usize),
     Restart(usize),
+    Recall(usize, usize),
 }
 
 #[derive(Clone, Debug)]
@@ -155,6 +156,12 @@
                 }
             }
             Step::Restart(index) => self.restart(index % BOXES),
+            Step::Recall(index, lender) => {
+                let returned = self.pools[index].recall(&box_id(lender));
+                for one in returned {
+                    self.send_return(index, &one.lender, one.loan);
+                }
+            }
         }
     }
 
@@ -290,6 +297,7 @@
         3 => prop_oneof![1..40_u64, 90..130_u64, 300..500_u64].prop_map(Step::Advance),
         1 => (0..BOXES).prop_map(Step::ReturnIdle),
         1 => (0..BOXES).prop_map(Step::Restart),
+        1 => (0..BOXES, 0..BOXES).prop_map(|(a, b)| Step::Recall(a, b)),
     ]
 }
 
@@ -367,6 +375,32 @@
     assert!(lender.admit(last + 1, only_lent).is_some());
 }
 
+#[test]
+fn a_leaving_lender_gets_idle_slots_back_at_once_and_busy_ones_when_they_end() {
+    let table = dealt_table();
+    let mut lender = SlotPool::new(box_id(0), TERMS, 0);
+    let mut borrower = SlotPool::new(box_id(1), TERMS, 0);
+    lender.set_load(LOAD, TERMS, &table, HoldBack::No, 0);
+    borrower.set_load(LOAD, TERMS, &table, HoldBack::No, 0);
+    let loans = lender.lend(&box_id(1), 2, 0);
+    assert_eq!(loans.len(), 2);
+    borrower.borrow(&box_id(0), &loans, 0, 0);
+    let first = loans[0].slot;
+    let busy = borrower
+        .admit(1, |slot| (slot == first).then_some(0))
+        .unwrap();
+    let returned = borrower.recall(&box_id(0));
+    assert_eq!(returned.len(), 1);
+    assert_eq!(returned[0].loan, loans[1]);
+    let later = borrower.finish(busy.slot, 2).unwrap();
+    assert_eq!(later.loan, loans[0]);
+    assert!(
+        borrower
+            .admit(3, |slot| (slot == first).then_some(0))
+            .is_none()
+    );
+}
+
 #[test]
 fn a_return_of_an_earlier_loan_does_not_end_the_present_one() {
     let table = dealt_table();
--- a/crates/lab/src/slopes/peers.rs
+++ b/crates/lab/src/slopes/peers.rs
@@ -108,6 +108,7 @@
         Message::Hello(Hello {
             version: PROTOCOL_VERSION,
             record: record(&self.scale, self.zone, self.index),
+            interval_ms: self.interval.as_millis() as u64,
         })
     }
 
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -60,6 +60,8 @@
     pub version: u16,
     /// The sender's record.
     pub record: BoxRecord,
+    /// The first heartbeat is due within this time, in milliseconds.
+    pub interval_ms: Millis,
 }
 
 /// Still here. Sent so often that its fields have short names on links.
