Split the control links by job; one in-process fleet for the lab; HTTP/2 proved

Links, messages, heartbeats, shares and voids each have a module; the demo and the measurements start their daemons by one piece of code.

--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -1,12 +1,16 @@
 //! The control thread: it owns all control state and publishes what traffic reads.
 
 mod config;
+mod heartbeats;
 mod links;
 mod loans;
+mod messages;
 mod platform;
+mod shares;
 mod state;
 mod status;
 mod units;
+mod voids;
 
 use crate::admin::StatusView;
 use crate::context::Context;
--- a/crates/daemon/src/traffic/proxy.rs
+++ b/crates/daemon/src/traffic/proxy.rs
@@ -487,6 +487,7 @@
 fn strip_hop_by_hop(headers: &mut HeaderMap) {
     for name in [
         header::CONNECTION,
+        header::EXPECT,
         header::PROXY_AUTHENTICATE,
         header::PROXY_AUTHORIZATION,
         header::TE,
--- a/crates/daemon/tests/path.rs
+++ b/crates/daemon/tests/path.rs
@@ -3,8 +3,8 @@
 
 mod common;
 
-use brasswinch_lab::callers::{Outcome, new_tag};
-use brasswinch_lab::deployment::Spec;
+use brasswinch_lab::callers::{Caller, Outcome, new_tag};
+use brasswinch_lab::deployment::{Spec, caller_ip};
 use common::{Fleet, alone};
 use std::process::Command;
 use std::time::Duration;
@@ -90,6 +90,28 @@
     assert!(growth < MEMORY_GROWTH_KIB, "grew by {growth} KiB");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_who_speak_http2_share_a_connection_and_get_their_own_whole_answers() {
+    let _alone = alone().await;
+    let spec = one_region();
+    let policy = spec.policy(0.2, 5.0);
+    let fleet = Fleet::serving(spec, &policy).await;
+    let caller = Caller::new_http2(caller_ip(0), fleet.callers());
+    let mut upload = fleet.job("cad-intake", 0);
+    upload.upload_bytes = 1_000_000;
+    let jobs = [
+        fleet.job("rate-desk", 0),
+        fleet.job("order-book", 0),
+        upload,
+    ];
+    for _ in 0..20 {
+        let runs = jobs.iter().map(|job| caller.run(job));
+        for report in futures_util::future::join_all(runs).await {
+            assert_eq!(report.outcome, Outcome::Whole);
+        }
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_that_cannot_be_served_gets_its_row_of_the_table_at_once() {
     let _alone = alone().await;
--- a/crates/lab/src/callers.rs
+++ b/crates/lab/src/callers.rs
@@ -126,8 +126,17 @@
 }
 
 impl Caller {
-    /// A caller who comes from `local` and asks `boxes` in turn.
+    /// A caller who comes from `local` and asks `boxes` in turn, over HTTP/1.1.
     pub fn new(local: IpAddr, boxes: Vec<SocketAddr>) -> Self {
+        Self::speaking(local, boxes, false)
+    }
+
+    /// A caller who speaks HTTP/2 only.
+    pub fn new_http2(local: IpAddr, boxes: Vec<SocketAddr>) -> Self {
+        Self::speaking(local, boxes, true)
+    }
+
+    fn speaking(local: IpAddr, boxes: Vec<SocketAddr>, http2: bool) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_local_address(Some(local));
@@ -135,6 +144,7 @@
         Self {
             client: Client::builder(TokioExecutor::new())
                 .pool_idle_timeout(Duration::from_secs(5))
+                .http2_only(http2)
                 .build(connector),
             boxes,
             next: Arc::default(),
--- a/crates/lab/src/demo.rs
+++ b/crates/lab/src/demo.rs
@@ -6,9 +6,10 @@
 use crate::callers::{Caller, Job, Tally, open_load};
 use crate::counting::largest_shift;
 use crate::deployment::{CALLER_TOKEN, OPERATOR_TOKEN, Site, Spec, caller_ip};
+use crate::fleet;
 use crate::http::{LabClient, LabError};
 use crate::upstream::wall_ms;
-use brasswinch_daemon::{DaemonHandle, StatusView, start};
+use brasswinch_daemon::DaemonHandle;
 use serde_json::json;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -33,9 +34,6 @@
 /// When one box is stopped.
 const STOP_AT: Duration = Duration::from_secs(12);
 
-/// Longest wait for the boxes to serve.
-const READY: Duration = Duration::from_secs(15);
-
 /// The shift cap of the demo's policy: a fraction, and its window in seconds.
 const CAP: (f64, f64) = (0.2, 5.0);
 
@@ -62,14 +60,7 @@
 /// Runs the demo; `true` means that every promise held.
 pub async fn run() -> Result<bool, LabError> {
     let site = Site::start(Spec::kavach(2, 2)).await?;
-    let mut daemons = Vec::new();
-    for zone in 0..site.spec.zones() {
-        for index in 1..=site.spec.boxes_per_zone {
-            let daemon = start(site.settings(zone, index))?;
-            site.box_listens(&site.box_name(zone, index), daemon.addresses().peer);
-            daemons.push(daemon);
-        }
-    }
+    let daemons = fleet::start_all(&site, |_| {})?;
     let mut demo = Demo {
         site,
         daemons,
@@ -82,8 +73,12 @@
         demo.site.spec.regions.len()
     );
     let policy = demo.site.spec.policy(CAP.0, CAP.1);
-    demo.submit(&policy).await?;
-    demo.wait_until_serving().await?;
+    let began = Instant::now();
+    fleet::serve_policy(&demo.site, &demo.daemons, &policy).await?;
+    println!(
+        "all boxes serve after {:.1} s",
+        began.elapsed().as_secs_f64()
+    );
     let load = demo.start_load();
     demo.run_events().await?;
     let mut tallies = Vec::new();
@@ -100,7 +95,7 @@
         let word = if verdict.held { "held  " } else { "BROKEN" };
         println!("  {word}  {}: {}", verdict.promise, verdict.figure);
     }
-    demo.stop();
+    fleet::stop_all(demo.daemons).await;
     Ok(verdicts.iter().all(|verdict| verdict.held))
 }
 
@@ -130,46 +125,6 @@
         Ok(())
     }
 
-    async fn status(&self, index: usize) -> Result<StatusView, LabError> {
-        self.client
-            .get(self.admin(index), "/v1/status", Some(OPERATOR_TOKEN))
-            .await
-    }
-
-    async fn wait_until_serving(&self) -> Result<(), LabError> {
-        let began = Instant::now();
-        while began.elapsed() < READY {
-            let status = self.status(0).await?;
-            let serving = status
-                .boxes
-                .iter()
-                .filter(|b| b.state == "serving" && b.heard);
-            let idle: u32 = status
-                .services
-                .iter()
-                .flat_map(|service| service.zones.values())
-                .map(|load| load.total)
-                .sum();
-            let slots: u32 = self
-                .site
-                .spec
-                .services
-                .iter()
-                .map(|service| self.site.spec.region_slots(service.name))
-                .sum();
-            let all = slots * self.site.spec.regions.len() as u32;
-            if serving.count() == self.daemons.len() && idle == all {
-                println!(
-                    "all boxes serve after {:.1} s",
-                    began.elapsed().as_secs_f64()
-                );
-                return Ok(());
-            }
-            tokio::time::sleep(Duration::from_millis(100)).await;
-        }
-        Err(LabError::Answer("the boxes did not come to serve".into()))
-    }
-
     fn start_load(&self) -> Vec<ServiceLoad> {
         let boxes: Vec<SocketAddr> = self
             .daemons
@@ -245,7 +200,7 @@
                 stop_began.elapsed().as_secs_f64()
             );
         }
-        let status = self.status(0).await?;
+        let status = fleet::status(&self.client, self.admin(0)).await?;
         for service in &status.services {
             let headroom: Vec<String> = service
                 .zones
@@ -385,15 +340,6 @@
             figure: format!("{cut} cut"),
         }
     }
-
-    fn stop(self) {
-        for daemon in &self.daemons {
-            daemon.stop();
-        }
-        for daemon in self.daemons {
-            daemon.wait();
-        }
-    }
 }
 
 fn whole_verdict(tallies: &[(&'static str, Arc<Tally>)]) -> Verdict {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod demo;
 pub mod deployment;
 pub mod faults;
+pub mod fleet;
 pub mod http;
 pub mod measure;
 pub mod platform;
--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -1,10 +1,11 @@
 //! Measures latency, headroom and drain time, beside a static equal split of the load.
 
 use crate::callers::{Caller, Job, Tally, open_load};
-use crate::deployment::{CALLER_TOKEN, OPERATOR_TOKEN, Site, Spec, caller_ip};
-use crate::http::{LabClient, LabError};
+use crate::deployment::{CALLER_TOKEN, Site, Spec, caller_ip};
+use crate::fleet;
+use crate::http::LabError;
 use crate::upstream::UpstreamControl;
-use brasswinch_daemon::{DaemonHandle, StatusView, start};
+use brasswinch_daemon::DaemonHandle;
 use serde_json::json;
 use std::collections::BTreeMap;
 use std::fmt;
@@ -14,9 +15,6 @@
 /// How long each load runs.
 const LOAD: Duration = Duration::from_secs(6);
 
-/// Longest wait for the boxes to serve.
-const READY: Duration = Duration::from_secs(20);
-
 /// Time that an upstream takes for one request, in milliseconds.
 const SERVICE_MS: u64 = 20;
 
@@ -135,17 +133,10 @@
     let workspace = spec.workspace;
     let region = spec.regions[0];
     let site = Site::start(spec).await?;
-    let mut daemons = Vec::new();
-    for zone in 0..site.spec.zones() {
-        for index in 1..=site.spec.boxes_per_zone {
-            let mut settings = site.settings(zone, index);
-            settings.this_box.loans.borrow = borrow;
-            let daemon = start(settings)?;
-            site.box_listens(&site.box_name(zone, index), daemon.addresses().peer);
-            daemons.push(daemon);
-        }
-    }
-    submit_and_wait(&daemons, &policy, load).await?;
+    let mut daemons = fleet::start_all(&site, |settings| {
+        settings.this_box.loans.borrow = borrow;
+    })?;
+    fleet::serve_policy(&site, &daemons, &policy).await?;
     let per_second = offered * f64::from(load) * 1_000.0 / SERVICE_MS as f64;
     let tally = Arc::new(Tally::default());
     let job = Job::small(workspace, CALLER_TOKEN, service, region);
@@ -181,7 +172,7 @@
     let most_in_use = site
         .upstreams(service, region)
         .map_or(0, |upstreams| upstreams.counts().most_in_use);
-    stop_all(daemons).await;
+    fleet::stop_all(daemons).await;
     Ok(Row {
         deployment,
         split: if borrow {
@@ -227,45 +218,3 @@
         load(1, per_second * (1.0 - SKEW), boxes[2..].to_vec(), false),
     ]
 }
-
-async fn submit_and_wait(
-    daemons: &[DaemonHandle],
-    policy: &str,
-    load: u32,
-) -> Result<(), LabError> {
-    let client = LabClient::default();
-    let token = Some(OPERATOR_TOKEN);
-    let Some(first) = daemons.first() else {
-        return Ok(());
-    };
-    let admin = first.addresses().admin;
-    client
-        .post(admin, "/v1/policy", token, &json!({ "source": policy }))
-        .await?;
-    let began = Instant::now();
-    while began.elapsed() < READY {
-        let status: StatusView = client.get(admin, "/v1/status", token).await?;
-        let held: BTreeMap<_, u32> = status
-            .services
-            .iter()
-            .map(|s| (&s.service, s.zones.values().map(|zone| zone.total).sum()))
-            .collect();
-        let serving = status
-            .boxes
-            .iter()
-            .filter(|b| b.heard && b.state == "serving");
-        if serving.count() == daemons.len() && held.values().all(|held| *held == load) {
-            return Ok(());
-        }
-        tokio::time::sleep(Duration::from_millis(50)).await;
-    }
-    Err(LabError::Answer("the boxes did not come to serve".into()))
-}
-
-async fn stop_all(daemons: Vec<DaemonHandle>) {
-    for daemon in &daemons {
-        daemon.stop();
-    }
-    let waits = tokio::task::spawn_blocking(move || daemons.into_iter().for_each(|d| d.wait()));
-    let _ = waits.await;
-}
