Count a shift by the smaller of two bounds

Ruled out: the shares, which move by the pure tests' bound. The count was wrong: growth of arrivals shows too much when callers bunch, as parts of arrivals do when a region is lost. Both bound a real shift from above, so the smaller one is as strict on it.

--- a/crates/lab/src/counting.rs
+++ b/crates/lab/src/counting.rs
@@ -9,9 +9,12 @@
 /// The largest part of `origin`'s requests that came to regions anew between two slices
 /// at most `window` seconds apart, as the upstreams counted it.
 ///
-/// A region's increase is measured against what the callers offered, `per_second`, not
-/// against what arrived: when a region is lost, the others' parts of the arrivals grow
-/// although nobody was moved.
+/// Two counts bound a shift from above, and the smaller one counts:
+///
+/// * How far the regions' parts of the arrivals moved. It shows too much when a region is
+///   lost: the others' parts grow although nobody was moved there.
+/// * How much the regions' arrivals grew, against what the callers offered, `per_second`.
+///   It shows too much when callers bunch, so that one slice has more arrivals than another.
 pub fn largest_shift(
     site: &Site,
     service: &str,
@@ -35,17 +38,30 @@
             if (later - slice) as f64 > window - 1.0 {
                 break;
             }
-            let grown: f64 = before
-                .iter()
-                .zip(after.iter())
-                .map(|(a, b)| (b - a).max(0.0))
-                .sum();
-            largest = largest.max(grown / per_second);
+            let moved = parts_moved(before, after).min(grown(before, after) / per_second);
+            largest = largest.max(moved);
         }
     }
     largest
 }
 
+/// How far the parts of the arrivals moved: half the sum of their differences.
+fn parts_moved(before: &[f64], after: &[f64]) -> f64 {
+    let sum = |counts: &[f64]| counts.iter().sum::<f64>().max(1.0);
+    let (all_before, all_after) = (sum(before), sum(after));
+    let differences = before
+        .iter()
+        .zip(after)
+        .map(|(a, b)| (a / all_before - b / all_after).abs());
+    differences.sum::<f64>() / 2.0
+}
+
+/// How much the regions' arrivals grew, summed over the regions that grew.
+fn grown(before: &[f64], after: &[f64]) -> f64 {
+    let growths = before.iter().zip(after).map(|(a, b)| (b - a).max(0.0));
+    growths.sum()
+}
+
 fn arrivals_by_slice(site: &Site, service: &str, origin: &str) -> BTreeMap<u64, Vec<f64>> {
     let mut slices: BTreeMap<u64, Vec<f64>> = BTreeMap::new();
     for (index, region) in site.spec.regions.iter().enumerate() {
