Log BW404 when a box comes to serve without units of its own

Cause: the catalogue and the operators' page named an event that nothing logged. Ruled out: other events; the new test finds this one only, and failed before the change. It holds the catalogue to the daemon's sources.

--- a/crates/daemon/src/control/state.rs
+++ b/crates/daemon/src/control/state.rs
@@ -222,6 +222,9 @@
         if !self.config.known || !shares_known || !units_known {
             return;
         }
+        if !self.units.is_ready(&self.context.id) {
+            emit(Event::UnitsUnclaimed, format_args!("{}", self.context.id));
+        }
         self.set_state(BoxState::Serving);
         emit(
             Event::Serving,
--- a/crates/observe/tests/events.rs
+++ b/crates/observe/tests/events.rs
@@ -36,6 +36,39 @@
     }
 }
 
+/// All source text below `folder`.
+fn sources(folder: &std::path::Path) -> String {
+    let mut text = String::new();
+    for entry in std::fs::read_dir(folder).unwrap() {
+        let path = entry.unwrap().path();
+        if path.is_dir() {
+            text += &sources(&path);
+        } else {
+            text += &std::fs::read_to_string(&path).unwrap();
+        }
+    }
+    text
+}
+
+#[test]
+fn the_daemon_logs_every_event_of_the_catalogue() {
+    let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/../daemon/src");
+    let sources = sources(std::path::Path::new(folder));
+    let logs = |event: &Event| {
+        let name = format!("Event::{event:?}");
+        sources.match_indices(&name).any(|(at, _)| {
+            let after = sources[at + name.len()..].chars().next();
+            after.is_none_or(|next| !next.is_alphanumeric())
+        })
+    };
+    let silent: Vec<Event> = Event::ALL
+        .iter()
+        .map(|row| row.event)
+        .filter(|event| !logs(event))
+        .collect();
+    assert_eq!(silent, []);
+}
+
 #[test]
 fn latencies_of_many_workspaces_stay_bounded_and_apart() {
     let table = LatencyTable::default();
