--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -2,7 +2,7 @@
 
 use argh::FromArgs;
 use brasswinch_observe::{LogFormat, init_logging};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 /// Exit code for settings that can't be used.
@@ -23,7 +23,11 @@
 struct Arguments {
     /// the box's settings file
     #[argh(option)]
-    settings: PathBuf,
+    settings: Option<PathBuf>,
+
+    /// run on the users' platform, with the settings that it provides
+    #[argh(switch)]
+    platform: bool,
 
     /// write the log as JSON, an object a line
     #[argh(switch)]
@@ -32,18 +36,41 @@
 
 fn main() -> ExitCode {
     let arguments: Arguments = argh::from_env();
-    let settings = match brasswinch_settings::load_settings(&arguments.settings) {
+    let log_format = if arguments.json_log {
+        LogFormat::Json
+    } else {
+        LogFormat::Text
+    };
+    match arguments.settings {
+        None if arguments.platform => run_on_platform(log_format),
+        Some(settings) if !arguments.platform => run_box(&settings, log_format),
+        _ => {
+            eprintln!("give either --settings FILE or --platform");
+            ExitCode::from(EXIT_SETTINGS)
+        }
+    }
+}
+
+fn run_on_platform(log_format: LogFormat) -> ExitCode {
+    init_logging(log_format);
+    match brasswinch_platform::run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::from(EXIT_START)
+        }
+    }
+}
+
+fn run_box(settings: &Path, log_format: LogFormat) -> ExitCode {
+    let settings = match brasswinch_settings::load_settings(settings) {
         Ok(settings) => settings,
         Err(error) => {
             eprintln!("{error}");
             return ExitCode::from(EXIT_SETTINGS);
         }
     };
-    init_logging(if arguments.json_log {
-        LogFormat::Json
-    } else {
-        LogFormat::Text
-    });
+    init_logging(log_format);
     match brasswinch_daemon::start(settings) {
         Ok(daemon) => {
             println!("{}", daemon.addresses());
--- /dev/null
+++ b/crates/edge/src/attempt.rs
@@ -0,0 +1,326 @@
+//! One try of a request at one target, and what is known of its end.
+
+use crate::body::{AnyBody, BodyError, PassLimits, Passed, full, hold};
+use crate::connections::Connection;
+use crate::context::Context;
+use crate::request::end_to_end;
+use brasswinch_routing::{Choice, LoadReport, TargetOutcome};
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Request, Response, header};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{Instant, timeout_at};
+
+/// Answers up to this length are held whole before a byte goes to the client.
+const MOST_HELD_ANSWER: usize = 256 * 1024;
+
+/// Longest answer.
+const MOST_ANSWER_BYTES: u64 = 1 << 32;
+
+/// Longest rest of a connection that may carry a request that must not run twice: if
+/// the target closes it at that moment, nobody knows whether the request ran.
+const FRESH_REST: Duration = Duration::from_secs(3);
+
+/// Longest rest of any other connection; the pool ends it sooner where the target says.
+const ANY_REST: Duration = Duration::from_secs(3_600);
+
+/// What a request is sent with.
+pub(crate) struct Outgoing<'a> {
+    pub(crate) parts: &'a http::request::Parts,
+    pub(crate) body: OutgoingBody,
+    /// When the client must have its answer.
+    pub(crate) answer_by: Instant,
+    /// Whether it may run more than once.
+    pub(crate) is_repeatable: bool,
+}
+
+/// The body that is sent.
+pub(crate) enum OutgoingBody {
+    /// It is held whole.
+    Whole(Bytes),
+    /// It is passed on and can't be sent again.
+    Passed(AnyBody),
+}
+
+/// How a try ended.
+pub(crate) enum AttemptEnd {
+    /// A whole answer, or one that is on its way.
+    Answer(Response<AnyBody>),
+    /// The target said that it did not run it.
+    Refused,
+    /// Nothing was sent.
+    NotSent(OutgoingBody),
+    /// It was sent, and there is no answer that can be used.
+    Lost,
+    /// The time is over; it was sent.
+    TimeOver,
+}
+
+/// Counts the request at its target until it ends, whatever the way.
+pub(crate) struct Placed {
+    context: Arc<Context>,
+    choice: Choice,
+    request_id: Option<HeaderValue>,
+    sent_at: Instant,
+    outcome: TargetOutcome,
+}
+
+impl Placed {
+    pub(crate) fn new(context: &Arc<Context>, choice: Choice, headers: &HeaderMap) -> Self {
+        Self {
+            request_id: headers.get(&context.dialect.request_id).cloned(),
+            context: Arc::clone(context),
+            choice,
+            sent_at: Instant::now(),
+            outcome: TargetOutcome::Abandoned,
+        }
+    }
+
+    fn elapsed_ms(&self) -> f64 {
+        self.sent_at.elapsed().as_secs_f64() * 1_000.0
+    }
+}
+
+impl Drop for Placed {
+    fn drop(&mut self) {
+        let now = self.context.clock.now();
+        let mut placement = self.context.placement();
+        placement.ended(&self.choice, self.outcome, now);
+    }
+}
+
+/// Sends a request to the chosen target and reads its answer.
+pub(crate) async fn attempt(
+    context: &Arc<Context>,
+    choice: Choice,
+    outgoing: Outgoing<'_>,
+) -> AttemptEnd {
+    let mut placed = Placed::new(context, choice, &outgoing.parts.headers);
+    let longest_rest = if outgoing.is_repeatable {
+        ANY_REST
+    } else {
+        FRESH_REST
+    };
+    let target = placed.choice.target.clone();
+    let head = Head {
+        parts: outgoing.parts,
+        answer_by: outgoing.answer_by,
+    };
+    let mut body = outgoing.body;
+    let mut rested = context.pool.take(&target, longest_rest);
+    loop {
+        let is_rested = rested.is_some();
+        let connection = match rested.take() {
+            Some(connection) => connection,
+            None => match connect(context, &mut placed, outgoing.answer_by).await {
+                Some(connection) => connection,
+                None => return AttemptEnd::NotSent(body),
+            },
+        };
+        match exchange(connection, &head, body, &placed).await {
+            Exchanged::Answer(answer, connection) => {
+                return finish(answer, connection, placed, outgoing.answer_by).await;
+            }
+            // The target closed it while it rested; a new one tells whether it serves.
+            Exchanged::NotSent(unsent) if is_rested => body = unsent,
+            Exchanged::NotSent(unsent) => {
+                placed.outcome = TargetOutcome::Unreachable;
+                return AttemptEnd::NotSent(unsent);
+            }
+            Exchanged::Lost => {
+                placed.outcome = TargetOutcome::Unanswered;
+                return AttemptEnd::Lost;
+            }
+            Exchanged::TimeOver => {
+                placed.outcome = TargetOutcome::Unanswered;
+                return AttemptEnd::TimeOver;
+            }
+        }
+    }
+}
+
+async fn connect(
+    context: &Arc<Context>,
+    placed: &mut Placed,
+    answer_by: Instant,
+) -> Option<Connection> {
+    let choice = &placed.choice;
+    let connecting = context.pool.connect(&choice.target, choice.address);
+    let connection = timeout_at(answer_by, connecting).await.ok()?;
+    if connection.is_err() {
+        placed.outcome = TargetOutcome::Unreachable;
+        context.pool.close(&placed.choice.target);
+    }
+    placed.sent_at = Instant::now();
+    connection.ok()
+}
+
+struct Head<'a> {
+    parts: &'a http::request::Parts,
+    answer_by: Instant,
+}
+
+enum Exchanged {
+    Answer(Response<Incoming>, Connection),
+    NotSent(OutgoingBody),
+    Lost,
+    TimeOver,
+}
+
+/// Sends the request on a connection and waits for the head of the answer.
+async fn exchange(
+    mut connection: Connection,
+    head: &Head<'_>,
+    body: OutgoingBody,
+    placed: &Placed,
+) -> Exchanged {
+    let whole = match &body {
+        OutgoingBody::Whole(bytes) => Some(bytes.clone()),
+        OutgoingBody::Passed(_) => None,
+    };
+    let request = target_request(head, body, placed);
+    let sending = connection.sender().try_send_request(request);
+    match timeout_at(head.answer_by, sending).await {
+        Ok(Ok(answer)) => Exchanged::Answer(answer, connection),
+        Ok(Err(mut failure)) => match (failure.take_message(), whole) {
+            (Some(_), Some(bytes)) => Exchanged::NotSent(OutgoingBody::Whole(bytes)),
+            (Some(request), None) => Exchanged::NotSent(OutgoingBody::Passed(request.into_body())),
+            (None, _) => Exchanged::Lost,
+        },
+        Err(_) => Exchanged::TimeOver,
+    }
+}
+
+/// The request as the target gets it: the client's, with the time that is left and the
+/// incarnation that it is meant for.
+fn target_request(head: &Head<'_>, body: OutgoingBody, placed: &Placed) -> Request<AnyBody> {
+    let dialect = &placed.context.dialect;
+    let mut headers = end_to_end(&head.parts.headers);
+    let left = crate::body::time_left(head.answer_by).as_millis() as u64;
+    headers.insert(&dialect.deadline_ms, HeaderValue::from(left));
+    if let Ok(id) = HeaderValue::from_str(placed.choice.target.as_str()) {
+        headers.insert(&dialect.intended_target, id);
+    }
+    let body = match body {
+        OutgoingBody::Whole(bytes) => {
+            let has_framing = head.parts.headers.contains_key(header::TRANSFER_ENCODING);
+            if has_framing {
+                headers.insert(header::CONTENT_LENGTH, HeaderValue::from(bytes.len()));
+            }
+            full(bytes)
+        }
+        OutgoingBody::Passed(body) => body,
+    };
+    let mut request = Request::new(body);
+    *request.method_mut() = head.parts.method.clone();
+    let target = head.parts.uri.path_and_query();
+    if let Some(target) = target {
+        *request.uri_mut() = http::Uri::from(target.clone());
+    }
+    *request.headers_mut() = headers;
+    request
+}
+
+/// Checks that the answer belongs to the request and brings it to its end.
+async fn finish(
+    answer: Response<Incoming>,
+    mut connection: Connection,
+    mut placed: Placed,
+    answer_by: Instant,
+) -> AttemptEnd {
+    placed.outcome = TargetOutcome::Unanswered;
+    let context = Arc::clone(&placed.context);
+    let (parts, body) = answer.into_parts();
+    if !placed.belongs(&parts.headers) {
+        return AttemptEnd::Lost;
+    }
+    placed.take_load(&parts.headers);
+    if let Some(seconds) = keep_alive_seconds(&parts.headers) {
+        connection.set_idle_limit(seconds);
+    }
+    let refused = parts.headers.contains_key(&context.dialect.not_run)
+        || parts.status == http::StatusCode::MISDIRECTED_REQUEST;
+    let signed = parts.headers.contains_key(&context.dialect.signature);
+    if !refused && parts.status.is_success() && !signed {
+        return AttemptEnd::Lost;
+    }
+    let held = match timeout_at(answer_by, hold(body, MOST_HELD_ANSWER)).await {
+        Ok(Ok(held)) => held,
+        Ok(Err(_)) => return AttemptEnd::Lost,
+        Err(_) => return AttemptEnd::TimeOver,
+    };
+    placed.outcome = TargetOutcome::Answered(placed.elapsed_ms());
+    if refused {
+        placed.outcome = TargetOutcome::Shed;
+        if held.is_whole() {
+            connection.reuse();
+        }
+        return AttemptEnd::Refused;
+    }
+    let mut headers = end_to_end(&parts.headers);
+    let body = match held.rest {
+        None => {
+            connection.reuse();
+            headers.remove(header::CONTENT_LENGTH);
+            full(held.bytes)
+        }
+        Some(rest) => {
+            let limits = PassLimits {
+                most_bytes: MOST_ANSWER_BYTES,
+                until: answer_by,
+            };
+            let guard = (connection, placed);
+            Passed::new(held.bytes, rest, limits, guard, |(connection, _)| {
+                connection.reuse()
+            })
+            .map_err(|error: BodyError| error)
+            .boxed()
+        }
+    };
+    let mut response = Response::new(body);
+    *response.status_mut() = parts.status;
+    *response.headers_mut() = headers;
+    AttemptEnd::Answer(response)
+}
+
+impl Placed {
+    /// Whether an answer is to this request: it repeats the request's id.
+    fn belongs(&self, headers: &HeaderMap) -> bool {
+        let dialect = &self.context.dialect;
+        match (&self.request_id, headers.get(&dialect.request_id)) {
+            (Some(sent), Some(answered)) => sent == answered,
+            (Some(_), None) => false,
+            (None, _) => true,
+        }
+    }
+
+    fn take_load(&self, headers: &HeaderMap) {
+        let Some(value) = headers.get(&self.context.dialect.load) else {
+            return;
+        };
+        let Some(report) = value.to_str().ok().and_then(load_report) else {
+            return;
+        };
+        let now = self.context.clock.now();
+        self.context.placement().reported(&self.choice, report, now);
+    }
+}
+
+fn load_report(text: &str) -> Option<LoadReport> {
+    let mut numbers = text.split(',').map(|number| number.trim().parse().ok());
+    Some(LoadReport {
+        running: numbers.next()??,
+        waiting: numbers.next()??,
+        slots: numbers.next()??,
+    })
+}
+
+fn keep_alive_seconds(headers: &HeaderMap) -> Option<u64> {
+    let value = headers.get("keep-alive")?.to_str().ok()?;
+    value.split(',').find_map(|part| {
+        let seconds = part.trim().strip_prefix("timeout=")?;
+        seconds.trim().parse().ok()
+    })
+}
--- /dev/null
+++ b/crates/edge/src/connections.rs
@@ -0,0 +1,202 @@
+//! Connections to targets. Each carries one request at a time and is kept only after a
+//! whole exchange, so that bytes of one answer can never reach another request.
+
+use crate::body::AnyBody;
+use brasswinch_routing::TargetId;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
+use std::collections::HashMap;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::net::TcpSocket;
+use tokio::task::AbortHandle;
+use tokio::time::Instant;
+
+/// Longest time for a connection to come up.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
+
+/// Longest time that sent bytes may stay without a receipt: a machine without power
+/// says nothing.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// Rest after which a connection is probed by the kernel, and time between probes.
+const PROBE_AFTER: Duration = Duration::from_secs(1);
+
+/// Idle connections that are kept to one target.
+const MOST_IDLE: usize = 24;
+
+/// Rest after which a connection is closed, unless the target tells less.
+const LONGEST_IDLE: Duration = Duration::from_secs(8);
+
+/// Taken off the rest that a target tells, for the way there.
+const IDLE_MARGIN: Duration = Duration::from_millis(1_500);
+
+/// The two halves of a connection. Dropping it closes it.
+#[derive(Debug)]
+struct Link {
+    sender: SendRequest<AnyBody>,
+    task: AbortHandle,
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// A connection that carries or may carry a request. Dropping it closes it.
+pub(crate) struct Connection {
+    link: Link,
+    target: TargetId,
+    pool: Arc<ConnectionPool>,
+    idle_limit: Duration,
+}
+
+#[derive(Debug)]
+struct Idle {
+    link: Link,
+    since: Instant,
+    limit: Duration,
+}
+
+/// Idle connections by target.
+#[derive(Debug)]
+pub(crate) struct ConnectionPool {
+    idle: Mutex<HashMap<TargetId, Vec<Idle>>>,
+    local: IpAddr,
+}
+
+impl ConnectionPool {
+    /// Connects from `local`.
+    pub(crate) fn new(local: IpAddr) -> Self {
+        Self {
+            idle: Mutex::default(),
+            local,
+        }
+    }
+
+    /// The connection that rested least, if it rested at most `longest_rest`.
+    pub(crate) fn take(
+        self: &Arc<Self>,
+        target: &TargetId,
+        longest_rest: Duration,
+    ) -> Option<Connection> {
+        let mut idle = self.lock();
+        let rested = idle.get_mut(target)?;
+        while let Some(last) = rested.pop() {
+            let rest = last.since.elapsed();
+            if rest > longest_rest.min(last.limit) || !last.link.sender.is_ready() {
+                continue;
+            }
+            return Some(Connection {
+                link: last.link,
+                target: target.clone(),
+                pool: Arc::clone(self),
+                idle_limit: last.limit,
+            });
+        }
+        None
+    }
+
+    /// A new connection.
+    pub(crate) async fn connect(
+        self: &Arc<Self>,
+        target: &TargetId,
+        address: SocketAddr,
+    ) -> std::io::Result<Connection> {
+        let connecting = self.connect_stream(address);
+        let stream = tokio::time::timeout(CONNECT_TIMEOUT, connecting)
+            .await
+            .map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
+        let (sender, connection) = http1::Builder::new()
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(std::io::Error::other)?;
+        let task = tokio::spawn(async move {
+            // Its error reaches the request that it carries.
+            let _ = connection.await;
+        });
+        Ok(Connection {
+            link: Link {
+                sender,
+                task: task.abort_handle(),
+            },
+            target: target.clone(),
+            pool: Arc::clone(self),
+            idle_limit: LONGEST_IDLE,
+        })
+    }
+
+    async fn connect_stream(&self, address: SocketAddr) -> std::io::Result<tokio::net::TcpStream> {
+        let socket = if address.is_ipv4() {
+            TcpSocket::new_v4()?
+        } else {
+            TcpSocket::new_v6()?
+        };
+        socket.bind(SocketAddr::new(self.local, 0))?;
+        let options = SockRef::from(&socket);
+        options.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
+        let keepalive = TcpKeepalive::new()
+            .with_time(PROBE_AFTER)
+            .with_interval(PROBE_AFTER);
+        options.set_tcp_keepalive(&keepalive)?;
+        let stream = socket.connect(address).await?;
+        stream.set_nodelay(true)?;
+        Ok(stream)
+    }
+
+    /// Closes connections that rested too long, and all to targets that are gone.
+    pub(crate) fn sweep(&self, is_known: impl Fn(&TargetId) -> bool) {
+        let mut idle = self.lock();
+        idle.retain(|target, rested| {
+            rested.retain(|idle| idle.since.elapsed() < idle.limit);
+            !rested.is_empty() && is_known(target)
+        });
+    }
+
+    /// Closes all idle connections to `target`.
+    pub(crate) fn close(&self, target: &TargetId) {
+        self.lock().remove(target);
+    }
+
+    fn keep(&self, target: &TargetId, idle: Idle) {
+        let mut all = self.lock();
+        let rested = all.entry(target.clone()).or_default();
+        if rested.len() >= MOST_IDLE {
+            rested.remove(0);
+        }
+        rested.push(idle);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<TargetId, Vec<Idle>>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Connection {
+    /// What sends the request.
+    pub(crate) fn sender(&mut self) -> &mut SendRequest<AnyBody> {
+        &mut self.link.sender
+    }
+
+    /// Takes the rest that the target allows, in seconds.
+    pub(crate) fn set_idle_limit(&mut self, seconds: u64) {
+        let told = Duration::from_secs(seconds).saturating_sub(IDLE_MARGIN);
+        self.idle_limit = told.min(LONGEST_IDLE);
+    }
+
+    /// Keeps it for another request, if it is whole.
+    pub(crate) fn reuse(self) {
+        if self.link.sender.is_closed() || self.idle_limit.is_zero() {
+            return;
+        }
+        let idle = Idle {
+            link: self.link,
+            since: Instant::now(),
+            limit: self.idle_limit,
+        };
+        self.pool.keep(&self.target, idle);
+    }
+}
--- /dev/null
+++ b/crates/edge/src/context.rs
@@ -0,0 +1,282 @@
+//! The one value that is passed down: what every part of the box shares.
+
+use crate::clock::Clock;
+use crate::connections::ConnectionPool;
+use crate::dialect::Dialect;
+use crate::settings::EdgeSettings;
+use arc_swap::ArcSwapOption;
+use brasswinch_routing::{
+    Backend, FleetState, Liveness, MemberState, Placement, PlacementSettings, RetryBudget,
+    RetryBudgetSettings, RouteTable, SteeringConfig, Swim, WeightedSplit,
+};
+use brasswinch_types::{Millis, Region, Service, Zone};
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::sync::watch;
+
+/// Most addresses in a look-up's answer.
+const MOST_ADDRESSES: usize = 64;
+
+/// How long a look-up's answer may be kept, unless the bound is shorter.
+const LOOKUP_TTL_S: f64 = 2.0;
+
+/// Boxes that each zone is taken to have before they are known, where budgets are shared.
+const LEAST_BOXES_PER_ZONE: usize = 2;
+
+/// Added to the time between a target's entries when news of a cold start is awaited.
+const ENTRY_LAG_MS: Millis = 1_500;
+
+/// A configuration with its routes ready for look-up.
+pub(crate) struct InForce {
+    pub(crate) config: Arc<SteeringConfig>,
+    pub(crate) routes: RouteTable,
+}
+
+/// How far the box is on its way from start to stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Lifecycle {
+    /// It doesn't know enough to serve.
+    Starting,
+    /// It serves.
+    Serving,
+    /// It was asked to stop; it serves on, but wants no new clients.
+    Leaving,
+    /// It takes nothing new.
+    Closed,
+}
+
+/// Where a client may go.
+#[derive(Clone, Debug, PartialEq)]
+pub struct DirectoryAnswer {
+    /// Boxes, any of which will do.
+    pub addresses: Vec<SocketAddr>,
+    /// How long the answer may be kept, in seconds.
+    pub ttl_s: f64,
+}
+
+/// Shared by all parts of one box.
+pub struct Context {
+    pub(crate) settings: EdgeSettings,
+    pub(crate) dialect: Dialect,
+    pub(crate) clock: Clock,
+    pub(crate) in_force: ArcSwapOption<InForce>,
+    pub(crate) pool: Arc<ConnectionPool>,
+    /// Requests that are being answered.
+    pub(crate) in_flight: AtomicUsize,
+    /// Bytes of bodies that are held.
+    pub(crate) held_bytes: AtomicUsize,
+    /// Requests since the start.
+    pub(crate) requests: AtomicU64,
+    /// Whether the store's answers have lately been missing.
+    pub(crate) store_trouble: AtomicBool,
+    lifecycle: watch::Sender<Lifecycle>,
+    fleet: Mutex<FleetState>,
+    placement: Mutex<Placement>,
+    swim: Mutex<Swim>,
+    budgets: Mutex<HashMap<Service, RetryBudget>>,
+    splits: Mutex<HashMap<String, WeightedSplit>>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Context {
+    pub(crate) fn new(settings: EdgeSettings, dialect: Dialect, swim: Swim) -> Self {
+        let heartbeat_ms = (settings.bounds.target_heartbeat_s * 1_000.0) as Millis;
+        let placement = Placement::new(PlacementSettings {
+            me: settings.id.clone(),
+            region: settings.region(),
+            zones: settings.zones.clone(),
+            most_shift: settings.bounds.most_shift,
+            after_evacuation_ms: heartbeat_ms + ENTRY_LAG_MS,
+        });
+        Self {
+            dialect,
+            clock: Clock::new(),
+            in_force: ArcSwapOption::empty(),
+            pool: Arc::new(ConnectionPool::new(settings.addresses.clients.ip())),
+            in_flight: AtomicUsize::new(0),
+            held_bytes: AtomicUsize::new(0),
+            requests: AtomicU64::new(0),
+            store_trouble: AtomicBool::new(false),
+            lifecycle: watch::Sender::new(Lifecycle::Starting),
+            fleet: Mutex::default(),
+            placement: Mutex::new(placement),
+            swim: Mutex::new(swim),
+            budgets: Mutex::default(),
+            splits: Mutex::default(),
+            settings,
+        }
+    }
+
+    pub(crate) fn fleet(&self) -> MutexGuard<'_, FleetState> {
+        lock(&self.fleet)
+    }
+
+    pub(crate) fn placement(&self) -> MutexGuard<'_, Placement> {
+        lock(&self.placement)
+    }
+
+    pub(crate) fn swim(&self) -> MutexGuard<'_, Swim> {
+        lock(&self.swim)
+    }
+
+    pub(crate) fn lifecycle(&self) -> Lifecycle {
+        *self.lifecycle.borrow()
+    }
+
+    /// Moves on; never back.
+    pub(crate) fn advance(&self, to: Lifecycle) {
+        self.lifecycle.send_if_modified(|held| {
+            let is_later = to > *held;
+            if is_later {
+                *held = to;
+            }
+            is_later
+        });
+        let state = match self.lifecycle() {
+            Lifecycle::Starting => MemberState::Starting,
+            Lifecycle::Serving => MemberState::Serving,
+            Lifecycle::Leaving | Lifecycle::Closed => MemberState::Leaving,
+        };
+        self.swim().set_state(state);
+    }
+
+    /// Waits until the box is at least at `stage`.
+    pub(crate) async fn reached(&self, stage: Lifecycle) {
+        let mut changes = self.lifecycle.subscribe();
+        let _ = changes.wait_for(|held| *held >= stage).await;
+    }
+
+    /// Whether clients may be sent here.
+    pub fn is_ready(&self) -> bool {
+        self.lifecycle() == Lifecycle::Serving
+    }
+
+    /// Publishes what was learned of configuration and targets.
+    pub(crate) fn publish(&self) {
+        let fleet = self.fleet();
+        let Some(config) = fleet.config() else {
+            return;
+        };
+        let held = self.in_force.load();
+        let is_new = held
+            .as_ref()
+            .is_none_or(|held| held.config.version != config.version);
+        if is_new {
+            let routes = RouteTable::new(config);
+            let config = Arc::clone(config);
+            self.in_force
+                .store(Some(Arc::new(InForce { config, routes })));
+        }
+        let trouble = self.store_trouble.load(Ordering::Relaxed);
+        self.placement()
+            .update(&fleet, config, trouble, self.clock.now());
+    }
+
+    /// Tells placement which boxes serve and what their callers ask for.
+    pub(crate) fn publish_members(&self) {
+        let swim = self.swim();
+        let me = swim.me();
+        let others = swim
+            .members()
+            .filter(|member| member.liveness == Liveness::Alive)
+            .map(|member| &member.record);
+        let mut demand: BTreeMap<Region, f64> = BTreeMap::new();
+        let mut ids = Vec::new();
+        for record in others.chain([me]) {
+            if let Some(region) = self.settings.zones.get(&record.zone) {
+                *demand.entry(region.clone()).or_default() += f64::from(record.requests_per_s);
+            }
+            ids.push(&record.id);
+        }
+        self.placement().set_boxes(ids.into_iter(), demand);
+    }
+
+    /// Most boxes that may be spending shared budgets with this one.
+    pub(crate) fn sharing_boxes(&self) -> usize {
+        let known = self.placement().most_boxes();
+        known.max(self.settings.zones.len() * LEAST_BOXES_PER_ZONE)
+    }
+
+    /// Counts a request for `service`.
+    pub(crate) fn count_request(&self, service: &Service) {
+        let now = self.clock.now();
+        self.with_budget(service, |budget| budget.count_request(now));
+    }
+
+    /// Whether a request for `service` may be sent once more.
+    pub(crate) fn spend_retry(&self, service: &Service) -> bool {
+        let (boxes, now) = (self.sharing_boxes(), self.clock.now());
+        self.with_budget(service, |budget| budget.spend(boxes, now))
+    }
+
+    fn with_budget<T>(&self, service: &Service, change: impl FnOnce(&mut RetryBudget) -> T) -> T {
+        let bounds = &self.settings.bounds;
+        let mut budgets = lock(&self.budgets);
+        let budget = budgets.entry(service.clone()).or_insert_with(|| {
+            RetryBudget::new(RetryBudgetSettings {
+                ratio: bounds.retry_ratio,
+                extra: bounds.retry_extra,
+                window_ms: (bounds.retry_window_s * 1_000.0) as Millis,
+            })
+        });
+        change(budget)
+    }
+
+    /// The service of the next request on a route.
+    pub(crate) fn pick_service(&self, route: &str, backends: &[Backend]) -> Option<Service> {
+        if let [only] = backends {
+            return Some(only.service.clone());
+        }
+        let mut splits = lock(&self.splits);
+        let split = splits
+            .entry(route.to_owned())
+            .and_modify(|split| {
+                if !split.is_for(backends) {
+                    *split = WeightedSplit::new(backends, rand::random());
+                }
+            })
+            .or_insert_with(|| WeightedSplit::new(backends, rand::random()));
+        split.pick()
+    }
+
+    /// Where a client of `zone` may go: the serving boxes of its region, or, where none
+    /// is known, of all.
+    pub fn directory_answer(&self, zone: &Zone, region: &Region) -> DirectoryAnswer {
+        let swim = self.swim();
+        let mut all: Vec<(&Zone, SocketAddr)> = swim
+            .members()
+            .filter(|member| member.liveness == Liveness::Alive)
+            .filter(|member| member.record.state == MemberState::Serving)
+            .map(|member| (&member.record.zone, member.record.caller_address))
+            .collect();
+        if self.is_ready() || all.is_empty() {
+            all.push((&self.settings.zone, self.settings.addresses.clients));
+        }
+        let region = self.settings.zones.get(zone).unwrap_or(region);
+        let near: Vec<SocketAddr> = all
+            .iter()
+            .filter(|(zone, _)| self.settings.zones.get(*zone) == Some(region))
+            .map(|(_, address)| *address)
+            .collect();
+        let mut addresses = near;
+        if addresses.is_empty() {
+            addresses = all.into_iter().map(|(_, address)| address).collect();
+        }
+        addresses.truncate(MOST_ADDRESSES);
+        DirectoryAnswer {
+            addresses,
+            ttl_s: LOOKUP_TTL_S.min(self.settings.bounds.longest_lookup_ttl_s),
+        }
+    }
+
+    /// How long requests may still be answered after the box was asked to stop.
+    pub(crate) fn grace(&self) -> Duration {
+        Duration::from_secs_f64(self.settings.bounds.grace_s)
+    }
+}
--- /dev/null
+++ b/crates/edge/src/exchange.rs
@@ -0,0 +1,236 @@
+//! A client's request from its head to its answer: route, service, targets, tries.
+//!
+//! What is known of a request is one of three things: it has not run, it may have run,
+//! or it has an answer. The error that a client is told follows from that alone.
+
+use crate::answer::{error_answer, refusal};
+use crate::attempt::{AttemptEnd, Outgoing, OutgoingBody, attempt};
+use crate::body::{AnyBody, BodyError, Held, PassLimits, Passed, hold};
+use crate::context::{Context, InForce};
+use crate::request::RequestFacts;
+use brasswinch_routing::{Choice, Refusal, Route, TargetId, Wanted};
+use brasswinch_types::{ErrorKind, Service};
+use http::request::Parts;
+use http::{Request, Response};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use tokio::time::{Instant, timeout_at};
+
+/// Bodies up to this length are held whole before a target is chosen, so that they can
+/// go to another one if the first doesn't take them.
+const MOST_HELD_BODY: usize = 1024 * 1024;
+
+/// Part of the memory allowed that held bodies may take.
+const HELD_PART_OF_MEMORY: usize = 4;
+
+/// Targets that are tried without anything being sent to them.
+const MOST_UNREACHABLE: u32 = 4;
+
+/// Answers one request.
+pub(crate) async fn answer(
+    context: &Arc<Context>,
+    request: Request<Incoming>,
+) -> Response<AnyBody> {
+    context.requests.fetch_add(1, Ordering::Relaxed);
+    let _counted = InFlight::new(context);
+    match run(context, request).await {
+        Ok(answer) => answer,
+        Err(Failure::Kind(kind)) => error_answer(kind),
+        Err(Failure::Refused { retry_after_ms }) => refusal(ErrorKind::AtCapacity, retry_after_ms),
+    }
+}
+
+/// Why a request failed.
+enum Failure {
+    Kind(ErrorKind),
+    Refused { retry_after_ms: u64 },
+}
+
+impl From<ErrorKind> for Failure {
+    fn from(kind: ErrorKind) -> Self {
+        Self::Kind(kind)
+    }
+}
+
+/// Counts a request while it is being answered.
+struct InFlight<'a>(&'a Context);
+
+impl<'a> InFlight<'a> {
+    fn new(context: &'a Context) -> Self {
+        context.in_flight.fetch_add(1, Ordering::Relaxed);
+        Self(context)
+    }
+}
+
+impl Drop for InFlight<'_> {
+    fn drop(&mut self) {
+        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Counts the bytes of a held body while it is held.
+struct HeldBytes<'a> {
+    context: &'a Context,
+    bytes: usize,
+}
+
+impl<'a> HeldBytes<'a> {
+    fn reserve(context: &'a Context, bytes: usize) -> Option<Self> {
+        let most = context.settings.memory_bytes / HELD_PART_OF_MEMORY;
+        let before = context.held_bytes.fetch_add(bytes, Ordering::Relaxed);
+        let held = Self { context, bytes };
+        (before + bytes <= most).then_some(held)
+    }
+}
+
+impl Drop for HeldBytes<'_> {
+    fn drop(&mut self) {
+        self.context
+            .held_bytes
+            .fetch_sub(self.bytes, Ordering::Relaxed);
+    }
+}
+
+/// A request whose route is known.
+struct Routed<'a> {
+    context: &'a Arc<Context>,
+    route: &'a Route,
+    service: Service,
+    parts: &'a Parts,
+    facts: RequestFacts<'a>,
+    answer_by: Instant,
+}
+
+async fn run(
+    context: &Arc<Context>,
+    request: Request<Incoming>,
+) -> Result<Response<AnyBody>, Failure> {
+    let arrived = Instant::now();
+    let (parts, body) = request.into_parts();
+    let in_force = context.in_force.load_full();
+    let in_force = in_force.ok_or(ErrorKind::NotConfigured)?;
+    let facts = RequestFacts::read(&parts, &context.dialect, arrived)?;
+    let route = in_force.routes.find(facts.host, facts.path);
+    let route = route.ok_or(ErrorKind::NoRoute)?;
+    let length = facts.body_length.unwrap_or(0);
+    if length > in_force.config.limits.max_body_bytes {
+        return Err(ErrorKind::BodyTooLarge.into());
+    }
+    let service = context.pick_service(&route.name, &route.backends);
+    let service = service.ok_or(ErrorKind::NoTarget)?;
+    context.count_request(&service);
+    let routed = Routed {
+        answer_by: facts.answer_by(arrived, route.timeout_s),
+        context,
+        route,
+        service,
+        parts: &parts,
+        facts,
+    };
+    let held_length = facts_length(length);
+    let _held = HeldBytes::reserve(context, held_length).ok_or(ErrorKind::AtCapacity)?;
+    let held = routed.read_body(body).await?;
+    routed.send(held, &in_force).await
+}
+
+/// Bytes that a body is counted with while it is held.
+fn facts_length(told: u64) -> usize {
+    usize::try_from(told).map_or(MOST_HELD_BODY, |told| told.min(MOST_HELD_BODY))
+}
+
+impl Routed<'_> {
+    async fn read_body(&self, body: Incoming) -> Result<Held, Failure> {
+        match timeout_at(self.answer_by, hold(body, MOST_HELD_BODY)).await {
+            Ok(Ok(held)) => Ok(held),
+            Ok(Err(_)) => Err(ErrorKind::MalformedRequest.into()),
+            Err(_) => Err(ErrorKind::TimeoutBeforeSend.into()),
+        }
+    }
+
+    /// Sends the request to targets until one answers or it has to be given up.
+    async fn send(&self, held: Held, in_force: &InForce) -> Result<Response<AnyBody>, Failure> {
+        let can_repeat = held.is_whole();
+        let whole = held.bytes.clone();
+        let mut body = Some(self.outgoing_body(held, in_force));
+        let mut tried: Vec<TargetId> = Vec::new();
+        let mut sent = 0;
+        let mut unreachable = 0;
+        loop {
+            let choice = self.choose(&tried)?;
+            tried.push(choice.target.clone());
+            let outgoing = Outgoing {
+                parts: self.parts,
+                body: match body.take() {
+                    Some(body) => body,
+                    None => OutgoingBody::Whole(whole.clone()),
+                },
+                answer_by: self.answer_by,
+                is_repeatable: self.route.kind.is_repeatable(),
+            };
+            let end = attempt(self.context, choice, outgoing).await;
+            let failed = match end {
+                AttemptEnd::Answer(answer) => return Ok(answer),
+                AttemptEnd::NotSent(unsent) => {
+                    body = Some(unsent);
+                    unreachable += 1;
+                    if unreachable >= MOST_UNREACHABLE {
+                        return Err(ErrorKind::NoTarget.into());
+                    }
+                    self.check_time(ErrorKind::TimeoutBeforeSend)?;
+                    continue;
+                }
+                AttemptEnd::TimeOver => return Err(ErrorKind::TimeoutAfterSend.into()),
+                AttemptEnd::Refused => ErrorKind::UpstreamRefused,
+                AttemptEnd::Lost => ErrorKind::UpstreamBroken,
+            };
+            sent += 1;
+            let may_run_again =
+                failed == ErrorKind::UpstreamRefused || self.route.kind.is_repeatable();
+            let may_retry = may_run_again
+                && can_repeat
+                && sent < self.route.max_attempts
+                && Instant::now() < self.answer_by
+                && self.context.spend_retry(&self.service);
+            if !may_retry {
+                return Err(failed.into());
+            }
+        }
+    }
+
+    fn check_time(&self, kind: ErrorKind) -> Result<(), Failure> {
+        if Instant::now() < self.answer_by {
+            return Ok(());
+        }
+        Err(kind.into())
+    }
+
+    fn choose(&self, tried: &[TargetId]) -> Result<Choice, Failure> {
+        let wanted = Wanted {
+            service: &self.service,
+            object: self.facts.object,
+            allowed_regions: &self.route.allowed_regions,
+            tried,
+        };
+        let now = self.context.clock.now();
+        let mut placement = self.context.placement();
+        let chosen = placement.choose(&wanted, rand::random(), now);
+        chosen.map_err(|refusal| match refusal {
+            Refusal::NoTarget => ErrorKind::NoTarget.into(),
+            Refusal::Busy { retry_after_ms } => Failure::Refused { retry_after_ms },
+        })
+    }
+
+    fn outgoing_body(&self, held: Held, in_force: &InForce) -> OutgoingBody {
+        let Some(rest) = held.rest else {
+            return OutgoingBody::Whole(held.bytes);
+        };
+        let limits = PassLimits {
+            most_bytes: in_force.config.limits.max_body_bytes,
+            until: self.answer_by,
+        };
+        let passed = Passed::new(held.bytes, rest, limits, (), |()| {});
+        OutgoingBody::Passed(passed.map_err(|error: BodyError| error).boxed())
+    }
+}
--- /dev/null
+++ b/crates/edge/src/gossip.rs
@@ -0,0 +1,107 @@
+//! Carries the membership protocol over datagrams, in CBOR.
+
+use crate::context::Context;
+use brasswinch_observe::{Event, emit};
+use brasswinch_routing::SwimMessage;
+use brasswinch_types::Millis;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use tokio::net::UdpSocket;
+use tokio::time::{MissedTickBehavior, interval};
+
+/// Between two looks at the protocol's timers.
+const TICK: Duration = Duration::from_millis(75);
+
+/// Longest datagram that is read.
+const MOST_DATAGRAM_BYTES: usize = 16 * 1024;
+
+/// Between two measurements of the own load.
+const LOAD_MS: Millis = 2_000;
+
+/// Weight of the newest measurement of the own load.
+const LOAD_WEIGHT: f64 = 0.3;
+
+/// Takes part in the membership for as long as the process runs.
+pub(crate) async fn take_part(context: Arc<Context>, socket: Arc<UdpSocket>) {
+    let mut ticks = interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut buffer = vec![0; MOST_DATAGRAM_BYTES];
+    let mut load = OwnLoad::default();
+    let mut generation = 0;
+    loop {
+        let out = tokio::select! {
+            _ = ticks.tick() => {
+                load.measure(&context);
+                let now = context.clock.now();
+                context.swim().tick(now, &mut rand::rng())
+            }
+            received = socket.recv_from(&mut buffer) => match received {
+                Ok((length, from)) => receive(&context, &buffer[..length], from),
+                // A peer's closed port shows here; its silence is noticed anyway.
+                Err(_) => Vec::new(),
+            },
+        };
+        send(&socket, out).await;
+        let newest = context.swim().generation();
+        if newest != generation {
+            generation = newest;
+            context.publish_members();
+        }
+    }
+}
+
+/// Tells some members that this box leaves.
+pub(crate) async fn say_farewell(context: &Context, socket: &UdpSocket) {
+    let out = context.swim().farewell(&mut rand::rng());
+    send(socket, out).await;
+}
+
+fn receive(context: &Context, datagram: &[u8], from: SocketAddr) -> Vec<(SocketAddr, SwimMessage)> {
+    match ciborium::from_reader::<SwimMessage, _>(datagram) {
+        Ok(message) => {
+            let now = context.clock.now();
+            context.swim().receive(from, message, now, &mut rand::rng())
+        }
+        Err(error) => {
+            emit(Event::PeerMalformed, format_args!("{from}: {error}"));
+            Vec::new()
+        }
+    }
+}
+
+async fn send(socket: &UdpSocket, out: Vec<(SocketAddr, SwimMessage)>) {
+    for (to, message) in out {
+        let mut datagram = Vec::with_capacity(512);
+        if ciborium::into_writer(&message, &mut datagram).is_ok() {
+            // Lost ones are expected; the protocol asks again.
+            let _ = socket.send_to(&datagram, to).await;
+        }
+    }
+}
+
+/// Measures the requests that clients send here.
+#[derive(Debug, Default)]
+struct OwnLoad {
+    measured_at: Millis,
+    requests: u64,
+    per_s: f64,
+}
+
+impl OwnLoad {
+    fn measure(&mut self, context: &Context) {
+        let now = context.clock.now();
+        let elapsed = now.saturating_sub(self.measured_at);
+        if elapsed < LOAD_MS {
+            return;
+        }
+        let requests = context.requests.load(Ordering::Relaxed);
+        let newest = (requests - self.requests) as f64 * 1_000.0 / elapsed as f64;
+        self.per_s += LOAD_WEIGHT * (newest - self.per_s);
+        self.measured_at = now;
+        self.requests = requests;
+        context.swim().set_requests_per_s(self.per_s as f32);
+        context.publish_members();
+    }
+}
--- /dev/null
+++ b/crates/edge/src/lib.rs
@@ -0,0 +1,27 @@
+//! The traffic side of a box for routed requests: it accepts clients, finds route and
+//! target, carries the request both ways and answers truthfully.
+//!
+//! Everything that depends on where it runs comes in from outside: the settings, the
+//! names of headers ([`Dialect`]) and the store ([`FleetStore`]).
+
+mod answer;
+mod attempt;
+mod body;
+mod clock;
+mod connections;
+mod context;
+mod dialect;
+mod exchange;
+mod follow;
+mod gossip;
+mod request;
+mod server;
+mod settings;
+mod start;
+mod store;
+
+pub use context::{Context, DirectoryAnswer};
+pub use dialect::Dialect;
+pub use settings::{EdgeAddresses, EdgeSettings, FleetBounds};
+pub use start::{EdgeError, EdgeHandle, start};
+pub use store::{FleetStore, StoreFailure, Watched};
--- /dev/null
+++ b/crates/edge/src/request.rs
@@ -0,0 +1,120 @@
+//! What a request's head says.
+
+use crate::dialect::Dialect;
+use brasswinch_types::ErrorKind;
+use http::request::Parts;
+use http::{HeaderMap, HeaderName, header};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Time allowed where neither the client nor the route says any.
+const DEFAULT_TIME: Duration = Duration::from_secs(30);
+
+/// Headers that concern only one connection.
+const HOP_BY_HOP: [HeaderName; 8] = [
+    header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    header::EXPECT,
+];
+
+/// The parts of a head that decide what happens.
+pub(crate) struct RequestFacts<'a> {
+    /// The host asked for.
+    pub(crate) host: &'a str,
+    /// The path, without the query.
+    pub(crate) path: &'a str,
+    /// The object that it is about.
+    pub(crate) object: Option<&'a [u8]>,
+    /// When the client stops waiting, if it says so.
+    pub(crate) deadline: Option<Instant>,
+    /// Length of the body, if told.
+    pub(crate) body_length: Option<u64>,
+}
+
+impl<'a> RequestFacts<'a> {
+    /// Reads a head that arrived at `arrived`.
+    pub(crate) fn read(
+        parts: &'a Parts,
+        dialect: &Dialect,
+        arrived: Instant,
+    ) -> Result<Self, ErrorKind> {
+        let host = parts
+            .headers
+            .get(header::HOST)
+            .and_then(|host| host.to_str().ok())
+            .ok_or(ErrorKind::MalformedRequest)?;
+        Ok(Self {
+            host,
+            path: parts.uri.path(),
+            object: object(&parts.headers, &dialect.object_cookie),
+            deadline: deadline(&parts.headers, dialect)?.map(|left| arrived + left),
+            body_length: body_length(&parts.headers)?,
+        })
+    }
+
+    /// When the request must have its final answer.
+    pub(crate) fn answer_by(&self, arrived: Instant, timeout_s: Option<f64>) -> Instant {
+        let timeout = timeout_s.map_or(DEFAULT_TIME, Duration::from_secs_f64);
+        let by_route = arrived + timeout;
+        self.deadline.map_or(by_route, |by| by.min(by_route))
+    }
+}
+
+fn deadline(headers: &HeaderMap, dialect: &Dialect) -> Result<Option<Duration>, ErrorKind> {
+    let Some(value) = headers.get(&dialect.deadline_ms) else {
+        return Ok(None);
+    };
+    let text = value.to_str().map_err(|_| ErrorKind::MalformedRequest)?;
+    let millis: f64 = text
+        .trim()
+        .parse()
+        .map_err(|_| ErrorKind::MalformedRequest)?;
+    let left = Duration::try_from_secs_f64(millis.max(0.0) / 1_000.0);
+    left.map(Some).map_err(|_| ErrorKind::MalformedRequest)
+}
+
+fn body_length(headers: &HeaderMap) -> Result<Option<u64>, ErrorKind> {
+    let Some(value) = headers.get(header::CONTENT_LENGTH) else {
+        return Ok(None);
+    };
+    let length = value.to_str().ok().and_then(|text| text.parse().ok());
+    length.map(Some).ok_or(ErrorKind::MalformedRequest)
+}
+
+fn object<'a>(headers: &'a HeaderMap, cookie: &str) -> Option<&'a [u8]> {
+    headers
+        .get_all(header::COOKIE)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(';'))
+        .find_map(|pair| {
+            let (name, value) = pair.trim().split_once('=')?;
+            (name == cookie).then_some(value.as_bytes())
+        })
+}
+
+/// A copy of `headers` without those that concern only one connection.
+pub(crate) fn end_to_end(headers: &HeaderMap) -> HeaderMap {
+    let named: Vec<&str> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(str::trim)
+        .collect();
+    let mut kept = HeaderMap::with_capacity(headers.len() + 2);
+    for (name, value) in headers {
+        let is_named = named
+            .iter()
+            .any(|named| named.eq_ignore_ascii_case(name.as_str()));
+        if !is_named && !HOP_BY_HOP.contains(name) {
+            kept.append(name.clone(), value.clone());
+        }
+    }
+    kept
+}
--- /dev/null
+++ b/crates/edge/src/server.rs
@@ -0,0 +1,95 @@
+//! Accepts clients.
+//!
+//! On a planned stop the box serves on for a while and ends each connection with its
+//! next answer, so that what has reached the machine is answered. Only then does it
+//! close the listener, after everything in its queue was taken.
+
+use crate::context::{Context, Lifecycle};
+use crate::exchange::answer;
+use http::{HeaderValue, header};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::convert::Infallible;
+use std::pin::pin;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+
+/// Pause after a failed accept, so that a full table of files doesn't spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Rest of a kept connection after which it is closed, where no limit is configured.
+const LONGEST_IDLE: Duration = Duration::from_secs(60);
+
+/// Added to the idle limit, so that a client that keeps it never meets a closed one.
+const IDLE_MARGIN: Duration = Duration::from_secs(2);
+
+/// Longest head that is read before limits are known, in bytes.
+const LEAST_HEAD_BYTES: usize = 64 * 1024;
+
+/// Wait for one more connection in the listener's queue when it is about to close.
+const LAST_ACCEPT: Duration = Duration::from_millis(5);
+
+/// Serves clients until the box is closed, then takes what is left in the queue.
+pub(crate) async fn serve(context: Arc<Context>, listener: TcpListener) {
+    let mut closed = pin!(context.reached(Lifecycle::Closed));
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = &mut closed => break,
+        };
+        match accepted {
+            Ok((stream, _)) => spawn_connection(&context, stream),
+            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+        }
+    }
+    while let Ok(Ok((stream, _))) = tokio::time::timeout(LAST_ACCEPT, listener.accept()).await {
+        spawn_connection(&context, stream);
+    }
+}
+
+fn spawn_connection(context: &Arc<Context>, stream: TcpStream) {
+    let context = Arc::clone(context);
+    tokio::spawn(async move {
+        serve_connection(context, stream).await;
+    });
+}
+
+async fn serve_connection(context: Arc<Context>, stream: TcpStream) {
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(|request| {
+        let context = Arc::clone(&context);
+        async move {
+            let mut response = answer(&context, request).await;
+            if context.lifecycle() >= Lifecycle::Leaving {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(header::CONNECTION, close);
+            }
+            Ok::<_, Infallible>(response)
+        }
+    });
+    let idle = idle_limit(&context);
+    let mut connection = pin!(
+        http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(idle + IDLE_MARGIN)
+            .max_buf_size(LEAST_HEAD_BYTES)
+            .serve_connection(TokioIo::new(stream), service)
+    );
+    tokio::select! {
+        // A client that breaks off needs no answer.
+        _ = connection.as_mut() => return,
+        () = context.reached(Lifecycle::Closed) => {}
+    }
+    connection.as_mut().graceful_shutdown();
+    let _ = connection.await;
+}
+
+fn idle_limit(context: &Context) -> Duration {
+    let in_force = context.in_force.load();
+    let limits = in_force.as_ref().map(|in_force| in_force.config.limits);
+    limits.map_or(LONGEST_IDLE, |limits| {
+        Duration::from_secs_f64(limits.idle_timeout_s.max(limits.header_timeout_s))
+    })
+}
--- /dev/null
+++ b/crates/edge/src/start.rs
@@ -0,0 +1,173 @@
+//! Starts a box, and stops it in order.
+
+use crate::context::{Context, Lifecycle};
+use crate::dialect::Dialect;
+use crate::settings::EdgeSettings;
+use crate::store::FleetStore;
+use crate::{follow, gossip, server};
+use brasswinch_observe::{Event, emit};
+use brasswinch_routing::{MemberRecord, MemberState, Scope, Swim, SwimSettings};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::net::{TcpListener, TcpSocket, UdpSocket};
+use tokio::time::{Instant, sleep};
+
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1_024;
+
+/// Between two looks at whether a stage of the start or the stop is reached.
+const STAGE_POLL: Duration = Duration::from_millis(50);
+
+/// Longest time that a start waits to hear of other boxes.
+const MEET_OTHERS: Duration = Duration::from_millis(1_500);
+
+/// Part of the grace in which a leaving box still takes new requests.
+const OPEN_PART_OF_GRACE: f64 = 0.5;
+
+/// Part of the grace after which a leaving box ends, whatever it still does.
+const LAST_PART_OF_GRACE: f64 = 0.93;
+
+/// Between two sweeps of idle connections.
+const SWEEP: Duration = Duration::from_secs(2);
+
+/// Why a box did not start.
+#[derive(Debug, thiserror::Error)]
+pub enum EdgeError {
+    /// An address could not be listened on.
+    #[error("can't listen on {address}: {source}")]
+    Bind {
+        /// The address.
+        address: SocketAddr,
+        /// Why.
+        source: std::io::Error,
+    },
+}
+
+/// A running box.
+pub struct EdgeHandle {
+    context: Arc<Context>,
+    socket: Arc<UdpSocket>,
+}
+
+/// Starts a box on the current runtime.
+pub async fn start<S: FleetStore>(
+    settings: EdgeSettings,
+    dialect: Dialect,
+    store: S,
+) -> Result<EdgeHandle, EdgeError> {
+    let addresses = settings.addresses;
+    let listener = listen(addresses.clients)?;
+    let socket = UdpSocket::bind(addresses.peers)
+        .await
+        .map_err(|source| bind_error(addresses.peers, source))?;
+    let socket = Arc::new(socket);
+    let swim = Swim::new(
+        own_record(&settings),
+        settings.seeds.clone(),
+        SwimSettings::default(),
+    );
+    let context = Arc::new(Context::new(settings, dialect, swim));
+    emit(Event::Started, format_args!("{}", addresses.clients));
+    let store = Arc::new(store);
+    for scope in [Scope::Operator, Scope::Targets] {
+        let following = follow::follow(Arc::clone(&context), Arc::clone(&store), scope);
+        tokio::spawn(following);
+    }
+    tokio::spawn(gossip::take_part(Arc::clone(&context), Arc::clone(&socket)));
+    tokio::spawn(server::serve(Arc::clone(&context), listener));
+    tokio::spawn(serve_when_known(Arc::clone(&context)));
+    tokio::spawn(sweep(Arc::clone(&context)));
+    Ok(EdgeHandle { context, socket })
+}
+
+impl EdgeHandle {
+    /// What its parts share.
+    pub fn context(&self) -> &Arc<Context> {
+        &self.context
+    }
+
+    /// Stops in order: nothing new is wanted, what has arrived is answered. Returns
+    /// when the process may end.
+    pub async fn stop(self) {
+        let began = Instant::now();
+        let context = &self.context;
+        context.advance(Lifecycle::Leaving);
+        emit(Event::Leaving, format_args!("{}", context.settings.id));
+        gossip::say_farewell(context, &self.socket).await;
+        let grace = context.grace();
+        sleep(grace.mul_f64(OPEN_PART_OF_GRACE)).await;
+        context.advance(Lifecycle::Closed);
+        let last = began + grace.mul_f64(LAST_PART_OF_GRACE);
+        sleep(STAGE_POLL).await;
+        while context.in_flight.load(Ordering::Relaxed) > 0 && Instant::now() < last {
+            sleep(STAGE_POLL).await;
+        }
+        // The last answers are still in the connections' buffers.
+        sleep(STAGE_POLL).await;
+        emit(Event::Stopped, format_args!("{}", context.settings.id));
+    }
+}
+
+fn own_record(settings: &EdgeSettings) -> MemberRecord {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    MemberRecord {
+        id: settings.id.clone(),
+        // Later runs begin with larger numbers, unless the clock went back; then the
+        // first message from another box corrects it.
+        incarnation: since_epoch.map_or(0, |time| time.as_millis() as u64),
+        zone: settings.zone.clone(),
+        caller_address: settings.addresses.clients,
+        peer_address: settings.addresses.peers,
+        state: MemberState::Starting,
+        requests_per_s: 0.0,
+    }
+}
+
+fn bind_error(address: SocketAddr, source: std::io::Error) -> EdgeError {
+    emit(Event::BindFailed, format_args!("{address}: {source}"));
+    EdgeError::Bind { address, source }
+}
+
+fn listen(address: SocketAddr) -> Result<TcpListener, EdgeError> {
+    let open = || {
+        let socket = if address.is_ipv4() {
+            TcpSocket::new_v4()?
+        } else {
+            TcpSocket::new_v6()?
+        };
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        socket.listen(BACKLOG)
+    };
+    open().map_err(|source| bind_error(address, source))
+}
+
+/// Serves as soon as configuration and targets are known and other boxes were met.
+async fn serve_when_known(context: Arc<Context>) {
+    let began = Instant::now();
+    loop {
+        let is_known =
+            context.in_force.load().is_some() && context.fleet().followed(Scope::Targets).is_some();
+        let has_met = context.swim().members().next().is_some();
+        if is_known && (has_met || began.elapsed() >= MEET_OTHERS) {
+            break;
+        }
+        sleep(STAGE_POLL).await;
+    }
+    context.advance(Lifecycle::Serving);
+    emit(Event::Serving, format_args!("{}", context.settings.id));
+}
+
+async fn sweep(context: Arc<Context>) {
+    loop {
+        sleep(SWEEP).await;
+        let known: std::collections::HashSet<_> = context
+            .fleet()
+            .targets()
+            .map(|(record, _)| record.id.clone())
+            .collect();
+        context.pool.sweep(|target| known.contains(target));
+    }
+}
--- /dev/null
+++ b/crates/routing/src/change.rs
@@ -0,0 +1,89 @@
+//! Changes of what is known, each with the store's revision that made it.
+
+use crate::config::SteeringConfig;
+use crate::target::{TargetId, TargetRecord};
+use brasswinch_types::Zone;
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+
+/// A count of the store's changes; later changes have larger ones.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
+pub struct Revision(pub u64);
+
+/// The two parts of the store that are followed, each by itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Scope {
+    /// The configuration and evacuations.
+    Operator,
+    /// The targets.
+    Targets,
+}
+
+/// What a change is about. The last change of a key counts.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum ChangeKey {
+    /// The configuration.
+    Config,
+    /// The evacuation of a zone.
+    Evacuation(Zone),
+    /// A target.
+    Target(TargetId),
+}
+
+impl ChangeKey {
+    /// The part of the store that holds it.
+    pub fn scope(&self) -> Scope {
+        match self {
+            Self::Config | Self::Evacuation(_) => Scope::Operator,
+            Self::Target(_) => Scope::Targets,
+        }
+    }
+}
+
+/// What became of a key.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Change {
+    /// The configuration was replaced.
+    Config(Arc<SteeringConfig>),
+    /// A zone is to get nothing more.
+    Evacuated(Zone),
+    /// A target wrote its entry.
+    Target(TargetRecord),
+    /// The key is no longer there.
+    Gone(ChangeKey),
+}
+
+impl Change {
+    /// What the change is about.
+    pub fn key(&self) -> ChangeKey {
+        match self {
+            Self::Config(_) => ChangeKey::Config,
+            Self::Evacuated(zone) => ChangeKey::Evacuation(zone.clone()),
+            Self::Target(record) => ChangeKey::Target(record.id.clone()),
+            Self::Gone(key) => key.clone(),
+        }
+    }
+}
+
+/// A change and its revision.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Revised {
+    /// The revision that made it.
+    pub revision: Revision,
+    /// The change.
+    pub change: Change,
+}
+
+/// All entries of a scope. A key that is missing and whose last change is not later
+/// than `at` is gone.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Snapshot {
+    /// The part of the store.
+    pub scope: Scope,
+    /// The store's revision when the listing began.
+    pub at: Revision,
+    /// The entries.
+    pub entries: Vec<Revised>,
+}
--- /dev/null
+++ b/crates/routing/src/config.rs
@@ -0,0 +1,191 @@
+//! The one configuration of routes and services that operators write whole.
+
+use brasswinch_types::{Region, Service};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Versions are compared as numbers; a higher one is newer.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
+pub struct ConfigVersion(pub u64);
+
+/// What may be done again with a request of a route.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RouteKind {
+    /// May run more than once.
+    Repeatable,
+    /// Runs at most once.
+    Once,
+    /// Runs at most once, and its body may be large.
+    Upload,
+}
+
+impl RouteKind {
+    /// Whether a request may be sent again after it may have run.
+    pub fn is_repeatable(self) -> bool {
+        self == Self::Repeatable
+    }
+}
+
+/// One of the services among which a route's requests are divided.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Backend {
+    /// The service.
+    pub service: Service,
+    /// Its part of the requests, against the sum of all parts.
+    pub weight: f64,
+}
+
+/// A route: which requests it takes and how they are treated.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Route {
+    /// The operator's name for it.
+    pub name: String,
+    /// The host it belongs to, in lower case.
+    pub host: String,
+    /// Begins the paths it takes; begins and ends with a slash.
+    pub path_prefix: String,
+    /// What may be done again.
+    pub kind: RouteKind,
+    /// Longest time that a request is held, in seconds; `None` leaves it to the client.
+    pub timeout_s: Option<f64>,
+    /// Time within which an answer is worth most, in seconds.
+    pub latency_goal_s: f64,
+    /// Rank among the routes of a service; 0 is highest.
+    pub priority: u32,
+    /// Where its requests go.
+    pub backends: Vec<Backend>,
+    /// Most targets that a request may be sent to.
+    pub max_attempts: u32,
+    /// Whether a target works faster on objects that it has seen.
+    pub sticky: bool,
+    /// The only regions where its requests may go; empty allows all.
+    pub allowed_regions: BTreeSet<Region>,
+}
+
+/// What operators say of a service.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ServiceConfig {
+    /// Connections that a target takes from all callers together.
+    pub max_connections: u32,
+    /// How long a target stays cold after its start, in seconds.
+    pub cold_period_s: f64,
+    /// Requests a second that a cold target bears.
+    pub cold_per_s: f64,
+}
+
+/// What a client may send, and how long it may take.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ClientLimits {
+    /// Longest head, in bytes.
+    pub max_header_bytes: usize,
+    /// Longest body, in bytes.
+    pub max_body_bytes: u64,
+    /// Longest time for a head, in seconds.
+    pub header_timeout_s: f64,
+    /// Longest rest of a kept connection, in seconds.
+    pub idle_timeout_s: f64,
+}
+
+impl Default for ClientLimits {
+    fn default() -> Self {
+        Self {
+            max_header_bytes: 16 * 1024,
+            max_body_bytes: 64 * 1024 * 1024,
+            header_timeout_s: 5.0,
+            idle_timeout_s: 30.0,
+        }
+    }
+}
+
+/// The whole configuration.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct SteeringConfig {
+    /// Its version.
+    pub version: ConfigVersion,
+    /// All routes.
+    pub routes: Vec<Route>,
+    /// All services.
+    pub services: BTreeMap<Service, ServiceConfig>,
+    /// Limits on clients.
+    pub limits: ClientLimits,
+}
+
+/// Why a configuration can't be used.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum ConfigError {
+    /// A route has no host.
+    #[error("route {0} has no host")]
+    NoHost(String),
+    /// A prefix doesn't begin and end with a slash.
+    #[error("route {route} has the prefix {prefix:?}, which does not begin and end with a slash")]
+    BadPrefix {
+        /// The route.
+        route: String,
+        /// Its prefix.
+        prefix: String,
+    },
+    /// A route names a service that isn't there.
+    #[error("route {route} goes to {service}, which is not a service")]
+    UnknownService {
+        /// The route.
+        route: String,
+        /// The service.
+        service: Service,
+    },
+    /// A route goes nowhere.
+    #[error("route {0} has no service with a weight over 0")]
+    NoBackend(String),
+    /// Two routes take the same requests.
+    #[error("routes {first} and {second} have the same host and prefix")]
+    SamePlace {
+        /// One route.
+        first: String,
+        /// The other.
+        second: String,
+    },
+}
+
+impl SteeringConfig {
+    /// Finds the first thing that makes the configuration unusable.
+    pub fn check(&self) -> Result<(), ConfigError> {
+        let mut places: BTreeMap<(&str, &str), &str> = BTreeMap::new();
+        for route in &self.routes {
+            self.check_route(route)?;
+            let place = (route.host.as_str(), route.path_prefix.as_str());
+            if let Some(first) = places.insert(place, &route.name) {
+                return Err(ConfigError::SamePlace {
+                    first: first.to_owned(),
+                    second: route.name.clone(),
+                });
+            }
+        }
+        Ok(())
+    }
+
+    fn check_route(&self, route: &Route) -> Result<(), ConfigError> {
+        if route.host.is_empty() {
+            return Err(ConfigError::NoHost(route.name.clone()));
+        }
+        let prefix = &route.path_prefix;
+        if !prefix.starts_with('/') || !prefix.ends_with('/') {
+            return Err(ConfigError::BadPrefix {
+                route: route.name.clone(),
+                prefix: prefix.clone(),
+            });
+        }
+        if !route.backends.iter().any(|backend| backend.weight > 0.0) {
+            return Err(ConfigError::NoBackend(route.name.clone()));
+        }
+        for backend in &route.backends {
+            if !self.services.contains_key(&backend.service) {
+                return Err(ConfigError::UnknownService {
+                    route: route.name.clone(),
+                    service: backend.service.clone(),
+                });
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/routing/src/fleet_state.rs
@@ -0,0 +1,245 @@
+//! What a box knows of configuration, evacuations and targets.
+//!
+//! Entries merge by revision, so that a watch, a listing and a peer's copy can be
+//! applied in any order. The configuration never goes back to an older version.
+
+use crate::change::{Change, ChangeKey, Revised, Revision, Scope, Snapshot};
+use crate::config::SteeringConfig;
+use crate::target::{TargetId, TargetRecord};
+use brasswinch_types::{Millis, Zone};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// How long the revision of a key that went away is kept, against late news of it.
+const KEEP_GONE_MS: Millis = 120_000;
+
+/// A target and when its last entry was learned.
+#[derive(Clone, Debug)]
+struct HeldTarget {
+    record: TargetRecord,
+    revision: Revision,
+    learned_at: Millis,
+}
+
+/// A zone under evacuation, or one whose evacuation has ended.
+#[derive(Clone, Copy, Debug)]
+struct Evacuation {
+    revision: Revision,
+    ended_at: Option<Millis>,
+}
+
+/// Everything that was learned from the store, from whatever side.
+#[derive(Debug, Default)]
+pub struct FleetState {
+    config: Option<Arc<SteeringConfig>>,
+    config_revision: Revision,
+    targets: BTreeMap<TargetId, HeldTarget>,
+    evacuations: BTreeMap<Zone, Evacuation>,
+    gone_targets: BTreeMap<TargetId, (Revision, Millis)>,
+    /// Up to where each scope was followed without a gap.
+    followed: BTreeMap<Scope, Revision>,
+}
+
+impl FleetState {
+    /// Applies one change; says whether anything is different now.
+    pub fn apply(&mut self, revised: Revised, now: Millis) -> bool {
+        let revision = revised.revision;
+        match revised.change {
+            Change::Config(config) => self.apply_config(config, revision),
+            Change::Evacuated(zone) => self.apply_evacuation(zone, revision),
+            Change::Target(record) => self.apply_target(record, revision, now),
+            Change::Gone(key) => self.apply_gone(&key, revision, now),
+        }
+    }
+
+    /// Applies a listing: its entries, and the end of what it lacks.
+    pub fn apply_snapshot(&mut self, snapshot: Snapshot, now: Millis) -> bool {
+        let listed: std::collections::BTreeSet<ChangeKey> = snapshot
+            .entries
+            .iter()
+            .map(|entry| entry.change.key())
+            .collect();
+        let mut changed = false;
+        for key in self.keys(snapshot.scope) {
+            if !listed.contains(&key) {
+                changed |= self.apply_gone(&key, snapshot.at, now);
+            }
+        }
+        for entry in snapshot.entries {
+            changed |= self.apply(entry, now);
+        }
+        self.follow(snapshot.scope, snapshot.at);
+        changed
+    }
+
+    /// Notes that `scope` was followed up to `revision` without a gap.
+    pub fn follow(&mut self, scope: Scope, revision: Revision) {
+        let held = self.followed.entry(scope).or_default();
+        *held = (*held).max(revision);
+    }
+
+    /// Up to where `scope` was followed; `None` before its first listing.
+    pub fn followed(&self, scope: Scope) -> Option<Revision> {
+        self.followed.get(&scope).copied()
+    }
+
+    /// Everything that is known of `scope`, for a peer.
+    pub fn snapshot(&self, scope: Scope) -> Option<Snapshot> {
+        let at = self.followed(scope)?;
+        let entries = match scope {
+            Scope::Operator => self.operator_entries(),
+            Scope::Targets => self.target_entries(),
+        };
+        Some(Snapshot { scope, at, entries })
+    }
+
+    /// The configuration in force.
+    pub fn config(&self) -> Option<&Arc<SteeringConfig>> {
+        self.config.as_ref()
+    }
+
+    /// All targets that have an entry, with when it was learned.
+    pub fn targets(&self) -> impl Iterator<Item = (&TargetRecord, Millis)> {
+        self.targets
+            .values()
+            .map(|held| (&held.record, held.learned_at))
+    }
+
+    /// Whether `zone` is to get nothing.
+    pub fn is_evacuated(&self, zone: &Zone) -> bool {
+        self.evacuations
+            .get(zone)
+            .is_some_and(|evacuation| evacuation.ended_at.is_none())
+    }
+
+    /// When the last evacuation of `zone` ended, if one did.
+    pub fn evacuation_ended_at(&self, zone: &Zone) -> Option<Millis> {
+        self.evacuations.get(zone)?.ended_at
+    }
+
+    fn keys(&self, scope: Scope) -> Vec<ChangeKey> {
+        match scope {
+            Scope::Operator => {
+                let open = self
+                    .evacuations
+                    .iter()
+                    .filter(|(_, e)| e.ended_at.is_none());
+                open.map(|(zone, _)| ChangeKey::Evacuation(zone.clone()))
+                    .collect()
+            }
+            Scope::Targets => {
+                let ids = self.targets.keys();
+                ids.map(|id| ChangeKey::Target(id.clone())).collect()
+            }
+        }
+    }
+
+    fn apply_config(&mut self, config: Arc<SteeringConfig>, revision: Revision) -> bool {
+        self.config_revision = self.config_revision.max(revision);
+        let newer = self
+            .config
+            .as_ref()
+            .is_none_or(|held| config.version > held.version);
+        if newer {
+            self.config = Some(config);
+        }
+        newer
+    }
+
+    fn apply_evacuation(&mut self, zone: Zone, revision: Revision) -> bool {
+        let held = self.evacuations.get(&zone);
+        if held.is_some_and(|held| held.revision >= revision) {
+            return false;
+        }
+        let was_open = held.is_some_and(|held| held.ended_at.is_none());
+        let evacuation = Evacuation {
+            revision,
+            ended_at: None,
+        };
+        self.evacuations.insert(zone, evacuation);
+        !was_open
+    }
+
+    fn apply_target(&mut self, record: TargetRecord, revision: Revision, now: Millis) -> bool {
+        if let Some(held) = self.targets.get(&record.id)
+            && held.revision >= revision
+        {
+            return false;
+        }
+        if let Some((gone, _)) = self.gone_targets.get(&record.id)
+            && *gone >= revision
+        {
+            return false;
+        }
+        let held = HeldTarget {
+            revision,
+            learned_at: now,
+            record,
+        };
+        self.targets.insert(held.record.id.clone(), held);
+        true
+    }
+
+    fn apply_gone(&mut self, key: &ChangeKey, revision: Revision, now: Millis) -> bool {
+        match key {
+            // A configuration stays in force until a newer one replaces it.
+            ChangeKey::Config => false,
+            ChangeKey::Evacuation(zone) => self.end_evacuation(zone, revision, now),
+            ChangeKey::Target(id) => self.remove_target(id, revision, now),
+        }
+    }
+
+    fn end_evacuation(&mut self, zone: &Zone, revision: Revision, now: Millis) -> bool {
+        let Some(held) = self.evacuations.get_mut(zone) else {
+            return false;
+        };
+        if held.revision >= revision || held.ended_at.is_some() {
+            return false;
+        }
+        held.revision = revision;
+        held.ended_at = Some(now);
+        true
+    }
+
+    fn remove_target(&mut self, id: &TargetId, revision: Revision, now: Millis) -> bool {
+        if self
+            .targets
+            .get(id)
+            .is_some_and(|held| held.revision > revision)
+        {
+            return false;
+        }
+        self.gone_targets
+            .retain(|_, (_, gone_at)| now.saturating_sub(*gone_at) < KEEP_GONE_MS);
+        let gone = self
+            .gone_targets
+            .entry(id.clone())
+            .or_insert((revision, now));
+        gone.0 = gone.0.max(revision);
+        self.targets.remove(id).is_some()
+    }
+
+    fn operator_entries(&self) -> Vec<Revised> {
+        let config = self.config.iter().map(|config| Revised {
+            revision: self.config_revision,
+            change: Change::Config(Arc::clone(config)),
+        });
+        let open = self
+            .evacuations
+            .iter()
+            .filter(|(_, e)| e.ended_at.is_none());
+        let evacuated = open.map(|(zone, evacuation)| Revised {
+            revision: evacuation.revision,
+            change: Change::Evacuated(zone.clone()),
+        });
+        config.chain(evacuated).collect()
+    }
+
+    fn target_entries(&self) -> Vec<Revised> {
+        let entry = |held: &HeldTarget| Revised {
+            revision: held.revision,
+            change: Change::Target(held.record.clone()),
+        };
+        self.targets.values().map(entry).collect()
+    }
+}
--- /dev/null
+++ b/crates/routing/src/lib.rs
@@ -0,0 +1,38 @@
+//! Every decision about a routed request, pure: time is an argument.
+//!
+//! A routed request names a host and a path. Its route names services, a service has
+//! targets, and targets stand in zones of regions. What is known of them comes as
+//! [`Change`]s with revisions, in any order and from any source.
+
+mod change;
+mod cold_pacing;
+mod config;
+mod fleet_state;
+mod placement;
+mod region_plan;
+mod rendezvous;
+mod retry_budget;
+mod route_table;
+mod split;
+mod swim;
+mod target;
+mod target_load;
+
+pub use change::{Change, ChangeKey, Revised, Revision, Scope, Snapshot};
+pub use cold_pacing::ColdPacing;
+pub use config::{
+    Backend, ClientLimits, ConfigError, ConfigVersion, Route, RouteKind, ServiceConfig,
+    SteeringConfig,
+};
+pub use fleet_state::FleetState;
+pub use placement::{
+    Choice, Placement, PlacementSettings, Refusal, ServiceTargets, TargetOutcome, Wanted,
+};
+pub use region_plan::{RegionPlan, RegionRoom};
+pub use rendezvous::{object_hash, weighted_score};
+pub use retry_budget::{RetryBudget, RetryBudgetSettings};
+pub use route_table::RouteTable;
+pub use split::WeightedSplit;
+pub use swim::{Liveness, Member, MemberRecord, MemberState, Swim, SwimMessage, SwimSettings};
+pub use target::{TargetId, TargetRecord, TargetState};
+pub use target_load::{LoadReport, TargetLoad};
--- /dev/null
+++ b/crates/routing/src/target_load.rs
@@ -0,0 +1,135 @@
+//! What a box knows of one target's load and health.
+//!
+//! Load is the own requests in flight plus what the target last reported of others',
+//! which counts for less as it ages. Health is passive: failures eject a target for a
+//! time that doubles, after which one request at a time tries it.
+
+use brasswinch_types::Millis;
+
+/// A report of others' requests loses half of its weight in this time.
+const REPORT_HALF_LIFE_MS: f64 = 1_000.0;
+
+/// First time that a failing target is left out.
+const FIRST_EJECTION_MS: Millis = 500;
+
+/// Longest time that a failing target is left out.
+const LONGEST_EJECTION_MS: Millis = 4_000;
+
+/// Unanswered requests in a row that eject a target.
+const FAILURES_TO_EJECT: u32 = 2;
+
+/// Weight of the newest latency in the average.
+const LATENCY_WEIGHT: f64 = 0.2;
+
+/// A latency average without new answers counts this long.
+const LATENCY_KEPT_MS: Millis = 4_000;
+
+/// What a target says of its load in an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LoadReport {
+    /// Requests that it works on.
+    pub running: u32,
+    /// Requests that wait for a slot.
+    pub waiting: u32,
+    /// Requests that it works on at once.
+    pub slots: u32,
+}
+
+/// Load and health of one target, as one box sees them.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct TargetLoad {
+    in_flight: u32,
+    others: f64,
+    reported_at: Millis,
+    failures: u32,
+    ejections: u32,
+    ejected_until: Millis,
+    latency_ms: f64,
+    answered_at: Millis,
+}
+
+impl TargetLoad {
+    /// A request is about to be sent.
+    pub fn started(&mut self) {
+        self.in_flight += 1;
+    }
+
+    /// A request ended, whatever its outcome.
+    pub fn ended(&mut self) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+    }
+
+    /// The target answered after `latency_ms`.
+    pub fn answered(&mut self, latency_ms: f64, now: Millis) {
+        self.failures = 0;
+        self.ejections = 0;
+        self.ejected_until = 0;
+        let is_stale = now.saturating_sub(self.answered_at) > LATENCY_KEPT_MS;
+        if self.latency_ms <= 0.0 || is_stale {
+            self.latency_ms = latency_ms;
+        } else {
+            self.latency_ms += LATENCY_WEIGHT * (latency_ms - self.latency_ms);
+        }
+        self.answered_at = now;
+    }
+
+    /// The target answered without running the request; it is alive.
+    pub fn shed(&mut self) {
+        self.failures = 0;
+        self.ejections = 0;
+        self.ejected_until = 0;
+    }
+
+    /// The target reported its load in an answer to a request that still counts as in
+    /// flight here, although the report no longer holds it.
+    pub fn reported(&mut self, report: LoadReport, now: Millis) {
+        let total = f64::from(report.running + report.waiting);
+        let mine = f64::from(self.in_flight.saturating_sub(1));
+        self.others = (total - mine).max(0.0);
+        self.reported_at = now;
+    }
+
+    /// No connection could be made.
+    pub fn unreachable(&mut self, now: Millis) {
+        self.eject(now);
+    }
+
+    /// A request that was sent got no answer.
+    pub fn unanswered(&mut self, now: Millis) {
+        self.failures += 1;
+        if self.failures >= FAILURES_TO_EJECT {
+            self.eject(now);
+        }
+    }
+
+    /// Whether it may get a request now.
+    pub fn is_usable(&self, now: Millis) -> bool {
+        if self.ejections == 0 {
+            return true;
+        }
+        now >= self.ejected_until && self.in_flight == 0
+    }
+
+    /// Requests at the target, as far as known: running and waiting.
+    pub fn estimate(&self, now: Millis) -> f64 {
+        let age = now.saturating_sub(self.reported_at) as f64;
+        let kept = 0.5_f64.powf(age / REPORT_HALF_LIFE_MS);
+        f64::from(self.in_flight) + self.others * kept
+    }
+
+    /// The average time to an answer, where recent answers tell one.
+    pub fn recent_latency_ms(&self, now: Millis) -> Option<f64> {
+        let is_recent = now.saturating_sub(self.answered_at) <= LATENCY_KEPT_MS;
+        (self.latency_ms > 0.0 && is_recent).then_some(self.latency_ms)
+    }
+
+    fn eject(&mut self, now: Millis) {
+        if now < self.ejected_until {
+            return;
+        }
+        let time = FIRST_EJECTION_MS << self.ejections.min(8);
+        self.ejections += 1;
+        self.failures = 0;
+        self.ejected_until = now + time.min(LONGEST_EJECTION_MS);
+    }
+}
--- a/crates/types/src/errors.rs
+++ b/crates/types/src/errors.rs
@@ -103,13 +103,25 @@
     DeadlineBeforeSend,
     /// The deadline passed after the request may have arrived at an upstream.
     DeadlineAfterSend,
+    /// No configuration is known here yet.
+    NotConfigured,
+    /// The configuration in force has no route for the host and path.
+    NoRoute,
+    /// The body is longer than the configuration allows.
+    BodyTooLarge,
+    /// No target of the service can take it now.
+    NoTarget,
+    /// The time allowed was over before it was sent to a target.
+    TimeoutBeforeSend,
+    /// The time allowed was over after it may have arrived at a target.
+    TimeoutAfterSend,
 }
 
 use ErrorKind as E;
 
 impl ErrorKind {
     /// Every kind, in the order of the table.
-    pub const ALL: [ErrorKind; 23] = [
+    pub const ALL: [ErrorKind; 29] = [
         E::MalformedRequest,
         E::Unauthenticated,
         E::Forbidden,
@@ -133,6 +145,12 @@
         E::UpstreamBroken,
         E::DeadlineBeforeSend,
         E::DeadlineAfterSend,
+        E::NotConfigured,
+        E::NoRoute,
+        E::BodyTooLarge,
+        E::NoTarget,
+        E::TimeoutBeforeSend,
+        E::TimeoutAfterSend,
     ];
 
     /// The stable name that callers see.
@@ -161,6 +179,12 @@
             E::UpstreamBroken => "upstream_broken",
             E::DeadlineBeforeSend => "deadline_before_send",
             E::DeadlineAfterSend => "deadline_after_send",
+            E::NotConfigured => "not_configured",
+            E::NoRoute => "no_route",
+            E::BodyTooLarge => "body_too_large",
+            E::NoTarget => "no_target",
+            E::TimeoutBeforeSend => "timeout_before_send",
+            E::TimeoutAfterSend => "timeout_after_send",
         }
     }
 
@@ -285,6 +309,27 @@
             E::DeadlineAfterSend => {
                 row(504, Unknown, Never, "The deadline passed; it may have run.")
             }
+            E::NotConfigured => row(
+                503,
+                NotRun,
+                After(300),
+                "No configuration is known here yet.",
+            ),
+            E::NoRoute => row(404, NotRun, Never, "No route takes this host and path."),
+            E::BodyTooLarge => row(413, NotRun, Never, "The body is too long."),
+            E::NoTarget => row(503, NotRun, After(150), "No target can take it now."),
+            E::TimeoutBeforeSend => row(
+                503,
+                NotRun,
+                After(100),
+                "The time allowed was over before it was sent.",
+            ),
+            E::TimeoutAfterSend => row(
+                504,
+                Unknown,
+                Never,
+                "The time allowed is over; it may have run.",
+            ),
         }
     }
 }
