One home for an object in a region; tell lost entries from targets that left

Change: no such flag; entries that vanish one by one have left, and where a third of a service's vanish together they are kept for three quarters of the drain bound.

Libraries logged each step at trace level: the level is capped at info.

--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -12,7 +12,7 @@
 use brasswinch_types::{Millis, Region, Service, Zone};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::watch;
@@ -70,8 +70,6 @@
     pub(crate) held_bytes: AtomicUsize,
     /// Requests since the start.
     pub(crate) requests: AtomicU64,
-    /// Whether the store's answers have lately been missing.
-    pub(crate) store_trouble: AtomicBool,
     lifecycle: watch::Sender<Lifecycle>,
     fleet: Mutex<FleetState>,
     placement: Mutex<Placement>,
@@ -92,6 +90,7 @@
             region: settings.region(),
             zones: settings.zones.clone(),
             most_shift: settings.bounds.most_shift,
+            keep_vanished_ms: (settings.bounds.drain_s * 750.0) as Millis,
             after_evacuation_ms: heartbeat_ms + ENTRY_LAG_MS,
         });
         Self {
@@ -102,7 +101,6 @@
             in_flight: AtomicUsize::new(0),
             held_bytes: AtomicUsize::new(0),
             requests: AtomicU64::new(0),
-            store_trouble: AtomicBool::new(false),
             lifecycle: watch::Sender::new(Lifecycle::Starting),
             fleet: Mutex::default(),
             placement: Mutex::new(placement),
@@ -173,9 +171,7 @@
             self.in_force
                 .store(Some(Arc::new(InForce { config, routes })));
         }
-        let trouble = self.store_trouble.load(Ordering::Relaxed);
-        self.placement()
-            .update(&fleet, config, trouble, self.clock.now());
+        self.placement().update(&fleet, config, self.clock.now());
     }
 
     /// Tells placement which boxes serve and what their callers ask for.
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -5,7 +5,6 @@
 use brasswinch_observe::{Event, emit};
 use brasswinch_routing::{Revision, Scope};
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::time::{sleep, timeout};
 
@@ -35,7 +34,6 @@
             Some(after) => watch(&context, &*store, scope, after).await,
         };
         let is_answered = followed.is_ok();
-        context.store_trouble.store(!is_answered, Ordering::Relaxed);
         if is_answered != is_reached {
             is_reached = is_answered;
             report(scope, &followed);
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -18,6 +18,8 @@
 pub struct FleetBounds {
     /// Longest time from the request to stop to the end of the process.
     pub grace_s: f64,
+    /// Longest time in which requests may still reach a target that said it leaves.
+    pub drain_s: f64,
     /// Repeats for each request of a service.
     pub retry_ratio: f64,
     /// Repeats in a window, whatever the requests.
@@ -37,6 +39,7 @@
     fn default() -> Self {
         Self {
             grace_s: 6.0,
+            drain_s: 2.0,
             retry_ratio: 0.2,
             retry_extra: 60.0,
             retry_window_s: 10.0,
--- a/crates/observe/src/logging.rs
+++ b/crates/observe/src/logging.rs
@@ -39,6 +39,8 @@
             dispatch.append(append)
         })
         .apply();
+    // Below it libraries log each of their steps, which costs more than the request.
+    log::set_max_level(log::LevelFilter::Info);
 }
 
 #[derive(Clone, Copy)]
--- a/crates/routing/src/placement.rs
+++ b/crates/routing/src/placement.rs
@@ -16,10 +16,10 @@
 use std::net::SocketAddr;
 
 /// Targets of a region that an object may use before it counts as without room there.
-const HOMES_IN_REGION: usize = 3;
+const HOMES_IN_REGION: usize = 1;
 
 /// Requests at a target, in multiples of its slots, above which it gets no more.
-const MOST_QUEUE: f64 = 2.5;
+const MOST_QUEUE: f64 = 1.7;
 
 /// A target counts as slow when its latency is this multiple of the service's median.
 const SLOW_MULTIPLE: f64 = 2.5;
@@ -40,9 +40,9 @@
 /// Between two looks at latencies and room.
 const REVIEW_MS: Millis = 500;
 
-/// How long a target whose entry went away during trouble with the store may still be
-/// used.
-const KEEP_VANISHED_MS: Millis = 15_000;
+/// Where more than this part of a service's targets lose their entries at once, the
+/// store is taken to have lost the entries rather than the service its targets.
+const MASS_LOSS_PART: f64 = 0.34;
 
 /// Added to every cold time, for the way of the news.
 const COLD_MARGIN_MS: Millis = 500;
@@ -61,6 +61,9 @@
     pub zones: BTreeMap<Zone, Region>,
     /// Most of a region's requests that may change region of execution in a window.
     pub most_shift: f64,
+    /// How long targets that lost their entries together may still be used: time to
+    /// write them again.
+    pub keep_vanished_ms: Millis,
     /// How long targets of a zone whose evacuation ended are taken for cold unless
     /// their entries say more.
     pub after_evacuation_ms: Millis,
@@ -225,15 +228,8 @@
         self.most_boxes
     }
 
-    /// Takes what is known of targets. While the store is in `trouble`, an entry that
-    /// vanished doesn't say that its target left.
-    pub fn update(
-        &mut self,
-        fleet: &FleetState,
-        config: &SteeringConfig,
-        trouble: bool,
-        now: Millis,
-    ) {
+    /// Takes what is known of targets.
+    pub fn update(&mut self, fleet: &FleetState, config: &SteeringConfig, now: Millis) {
         let mut held: HashMap<TargetId, Entry> = HashMap::new();
         for service in self.services.values_mut() {
             let entries = std::mem::take(&mut service.entries);
@@ -245,20 +241,11 @@
             let entry = self.entry(record, learned_at, held.remove(&record.id), fleet);
             self.service(&record.service).entries.push(entry);
         }
-        for (_, mut entry) in held {
-            let vanished_at = match entry.vanished_at {
-                None if !trouble => continue,
-                None => now,
-                Some(vanished_at) => vanished_at,
-            };
-            entry.vanished_at = Some(vanished_at);
-            entry.is_evacuated = fleet.is_evacuated(&entry.record.zone);
-            let is_kept = now.saturating_sub(vanished_at) < KEEP_VANISHED_MS;
-            if is_kept && !addresses.contains(&entry.record.address) {
-                let service = entry.record.service.clone();
-                self.service(&service).entries.push(entry);
-            }
-        }
+        let vanished = held
+            .into_values()
+            .filter(|entry| entry.takes_requests() && !addresses.contains(&entry.record.address))
+            .collect();
+        self.keep_lost_entries(vanished, fleet, now);
         for (name, service) in &mut self.services {
             let configured = config.services.get(name);
             service.cold_per_s = configured.map_or(0.0, |service| service.cold_per_s);
@@ -268,12 +255,32 @@
         self.review(now);
     }
 
-    fn service(&mut self, name: &Service) -> &mut ServiceTargets {
-        if !self.services.contains_key(name) {
-            self.services
-                .insert(name.clone(), ServiceTargets::default());
+    /// Keeps targets whose entries vanished together, for as long as writing them again
+    /// takes. Targets that vanish one by one have left.
+    fn keep_lost_entries(&mut self, vanished: Vec<Entry>, fleet: &FleetState, now: Millis) {
+        let mut losses: HashMap<Service, Vec<Entry>> = HashMap::new();
+        for entry in vanished {
+            let service = entry.record.service.clone();
+            losses.entry(service).or_default().push(entry);
         }
-        // Just inserted where it was missing.
+        for (name, lost) in losses {
+            let keep_ms = self.settings.keep_vanished_ms;
+            let service = self.service(&name);
+            let all = lost.len() + service.entries.len();
+            let is_mass_loss = lost.len() > 1 && lost.len() as f64 > all as f64 * MASS_LOSS_PART;
+            for mut entry in lost {
+                let is_known_loss = entry.vanished_at.is_some();
+                let vanished_at = *entry.vanished_at.get_or_insert(now);
+                let is_kept = now.saturating_sub(vanished_at) < keep_ms;
+                if is_kept && (is_mass_loss || is_known_loss) {
+                    entry.is_evacuated = fleet.is_evacuated(&entry.record.zone);
+                    service.entries.push(entry);
+                }
+            }
+        }
+    }
+
+    fn service(&mut self, name: &Service) -> &mut ServiceTargets {
         self.services.entry(name.clone()).or_default()
     }
 
@@ -314,7 +321,13 @@
     fn review(&mut self, now: Millis) {
         self.reviewed_at = now;
         let regions: BTreeSet<&Region> = self.settings.zones.values().collect();
+        let keep_ms = self.settings.keep_vanished_ms;
         for service in self.services.values_mut() {
+            service.entries.retain(|entry| {
+                entry
+                    .vanished_at
+                    .is_none_or(|vanished_at| now.saturating_sub(vanished_at) < keep_ms)
+            });
             service.review_latencies(now);
             let rooms: Vec<RegionRoom> = regions
                 .iter()
