Boxes tell each other what the store said; one box of a zone follows it

Change: membership records say up to which revision a box knows each part of the store; a box that hears of a later one asks for what it lacks (CBOR over a WebSocket). One box of a zone, at least four, follows the store; others hear. News is hinted to three boxes at once.

--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -7,7 +7,7 @@
 use arc_swap::ArcSwapOption;
 use brasswinch_routing::{
     Backend, FleetState, Liveness, MemberState, Placement, PlacementSettings, RetryBudget,
-    RetryBudgetSettings, RouteTable, SteeringConfig, Swim, WeightedSplit,
+    RetryBudgetSettings, RouteTable, Scope, SteeringConfig, Swim, WeightedSplit, watches_store,
 };
 use brasswinch_types::{Millis, Region, Service, Zone};
 use std::collections::{BTreeMap, HashMap};
@@ -15,7 +15,7 @@
 use std::sync::atomic::{AtomicU64, AtomicUsize};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 /// Most addresses in a look-up's answer.
 const MOST_ADDRESSES: usize = 64;
@@ -70,7 +70,12 @@
     pub(crate) held_bytes: AtomicUsize,
     /// Requests since the start.
     pub(crate) requests: AtomicU64,
+    /// Another box was heard.
+    pub(crate) heard: Notify,
+    /// This box has something new to tell.
+    pub(crate) has_news: Notify,
     lifecycle: watch::Sender<Lifecycle>,
+    watches_store: watch::Sender<bool>,
     fleet: Mutex<FleetState>,
     placement: Mutex<Placement>,
     swim: Mutex<Swim>,
@@ -101,6 +106,9 @@
             in_flight: AtomicUsize::new(0),
             held_bytes: AtomicUsize::new(0),
             requests: AtomicU64::new(0),
+            heard: Notify::new(),
+            has_news: Notify::new(),
+            watches_store: watch::Sender::new(true),
             lifecycle: watch::Sender::new(Lifecycle::Starting),
             fleet: Mutex::default(),
             placement: Mutex::new(placement),
@@ -174,6 +182,32 @@
         self.placement().update(&fleet, config, self.clock.now());
     }
 
+    /// Whether this box follows the store itself.
+    pub(crate) fn watches_store(&self) -> bool {
+        *self.watches_store.borrow()
+    }
+
+    /// Waits until this box is to follow the store itself.
+    pub(crate) async fn is_to_watch(&self) {
+        let mut changes = self.watches_store.subscribe();
+        let _ = changes.wait_for(|watches| *watches).await;
+    }
+
+    /// Tells other boxes how far `scope` is known here, where that went on.
+    pub(crate) fn told(&self, scope: Scope) {
+        let Some(newest) = self.fleet().newest(scope) else {
+            return;
+        };
+        if self.swim().set_revision(scope, newest) {
+            self.has_news.notify_one();
+        }
+    }
+
+    /// Takes whether the store answers.
+    pub(crate) fn set_reaches_store(&self, reaches_store: bool) {
+        self.swim().set_reaches_store(reaches_store);
+    }
+
     /// Tells placement which boxes serve and what their callers ask for.
     pub(crate) fn publish_members(&self) {
         let swim = self.swim();
@@ -191,6 +225,12 @@
             ids.push(&record.id);
         }
         self.placement().set_boxes(ids.into_iter(), demand);
+        let watches = watches_store(&swim);
+        self.watches_store.send_if_modified(|held| {
+            let is_new = *held != watches;
+            *held = watches;
+            is_new
+        });
     }
 
     /// Most boxes that may be spending shared budgets with this one.
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -23,17 +23,21 @@
 /// Longest pause after failed calls.
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
 
-/// Follows `scope` for as long as the process runs.
+/// Follows `scope` for as long as the process runs, whenever this box is to.
 pub(crate) async fn follow<S: FleetStore>(context: Arc<Context>, store: Arc<S>, scope: Scope) {
     let mut pause = FIRST_PAUSE;
     let mut after: Option<Revision> = None;
     let mut is_reached = true;
     loop {
-        let followed = match after {
+        context.is_to_watch().await;
+        // What other boxes told counts as well.
+        let known = context.fleet().newest(scope);
+        let followed = match after.max(known) {
             None => list(&context, &*store, scope).await,
             Some(after) => watch(&context, &*store, scope, after).await,
         };
-        let is_answered = followed.is_ok();
+        let is_answered = matches!(followed, Ok(_) | Err(StoreFailure::HistoryGone));
+        context.set_reaches_store(is_answered);
         if is_answered != is_reached {
             is_reached = is_answered;
             report(scope, &followed);
@@ -43,7 +47,10 @@
                 after = Some(at);
                 pause = FIRST_PAUSE;
             }
-            Err(StoreFailure::HistoryGone) => after = None,
+            Err(StoreFailure::HistoryGone) => match list(&context, &*store, scope).await {
+                Ok(at) => after = Some(at),
+                Err(_) => sleep(pause).await,
+            },
             Err(_) => {
                 sleep(pause.mul_f64(0.5 + rand::random::<f64>())).await;
                 pause = (pause * 2).min(LONGEST_PAUSE);
@@ -54,8 +61,10 @@
 
 fn report(scope: Scope, followed: &Result<Revision, StoreFailure>) {
     match followed {
-        Ok(_) => emit(Event::StoreReached, format_args!("{scope:?}")),
-        Err(error) => emit(Event::StoreUnreachable, format_args!("{scope:?}: {error}")),
+        Err(error) if *error != StoreFailure::HistoryGone => {
+            emit(Event::StoreUnreachable, format_args!("{scope:?}: {error}"));
+        }
+        _ => emit(Event::StoreReached, format_args!("{scope:?}")),
     }
 }
 
@@ -69,6 +78,7 @@
     let now = context.clock.now();
     context.fleet().apply_snapshot(snapshot, now);
     context.publish();
+    context.told(scope);
     Ok(at)
 }
 
@@ -83,18 +93,14 @@
         .await
         .map_err(|_| StoreFailure::Unavailable("a watch was lost".into()))??;
     if watched.changes.is_empty() {
-        context.fleet().follow(scope, watched.at);
         return Ok(watched.at);
     }
     let now = context.clock.now();
-    {
-        let mut fleet = context.fleet();
-        for change in watched.changes {
-            fleet.apply(change, now);
-        }
-        fleet.follow(scope, watched.at);
+    let changed = context.fleet().apply_changes(scope, watched.changes, now);
+    if changed {
+        context.publish();
     }
-    context.publish();
+    context.told(scope);
     sleep(GATHER).await;
     Ok(watched.at)
 }
--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -42,6 +42,7 @@
                 // A peer's closed port shows here; its silence is noticed anyway.
                 Err(_) => Vec::new(),
             },
+            () = context.has_news.notified() => context.swim().hints(&mut rand::rng()),
         };
         send(&socket, out).await;
         let newest = context.swim().generation();
@@ -62,7 +63,9 @@
     match ciborium::from_reader::<SwimMessage, _>(datagram) {
         Ok(message) => {
             let now = context.clock.now();
-            context.swim().receive(from, message, now, &mut rand::rng())
+            let out = context.swim().receive(from, message, now, &mut rand::rng());
+            context.heard.notify_one();
+            out
         }
         Err(error) => {
             emit(Event::PeerMalformed, format_args!("{from}: {error}"));
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -7,6 +7,7 @@
 mod answer;
 mod attempt;
 mod body;
+mod catch_up;
 mod clock;
 mod connections;
 mod context;
@@ -14,6 +15,7 @@
 mod exchange;
 mod follow;
 mod gossip;
+mod relay;
 mod request;
 mod server;
 mod settings;
--- a/crates/edge/src/start.rs
+++ b/crates/edge/src/start.rs
@@ -4,9 +4,9 @@
 use crate::dialect::Dialect;
 use crate::settings::EdgeSettings;
 use crate::store::FleetStore;
-use crate::{follow, gossip, server};
+use crate::{catch_up, follow, gossip, relay, server};
 use brasswinch_observe::{Event, emit};
-use brasswinch_routing::{MemberRecord, MemberState, Scope, Swim, SwimSettings};
+use brasswinch_routing::{MemberRecord, MemberState, Revision, Scope, Swim, SwimSettings};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -59,6 +59,7 @@
 ) -> Result<EdgeHandle, EdgeError> {
     let addresses = settings.addresses;
     let listener = listen(addresses.clients)?;
+    let relay_listener = listen(addresses.peers)?;
     let socket = UdpSocket::bind(addresses.peers)
         .await
         .map_err(|source| bind_error(addresses.peers, source))?;
@@ -76,6 +77,8 @@
         tokio::spawn(following);
     }
     tokio::spawn(gossip::take_part(Arc::clone(&context), Arc::clone(&socket)));
+    tokio::spawn(relay::serve(Arc::clone(&context), relay_listener));
+    tokio::spawn(catch_up::catch_up(Arc::clone(&context)));
     tokio::spawn(server::serve(Arc::clone(&context), listener));
     tokio::spawn(serve_when_known(Arc::clone(&context)));
     tokio::spawn(sweep(Arc::clone(&context)));
@@ -122,6 +125,9 @@
         peer_address: settings.addresses.peers,
         state: MemberState::Starting,
         requests_per_s: 0.0,
+        operator_revision: Revision::default(),
+        target_revision: Revision::default(),
+        reaches_store: true,
     }
 }
 
@@ -149,7 +155,7 @@
     let began = Instant::now();
     loop {
         let is_known =
-            context.in_force.load().is_some() && context.fleet().followed(Scope::Targets).is_some();
+            context.in_force.load().is_some() && context.fleet().newest(Scope::Targets).is_some();
         let has_met = context.swim().members().next().is_some();
         if is_known && (has_met || began.elapsed() >= MEET_OTHERS) {
             break;
--- a/crates/routing/src/fleet_state.rs
+++ b/crates/routing/src/fleet_state.rs
@@ -7,6 +7,7 @@
 use crate::config::SteeringConfig;
 use crate::target::{TargetId, TargetRecord};
 use brasswinch_types::{Millis, Zone};
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -36,8 +37,32 @@
     targets: BTreeMap<TargetId, HeldTarget>,
     evacuations: BTreeMap<Zone, Evacuation>,
     gone_targets: BTreeMap<TargetId, (Revision, Millis)>,
-    /// Up to where each scope was followed without a gap.
-    followed: BTreeMap<Scope, Revision>,
+    scopes: BTreeMap<Scope, Followed>,
+}
+
+/// How far a scope was followed.
+#[derive(Clone, Copy, Debug, Default)]
+struct Followed {
+    /// Every change up to here is known.
+    newest: Revision,
+    /// Changes after this are kept, with what went away.
+    kept_since: Revision,
+}
+
+/// What a peer lacks of a scope.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum CatchUp {
+    /// The changes after the revision that it has.
+    Changes {
+        /// The part of the store.
+        scope: Scope,
+        /// Up to where it is whole with them.
+        at: Revision,
+        /// The changes.
+        changes: Vec<Revised>,
+    },
+    /// Everything, where the changes are no longer kept.
+    Whole(Snapshot),
 }
 
 impl FleetState {
@@ -68,29 +93,66 @@
         for entry in snapshot.entries {
             changed |= self.apply(entry, now);
         }
-        self.follow(snapshot.scope, snapshot.at);
+        let followed = self.scopes.entry(snapshot.scope).or_insert(Followed {
+            newest: snapshot.at,
+            kept_since: snapshot.at,
+        });
+        followed.newest = followed.newest.max(snapshot.at);
         changed
     }
 
-    /// Notes that `scope` was followed up to `revision` without a gap.
-    pub fn follow(&mut self, scope: Scope, revision: Revision) {
-        let held = self.followed.entry(scope).or_default();
-        *held = (*held).max(revision);
+    /// Applies changes that follow each other without a gap; says whether anything is
+    /// different now.
+    pub fn apply_changes(&mut self, scope: Scope, changes: Vec<Revised>, now: Millis) -> bool {
+        let newest = changes.iter().map(|change| change.revision).max();
+        let mut changed = false;
+        for change in changes {
+            changed |= self.apply(change, now);
+        }
+        if let (Some(newest), Some(followed)) = (newest, self.scopes.get_mut(&scope)) {
+            followed.newest = followed.newest.max(newest);
+        }
+        changed
+    }
+
+    /// Applies what a peer knows; says whether anything is different now.
+    pub fn catch_up(&mut self, news: CatchUp, now: Millis) -> bool {
+        match news {
+            CatchUp::Whole(snapshot) => self.apply_snapshot(snapshot, now),
+            CatchUp::Changes { scope, at, changes } => {
+                let changed = self.apply_changes(scope, changes, now);
+                if let Some(followed) = self.scopes.get_mut(&scope) {
+                    followed.newest = followed.newest.max(at);
+                }
+                changed
+            }
+        }
     }
 
-    /// Up to where `scope` was followed; `None` before its first listing.
-    pub fn followed(&self, scope: Scope) -> Option<Revision> {
-        self.followed.get(&scope).copied()
+    /// The revision up to which everything in `scope` is known; `None` before the first
+    /// listing.
+    pub fn newest(&self, scope: Scope) -> Option<Revision> {
+        self.scopes.get(&scope).map(|followed| followed.newest)
     }
 
-    /// Everything that is known of `scope`, for a peer.
-    pub fn snapshot(&self, scope: Scope) -> Option<Snapshot> {
-        let at = self.followed(scope)?;
+    /// What a peer lacks that has everything in `scope` up to `after`.
+    pub fn missing(&self, scope: Scope, after: Option<Revision>) -> Option<CatchUp> {
+        let followed = self.scopes.get(&scope)?;
+        let at = followed.newest;
         let entries = match scope {
             Scope::Operator => self.operator_entries(),
             Scope::Targets => self.target_entries(),
         };
-        Some(Snapshot { scope, at, entries })
+        let Some(after) = after.filter(|after| *after >= followed.kept_since) else {
+            return Some(CatchUp::Whole(Snapshot { scope, at, entries }));
+        };
+        let gone = match scope {
+            Scope::Operator => self.ended_evacuations(),
+            Scope::Targets => self.gone_entries(),
+        };
+        let changes = entries.into_iter().chain(gone);
+        let changes = changes.filter(|change| change.revision > after).collect();
+        Some(CatchUp::Changes { scope, at, changes })
     }
 
     /// The configuration in force.
@@ -209,8 +271,7 @@
         {
             return false;
         }
-        self.gone_targets
-            .retain(|_, (_, gone_at)| now.saturating_sub(*gone_at) < KEEP_GONE_MS);
+        self.forget_gone(now);
         let gone = self
             .gone_targets
             .entry(id.clone())
@@ -219,6 +280,43 @@
         self.targets.remove(id).is_some()
     }
 
+    /// Forgets what went away long ago; peers that lack it get everything.
+    fn forget_gone(&mut self, now: Millis) {
+        let mut forgotten = Revision(0);
+        self.gone_targets.retain(|_, (revision, gone_at)| {
+            let is_kept = now.saturating_sub(*gone_at) < KEEP_GONE_MS;
+            if !is_kept {
+                forgotten = forgotten.max(*revision);
+            }
+            is_kept
+        });
+        if let Some(followed) = self.scopes.get_mut(&Scope::Targets) {
+            followed.kept_since = followed.kept_since.max(forgotten);
+        }
+    }
+
+    fn ended_evacuations(&self) -> Vec<Revised> {
+        let ended = self
+            .evacuations
+            .iter()
+            .filter(|(_, e)| e.ended_at.is_some());
+        ended
+            .map(|(zone, evacuation)| Revised {
+                revision: evacuation.revision,
+                change: Change::Gone(ChangeKey::Evacuation(zone.clone())),
+            })
+            .collect()
+    }
+
+    fn gone_entries(&self) -> Vec<Revised> {
+        let gone = self.gone_targets.iter();
+        gone.map(|(id, (revision, _))| Revised {
+            revision: *revision,
+            change: Change::Gone(ChangeKey::Target(id.clone())),
+        })
+        .collect()
+    }
+
     fn operator_entries(&self) -> Vec<Revised> {
         let config = self.config.iter().map(|config| Revised {
             revision: self.config_revision,
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -17,6 +17,7 @@
 mod swim;
 mod target;
 mod target_load;
+mod watchers;
 
 pub use change::{Change, ChangeKey, Revised, Revision, Scope, Snapshot};
 pub use cold_pacing::ColdPacing;
@@ -24,7 +25,7 @@
     Backend, ClientLimits, ConfigError, ConfigVersion, Route, RouteKind, ServiceConfig,
     SteeringConfig,
 };
-pub use fleet_state::FleetState;
+pub use fleet_state::{CatchUp, FleetState};
 pub use placement::{
     Choice, Placement, PlacementSettings, Refusal, ServiceTargets, TargetOutcome, Wanted,
 };
@@ -36,3 +37,4 @@
 pub use swim::{Liveness, Member, MemberRecord, MemberState, Swim, SwimMessage, SwimSettings};
 pub use target::{TargetId, TargetRecord, TargetState};
 pub use target_load::{LoadReport, TargetLoad};
+pub use watchers::watches_store;
--- a/crates/routing/src/swim.rs
+++ b/crates/routing/src/swim.rs
@@ -5,6 +5,7 @@
 //! Motivala, "SWIM: Scalable Weakly-consistent Infection-style Process Group Membership
 //! Protocol", 2002, with its suspicion and round-robin probing.
 
+use crate::change::{Revision, Scope};
 use brasswinch_types::{BoxId, Millis, Zone};
 use rand::seq::SliceRandom;
 use rand::{Rng, RngExt};
@@ -24,6 +25,10 @@
 /// Boxes that are asked to probe a silent one.
 const HELPERS: usize = 2;
 
+/// Boxes that are told at once that there is news from the store; each of them tells as
+/// many.
+const HINTED: usize = 3;
+
 /// How long a dead member is remembered and looked for now and then.
 const KEEP_DEAD_MS: Millis = 60_000;
 
@@ -65,6 +70,25 @@
     /// Requests a second that its callers send.
     #[serde(rename = "r")]
     pub requests_per_s: f32,
+    /// Up to where it knows what operators wrote.
+    #[serde(rename = "o")]
+    pub operator_revision: Revision,
+    /// Up to where it knows what targets wrote.
+    #[serde(rename = "t")]
+    pub target_revision: Revision,
+    /// Whether the store answered it when it last asked.
+    #[serde(rename = "k")]
+    pub reaches_store: bool,
+}
+
+impl MemberRecord {
+    /// Up to where the box knows `scope`.
+    pub fn revision(&self, scope: Scope) -> Revision {
+        match scope {
+            Scope::Operator => self.operator_revision,
+            Scope::Targets => self.target_revision,
+        }
+    }
 }
 
 /// Whether a box was heard.
@@ -240,6 +264,44 @@
         self.me.incarnation += 1;
     }
 
+    /// Changes up to where this box says that it knows `scope`; says whether that is
+    /// further than before.
+    pub fn set_revision(&mut self, scope: Scope, revision: Revision) -> bool {
+        let held = match scope {
+            Scope::Operator => &mut self.me.operator_revision,
+            Scope::Targets => &mut self.me.target_revision,
+        };
+        if *held >= revision {
+            return false;
+        }
+        *held = revision;
+        self.me.incarnation += 1;
+        true
+    }
+
+    /// Changes whether this box says that the store answers it.
+    pub fn set_reaches_store(&mut self, reaches_store: bool) {
+        if self.me.reaches_store != reaches_store {
+            self.me.reaches_store = reaches_store;
+            self.me.incarnation += 1;
+            self.generation += 1;
+        }
+    }
+
+    /// Pings to some members, so that they hear this box's newest word at once.
+    pub fn hints(&mut self, random: &mut impl Rng) -> Vec<Outgoing> {
+        let mut addresses = self.addresses(Liveness::Alive);
+        addresses.shuffle(random);
+        addresses.truncate(HINTED);
+        let mut out = Vec::new();
+        for address in addresses {
+            let sequence = self.new_sequence();
+            let updates = vec![self.my_update()];
+            out.push((address, SwimMessage::Ping { sequence, updates }));
+        }
+        out
+    }
+
     /// Takes new seeds.
     pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
         self.seeds = seeds;
@@ -381,8 +443,10 @@
         if order(&news) <= order(held) {
             return;
         }
-        let only_load = held.liveness == news.liveness && held.record.state == news.record.state;
-        if only_load {
+        let is_word_of_its_own = held.liveness == news.liveness
+            && held.record.state == news.record.state
+            && held.record.reaches_store == news.record.reaches_store;
+        if is_word_of_its_own {
             // A changed load isn't worth spreading; its box tells it with each probe.
             held.record = news.record;
             return;
--- /dev/null
+++ b/crates/routing/src/watchers.rs
@@ -0,0 +1,46 @@
+//! Which boxes follow the store themselves. The others hear from them.
+//!
+//! One box of each zone does, and never fewer than a few in all, so that the store's
+//! calls grow with the zones and not with the boxes, and no single loss leaves the fleet
+//! without news.
+
+use crate::rendezvous::{object_hash, weighted_score};
+use crate::swim::{Liveness, MemberRecord, MemberState, Swim};
+use brasswinch_types::BoxId;
+use std::collections::BTreeMap;
+
+/// Fewest boxes that follow the store, where there are as many.
+const LEAST_WATCHERS: usize = 4;
+
+/// Whether this box follows the store itself. Boxes that the store doesn't answer count
+/// as none, so that others step in; they go on trying all the same.
+pub fn watches_store(swim: &Swim) -> bool {
+    let me = swim.me();
+    if !me.reaches_store || me.state != MemberState::Serving {
+        return true;
+    }
+    let others = swim
+        .members()
+        .filter(|member| member.liveness == Liveness::Alive)
+        .map(|member| &member.record)
+        .filter(|record| record.reaches_store && record.state == MemberState::Serving);
+    let mut ranked: Vec<&MemberRecord> = others.chain([me]).collect();
+    ranked.sort_by(|a, b| rank(&b.id).total_cmp(&rank(&a.id)));
+    let mut in_zone: BTreeMap<&str, usize> = BTreeMap::new();
+    for (place, record) in ranked.into_iter().enumerate() {
+        let before = in_zone.entry(record.zone.as_str()).or_default();
+        if record.id == me.id {
+            return place < LEAST_WATCHERS || *before == 0;
+        }
+        *before += 1;
+    }
+    true
+}
+
+fn rank(id: &BoxId) -> f64 {
+    weighted_score(
+        object_hash("watch", b"store"),
+        object_hash("box", id.as_str().as_bytes()),
+        1.0,
+    )
+}
