--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -240,8 +240,8 @@
     if let Some(seconds) = keep_alive_seconds(&parts.headers) {
         connection.set_idle_limit(seconds);
     }
-    let refused = parts.headers.contains_key(&context.dialect.not_run)
-        || parts.status == http::StatusCode::MISDIRECTED_REQUEST;
+    let replaced = parts.status == http::StatusCode::MISDIRECTED_REQUEST;
+    let refused = replaced || parts.headers.contains_key(&context.dialect.not_run);
     let signed = parts.headers.contains_key(&context.dialect.signature);
     if !refused && parts.status.is_success() && !signed {
         return AttemptEnd::Lost;
@@ -253,7 +253,11 @@
     };
     placed.outcome = TargetOutcome::Answered(placed.elapsed_ms());
     if refused {
-        placed.outcome = TargetOutcome::Shed;
+        placed.outcome = if replaced {
+            TargetOutcome::Replaced
+        } else {
+            TargetOutcome::Shed
+        };
         if held.is_whole() {
             connection.reuse();
         }
--- a/crates/edge/src/connections.rs
+++ b/crates/edge/src/connections.rs
@@ -24,6 +24,9 @@
 /// Rest after which a connection is probed by the kernel, and time between probes.
 const PROBE_AFTER: Duration = Duration::from_secs(1);
 
+/// Probes without a receipt after which a connection is given up.
+const MOST_PROBES: u32 = 2;
+
 /// Idle connections that are kept to one target.
 const MOST_IDLE: usize = 24;
 
@@ -140,7 +143,8 @@
         options.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
         let keepalive = TcpKeepalive::new()
             .with_time(PROBE_AFTER)
-            .with_interval(PROBE_AFTER);
+            .with_interval(PROBE_AFTER)
+            .with_retries(MOST_PROBES);
         options.set_tcp_keepalive(&keepalive)?;
         let stream = socket.connect(address).await?;
         stream.set_nodelay(true)?;
--- a/crates/edge/src/start.rs
+++ b/crates/edge/src/start.rs
@@ -2,7 +2,7 @@
 
 use crate::context::{Context, Lifecycle};
 use crate::dialect::Dialect;
-use crate::settings::EdgeSettings;
+use crate::settings::{EdgeAddresses, EdgeSettings};
 use crate::store::FleetStore;
 use crate::{catch_up, follow, gossip, relay, server};
 use brasswinch_observe::{Event, emit};
@@ -32,6 +32,9 @@
 /// Between two sweeps of idle connections.
 const SWEEP: Duration = Duration::from_secs(2);
 
+/// Ports that are tried where the system chooses one for connections and datagrams.
+const SAME_PORT_TRIES: u32 = 16;
+
 /// Why a box did not start.
 #[derive(Debug, thiserror::Error)]
 pub enum EdgeError {
@@ -57,13 +60,14 @@
     dialect: Dialect,
     store: S,
 ) -> Result<EdgeHandle, EdgeError> {
-    let addresses = settings.addresses;
-    let listener = listen(addresses.clients)?;
-    let relay_listener = listen(addresses.peers)?;
-    let socket = UdpSocket::bind(addresses.peers)
-        .await
-        .map_err(|source| bind_error(addresses.peers, source))?;
-    let socket = Arc::new(socket);
+    let mut settings = settings;
+    let listener = listen(settings.addresses.clients)?;
+    let (relay_listener, socket) = listen_to_peers(settings.addresses.peers)?;
+    let addresses = EdgeAddresses {
+        clients: actual(&listener, settings.addresses.clients),
+        peers: actual(&relay_listener, settings.addresses.peers),
+    };
+    settings.addresses = addresses;
     let swim = Swim::new(
         own_record(&settings),
         settings.seeds.clone(),
@@ -91,6 +95,11 @@
         &self.context
     }
 
+    /// Where it listens.
+    pub fn addresses(&self) -> EdgeAddresses {
+        self.context.settings.addresses
+    }
+
     /// Stops in order: nothing new is wanted, what has arrived is answered. Returns
     /// when the process may end.
     pub async fn stop(self) {
@@ -150,6 +159,33 @@
     open().map_err(|source| bind_error(address, source))
 }
 
+/// Where a listener listens; the system chooses a port where the settings leave it open.
+fn actual(listener: &TcpListener, asked: SocketAddr) -> SocketAddr {
+    listener.local_addr().unwrap_or(asked)
+}
+
+/// Connections and datagrams of other boxes come to the same port.
+fn listen_to_peers(address: SocketAddr) -> Result<(TcpListener, Arc<UdpSocket>), EdgeError> {
+    let mut last = None;
+    for _ in 0..SAME_PORT_TRIES {
+        let listener = listen(address)?;
+        let port = actual(&listener, address);
+        match bind_datagrams(port) {
+            Ok(socket) => return Ok((listener, Arc::new(socket))),
+            Err(source) if address.port() == 0 => last = Some(source),
+            Err(source) => return Err(bind_error(port, source)),
+        }
+    }
+    let source = last.unwrap_or_else(|| std::io::ErrorKind::AddrInUse.into());
+    Err(bind_error(address, source))
+}
+
+fn bind_datagrams(address: SocketAddr) -> std::io::Result<UdpSocket> {
+    let socket = std::net::UdpSocket::bind(address)?;
+    socket.set_nonblocking(true)?;
+    UdpSocket::from_std(socket)
+}
+
 /// Serves as soon as configuration and targets are known and other boxes were met.
 async fn serve_when_known(context: Arc<Context>) {
     let began = Instant::now();
--- /dev/null
+++ b/crates/edge/tests/boxes.rs
@@ -0,0 +1,235 @@
+//! Configuration, membership, look-ups and planned stops, with real boxes in one process.
+#![allow(clippy::unwrap_used, clippy::expect_used)]
+
+mod common;
+
+use brasswinch_edge::{Dialect, EdgeHandle, start};
+use brasswinch_lab::memory_store::{MemoryStore, StoreFault};
+use brasswinch_lab::target::{Behaviour, Target};
+use brasswinch_routing::{Change, ChangeKey, RouteKind, TargetId, TargetState};
+use brasswinch_types::{Region, Zone};
+use common::{Kept, Site, call, config, eventually, record, request, route, settings};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+async fn edge(id: &str, seeds: Vec<SocketAddr>, store: &MemoryStore) -> EdgeHandle {
+    start(settings(id, seeds), Dialect::default(), store.clone())
+        .await
+        .unwrap()
+}
+
+/// Boxes that know each other by the first one.
+async fn boxes(count: usize, store: &MemoryStore) -> Vec<(EdgeHandle, MemoryStore)> {
+    let mut boxes: Vec<(EdgeHandle, MemoryStore)> = Vec::new();
+    for number in 0..count {
+        let seeds = boxes.first().map(|(first, _)| first.addresses().peers);
+        let handle = store.handle();
+        let id = format!("box-{number}");
+        let edge = edge(&id, seeds.into_iter().collect(), &handle).await;
+        boxes.push((edge, handle));
+    }
+    for (edge, _) in &boxes {
+        let context = Arc::clone(edge.context());
+        eventually("the box is ready", || context.is_ready()).await;
+        let clients = edge.addresses().clients;
+        let names_all = || directory(&context).len() == count;
+        eventually(&format!("{clients} knows all"), names_all).await;
+    }
+    boxes
+}
+
+fn directory(context: &brasswinch_edge::Context) -> Vec<SocketAddr> {
+    let answer = context.directory_answer(&Zone::new("west-a"), &Region::new("west"));
+    answer.addresses
+}
+
+async fn status(to: SocketAddr, path: &str) -> u16 {
+    call(to, request("GET", path, "")).await.unwrap().status
+}
+
+#[tokio::test]
+async fn a_box_without_a_configuration_says_when_to_come_back() {
+    let store = MemoryStore::default();
+    let edge = edge("box-1", Vec::new(), &store).await;
+    let answer = call(edge.addresses().clients, request("GET", "/safe/1", ""))
+        .await
+        .unwrap();
+    assert_eq!(answer.status, 503);
+    assert!(answer.headers.contains_key("retry-after"));
+    assert!(!edge.context().is_ready());
+}
+
+#[tokio::test]
+async fn a_configuration_is_in_force_as_soon_as_it_is_written() {
+    let site = Site::start(1).await;
+    assert_eq!(site.get("/new/1").await.status, 404);
+    let mut newer = config(2);
+    newer
+        .routes
+        .push(route("/new/", RouteKind::Repeatable, "desk"));
+    newer.routes.retain(|route| route.path_prefix != "/safe/");
+    site.store.write(Change::Config(Arc::new(newer)));
+    let mut tries = 0;
+    while site.get("/new/1").await.status != 200 {
+        tries += 1;
+        assert!(tries < 1_000);
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    assert_eq!(site.get("/safe/1").await.status, 404, "the dropped route");
+    // An older one, written later, changes nothing.
+    site.store.write(Change::Config(Arc::new(config(1))));
+    site.store.forget_history();
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    assert_eq!(site.get("/new/1").await.status, 200);
+}
+
+#[tokio::test]
+async fn a_target_that_says_it_leaves_gets_nothing_more() {
+    let site = Site::start(2).await;
+    let home = site.get("/safe/1").await.body;
+    let leaving = site
+        .targets
+        .iter()
+        .find(|t| home == t.id.as_bytes())
+        .unwrap();
+    let mut entry = record(leaving);
+    entry.state = TargetState::Draining;
+    site.store.write(Change::Target(entry));
+    let mut tries = 0;
+    while site.get("/safe/1").await.body == home {
+        tries += 1;
+        assert!(tries < 1_000);
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let seen = leaving.seen().len();
+    for _ in 0..20 {
+        assert_eq!(site.get("/safe/1").await.status, 200);
+    }
+    assert_eq!(leaving.seen().len(), seen);
+}
+
+#[tokio::test]
+async fn a_box_that_the_store_turns_away_hears_from_others() {
+    let store = MemoryStore::default();
+    let target = Target::start("target-0", &Dialect::default())
+        .await
+        .unwrap();
+    store.write(Change::Config(Arc::new(config(1))));
+    store.write(Change::Target(record(&target)));
+    for fault in [StoreFault::TurnedAway, StoreFault::Silent] {
+        let boxes = boxes(3, &store).await;
+        boxes[2].1.set_fault(fault);
+        // A watch that was under way when the fault began still brings one change.
+        store.write(Change::Evacuated(Zone::new("north-a")));
+        store.write(Change::Gone(ChangeKey::Evacuation(Zone::new("north-a"))));
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        let version = if fault == StoreFault::Silent { 3 } else { 2 };
+        let mut newer = config(version);
+        let prefix = format!("/new{version}/");
+        newer
+            .routes
+            .push(route(&prefix, RouteKind::Repeatable, "desk"));
+        store.write(Change::Config(Arc::new(newer)));
+        let mut tries = 0;
+        let clients = boxes[2].0.addresses().clients;
+        while status(clients, &format!("{prefix}1")).await != 200 {
+            tries += 1;
+            assert!(tries < 1_000, "{fault:?}");
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        for (edge, _) in boxes {
+            tokio::spawn(edge.stop());
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_box_that_starts_while_the_store_is_down_serves_by_what_others_know() {
+    let store = MemoryStore::default();
+    let target = Target::start("target-0", &Dialect::default())
+        .await
+        .unwrap();
+    store.write(Change::Config(Arc::new(config(1))));
+    store.write(Change::Target(record(&target)));
+    let boxes = boxes(2, &store).await;
+    let turned_away = store.handle();
+    turned_away.set_fault(StoreFault::TurnedAway);
+    let seeds = vec![boxes[0].0.addresses().peers];
+    let late = edge("box-late", seeds, &turned_away).await;
+    let context = Arc::clone(late.context());
+    eventually("the late box is ready", || context.is_ready()).await;
+    assert_eq!(status(late.addresses().clients, "/safe/1").await, 200);
+}
+
+#[tokio::test]
+async fn not_every_box_calls_the_store() {
+    let store = MemoryStore::default();
+    store.write(Change::Config(Arc::new(config(1))));
+    let _boxes = boxes(10, &store).await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let before = store.calls();
+    for revision in 0..5 {
+        store.write(Change::Gone(ChangeKey::Target(TargetId::new(format!(
+            "t{revision}"
+        )))));
+        tokio::time::sleep(Duration::from_millis(400)).await;
+    }
+    let calls = store.calls() - before;
+    // Ten boxes that all watched would make 50.
+    assert!(calls <= 35, "{calls}");
+}
+
+#[tokio::test]
+async fn look_ups_leave_out_boxes_that_leave_or_died() {
+    let store = MemoryStore::default();
+    store.write(Change::Config(Arc::new(config(1))));
+    let mut boxes = boxes(3, &store).await;
+    let (leaving, _) = boxes.pop().unwrap();
+    let gone = leaving.addresses().clients;
+    let stopping = tokio::spawn(leaving.stop());
+    for (edge, _) in &boxes {
+        let context = Arc::clone(edge.context());
+        eventually("the leaving box is left out", || {
+            !directory(&context).contains(&gone)
+        })
+        .await;
+    }
+    stopping.await.unwrap();
+}
+
+#[tokio::test]
+async fn a_planned_stop_answers_what_has_arrived() {
+    let site = Site::start(1).await;
+    site.targets[0].always(Behaviour::AnswerAfter(Duration::from_millis(300)));
+    let mut site = site;
+    let handle = site.handle.take().unwrap();
+    let context = Arc::clone(handle.context());
+    let clients = site.clients;
+    let mut kept = Kept::open(clients).await;
+    assert_eq!(
+        kept.call(request("GET", "/safe/1", ""))
+            .await
+            .unwrap()
+            .status,
+        200
+    );
+    let under_way = tokio::spawn(call(clients, request("POST", "/once/1", "x")));
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let stopping = tokio::spawn(handle.stop());
+    eventually("it isn't ready", || !context.is_ready()).await;
+    // On a kept connection, on a new one, and one that is under way.
+    let on_kept = kept.call(request("POST", "/once/1", "y")).await.unwrap();
+    assert_eq!(on_kept.status, 200);
+    assert_eq!(on_kept.headers["connection"], "close");
+    let on_new = call(clients, request("POST", "/once/1", "z"))
+        .await
+        .unwrap();
+    assert_eq!(on_new.status, 200);
+    assert_eq!(under_way.await.unwrap().unwrap().status, 200);
+    stopping.await.unwrap();
+    assert!(
+        tokio::net::TcpStream::connect(clients).await.is_err(),
+        "closed"
+    );
+}
--- /dev/null
+++ b/crates/edge/tests/common/mod.rs
@@ -0,0 +1,224 @@
+//! A box between stand-ins of clients, targets and the store.
+#![allow(dead_code, clippy::unwrap_used, clippy::expect_used)]
+
+use brasswinch_edge::{Dialect, EdgeAddresses, EdgeHandle, EdgeSettings, FleetBounds, start};
+use brasswinch_lab::memory_store::MemoryStore;
+use brasswinch_lab::target::Target;
+use brasswinch_routing::{
+    Backend, Change, ClientLimits, ConfigVersion, Route, RouteKind, ServiceConfig, SteeringConfig,
+    TargetId, TargetRecord, TargetState,
+};
+use brasswinch_types::{BoxId, Region, Service, Zone};
+use bytes::Bytes;
+use http::{HeaderMap, Request};
+use http_body_util::{BodyExt, Full};
+use hyper_util::rt::TokioIo;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+use tokio::net::TcpStream;
+
+/// Longest wait for anything that a test waits for.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+
+pub const HOST: &str = "quotes.example";
+
+static NEXT_ID: AtomicU64 = AtomicU64::new(1);
+
+/// Waits until `condition` holds.
+pub async fn eventually(what: &str, mut condition: impl FnMut() -> bool) {
+    let began = Instant::now();
+    while !condition() {
+        assert!(began.elapsed() < PATIENCE, "never came true: {what}");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+pub fn zones() -> BTreeMap<Zone, Region> {
+    BTreeMap::from([
+        (Zone::new("west-a"), Region::new("west")),
+        (Zone::new("north-a"), Region::new("north")),
+    ])
+}
+
+pub fn settings(id: &str, seeds: Vec<SocketAddr>) -> EdgeSettings {
+    let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
+    EdgeSettings {
+        id: BoxId::new(id),
+        zone: Zone::new("west-a"),
+        zones: zones(),
+        addresses: EdgeAddresses {
+            clients: any,
+            peers: any,
+        },
+        seeds,
+        memory_bytes: 64_000_000,
+        bounds: FleetBounds::default(),
+    }
+}
+
+pub fn route(prefix: &str, kind: RouteKind, service: &str) -> Route {
+    Route {
+        name: format!("route {prefix}"),
+        host: HOST.into(),
+        path_prefix: prefix.into(),
+        kind,
+        timeout_s: Some(5.0),
+        latency_goal_s: 0.3,
+        priority: 1,
+        backends: vec![Backend {
+            service: Service::new(service),
+            weight: 1.0,
+        }],
+        max_attempts: 2,
+        sticky: true,
+        allowed_regions: BTreeSet::new(),
+    }
+}
+
+/// `/safe/` may repeat, `/once/` not, `/upload/` carries bodies, `/short/` has little time.
+pub fn config(version: u64) -> SteeringConfig {
+    let mut short = route("/short/", RouteKind::Repeatable, "desk");
+    short.timeout_s = Some(0.3);
+    let desk = ServiceConfig {
+        max_connections: 100,
+        cold_period_s: 3.0,
+        cold_per_s: 9.0,
+    };
+    SteeringConfig {
+        version: ConfigVersion(version),
+        routes: vec![
+            route("/safe/", RouteKind::Repeatable, "desk"),
+            route("/once/", RouteKind::Once, "desk"),
+            route("/upload/", RouteKind::Upload, "desk"),
+            short,
+        ],
+        services: BTreeMap::from([(Service::new("desk"), desk)]),
+        limits: ClientLimits::default(),
+    }
+}
+
+pub fn record(target: &Target) -> TargetRecord {
+    TargetRecord {
+        id: TargetId::new(&target.id),
+        service: Service::new("desk"),
+        address: target.address,
+        zone: Zone::new("west-a"),
+        slots: 4,
+        state: TargetState::Ready,
+        cold_remaining_s: 0.0,
+    }
+}
+
+/// A box, its store and its targets.
+pub struct Site {
+    pub store: MemoryStore,
+    pub targets: Vec<Target>,
+    pub handle: Option<EdgeHandle>,
+    pub clients: SocketAddr,
+}
+
+impl Site {
+    /// A serving box in front of `targets` targets.
+    pub async fn start(targets: usize) -> Self {
+        let dialect = Dialect::default();
+        let store = MemoryStore::default();
+        store.write(Change::Config(Arc::new(config(1))));
+        let mut started = Vec::new();
+        for number in 0..targets {
+            let id = format!("target-{number}");
+            let target = Target::start(&id, &dialect).await.unwrap();
+            store.write(Change::Target(record(&target)));
+            started.push(target);
+        }
+        let settings = settings("box-1", Vec::new());
+        let handle = start(settings, dialect, store.handle()).await.unwrap();
+        let context = Arc::clone(handle.context());
+        eventually("the box is ready", || context.is_ready()).await;
+        Self {
+            store,
+            targets: started,
+            clients: handle.addresses().clients,
+            handle: Some(handle),
+        }
+    }
+
+    pub async fn get(&self, path: &str) -> Answer {
+        call(self.clients, request("GET", path, "")).await.unwrap()
+    }
+
+    pub async fn post(&self, path: &str, body: &str) -> Answer {
+        call(self.clients, request("POST", path, body))
+            .await
+            .unwrap()
+    }
+
+    /// What all targets saw.
+    pub fn seen(&self) -> usize {
+        self.targets.iter().map(|target| target.seen().len()).sum()
+    }
+
+    /// Runs on all targets.
+    pub fn runs(&self) -> usize {
+        let seen = self.targets.iter().flat_map(Target::seen);
+        seen.filter(|seen| seen.ran).count()
+    }
+}
+
+/// A whole answer.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
+pub fn request(method: &str, path: &str, body: &str) -> Request<Full<Bytes>> {
+    let id = NEXT_ID.fetch_add(1, Ordering::Relaxed);
+    let dialect = Dialect::default();
+    Request::builder()
+        .method(method)
+        .uri(path)
+        .header("host", HOST)
+        .header(&dialect.request_id, format!("request-{id}"))
+        .header(&dialect.deadline_ms, "5000")
+        .header("cookie", format!("{}=7", dialect.object_cookie))
+        .body(Full::new(Bytes::from(body.to_owned())))
+        .unwrap()
+}
+
+/// A connection to a box that is kept.
+pub struct Kept {
+    sender: hyper::client::conn::http1::SendRequest<Full<Bytes>>,
+}
+
+impl Kept {
+    pub async fn open(to: SocketAddr) -> Self {
+        let stream = TcpStream::connect(to).await.unwrap();
+        let (sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
+            .await
+            .unwrap();
+        tokio::spawn(async move {
+            let _ = connection.await;
+        });
+        Self { sender }
+    }
+
+    pub async fn call(&mut self, request: Request<Full<Bytes>>) -> Result<Answer, hyper::Error> {
+        self.sender.ready().await?;
+        let response = self.sender.send_request(request).await?;
+        let (parts, body) = response.into_parts();
+        Ok(Answer {
+            status: parts.status.as_u16(),
+            headers: parts.headers,
+            body: body.collect().await?.to_bytes(),
+        })
+    }
+}
+
+/// One request on a connection of its own.
+pub async fn call(to: SocketAddr, request: Request<Full<Bytes>>) -> Result<Answer, hyper::Error> {
+    Kept::open(to).await.call(request).await
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -11,6 +11,8 @@
 pub mod fleet;
 pub mod http;
 pub mod measure;
+pub mod memory_store;
 pub mod platform;
 pub mod slopes;
+pub mod target;
 pub mod upstream;
--- /dev/null
+++ b/crates/lab/src/memory_store.rs
@@ -0,0 +1,159 @@
+//! Stand-in of the store that holds configuration and targets, in memory.
+//!
+//! It keeps revisions and a history, and does wrong what the real one may: it turns a box
+//! away, forgets its history, and loses the answers of watches.
+
+use brasswinch_edge::{FleetStore, StoreFailure, Watched};
+use brasswinch_routing::{Change, ChangeKey, Revised, Revision, Scope, Snapshot};
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::sync::Notify;
+
+#[derive(Default)]
+struct State {
+    revision: u64,
+    entries: BTreeMap<ChangeKey, Revised>,
+    history: Vec<Revised>,
+    forgotten: u64,
+    calls: u64,
+}
+
+#[derive(Default)]
+struct Shared {
+    state: Mutex<State>,
+    changed: Notify,
+}
+
+/// What one box gets from the store instead of answers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum StoreFault {
+    /// Nothing is wrong.
+    #[default]
+    None,
+    /// Each call fails at once.
+    TurnedAway,
+    /// Calls get no answer.
+    Silent,
+}
+
+/// One box's access to the store. Clones of [`MemoryStore::handle`] share their data.
+#[derive(Clone, Default)]
+pub struct MemoryStore {
+    shared: Arc<Shared>,
+    fault: Arc<Mutex<StoreFault>>,
+}
+
+impl MemoryStore {
+    /// Access for another box, with faults of its own.
+    pub fn handle(&self) -> Self {
+        Self {
+            shared: Arc::clone(&self.shared),
+            fault: Arc::default(),
+        }
+    }
+
+    /// Sets what is wrong for this box.
+    pub fn set_fault(&self, fault: StoreFault) {
+        *self.fault.lock().unwrap_or_else(PoisonError::into_inner) = fault;
+    }
+
+    /// Writes an entry, or takes one away.
+    pub fn write(&self, change: Change) -> Revision {
+        let mut state = self.state();
+        state.revision += 1;
+        let revision = Revision(state.revision);
+        let key = change.key();
+        let revised = Revised { revision, change };
+        match revised.change {
+            Change::Gone(_) => {
+                state.entries.remove(&key);
+            }
+            _ => {
+                state.entries.insert(key, revised.clone());
+            }
+        }
+        state.history.push(revised);
+        drop(state);
+        self.shared.changed.notify_waiters();
+        revision
+    }
+
+    /// Forgets all history; watches that are behind are told so.
+    pub fn forget_history(&self) {
+        let mut state = self.state();
+        state.history.clear();
+        state.forgotten = state.revision;
+    }
+
+    /// Calls of all boxes so far.
+    pub fn calls(&self) -> u64 {
+        self.state().calls
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        let state = self.shared.state.lock();
+        state.unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn fail_if_told(&self) -> Result<(), StoreFailure> {
+        self.state().calls += 1;
+        let fault = *self.fault.lock().unwrap_or_else(PoisonError::into_inner);
+        match fault {
+            StoreFault::None => Ok(()),
+            StoreFault::TurnedAway => Err(StoreFailure::Busy),
+            StoreFault::Silent => std::future::pending().await,
+        }
+    }
+
+    /// Changes of `scope` after a revision, if there are any.
+    fn news(&self, scope: Scope, after: Revision) -> Result<Option<Watched>, StoreFailure> {
+        let state = self.state();
+        if after.0 < state.forgotten {
+            return Err(StoreFailure::HistoryGone);
+        }
+        let newer =
+            |revised: &&Revised| revised.revision > after && revised.change.key().scope() == scope;
+        let changes: Vec<Revised> = state.history.iter().filter(newer).cloned().collect();
+        let at = Revision(state.revision);
+        Ok((!changes.is_empty()).then_some(Watched { at, changes }))
+    }
+}
+
+impl FleetStore for MemoryStore {
+    async fn list(&self, scope: Scope) -> Result<Snapshot, StoreFailure> {
+        self.fail_if_told().await?;
+        let state = self.state();
+        let entries = state.entries.values();
+        let in_scope = entries.filter(|entry| entry.change.key().scope() == scope);
+        Ok(Snapshot {
+            scope,
+            at: Revision(state.revision),
+            entries: in_scope.cloned().collect(),
+        })
+    }
+
+    async fn watch(
+        &self,
+        scope: Scope,
+        after: Revision,
+        wait: Duration,
+    ) -> Result<Watched, StoreFailure> {
+        self.fail_if_told().await?;
+        let waiting = async {
+            loop {
+                let changed = self.shared.changed.notified();
+                if let Some(news) = self.news(scope, after)? {
+                    return Ok(news);
+                }
+                changed.await;
+            }
+        };
+        let watched = tokio::time::timeout(wait, waiting).await;
+        watched.unwrap_or_else(|_| {
+            let at = Revision(self.state().revision);
+            let changes = Vec::new();
+            Ok(Watched { at, changes })
+        })
+    }
+}
--- /dev/null
+++ b/crates/lab/src/target.rs
@@ -0,0 +1,358 @@
+//! Stand-in of a target of a service: it answers as told, rightly or wrongly, and keeps
+//! account of what reached it.
+//!
+//! It writes bytes itself, since most of what it does wrong no library would write.
+
+use brasswinch_edge::Dialect;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+/// What the target does with a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Behaviour {
+    /// Runs it and answers with this status and its own name as body.
+    Answer(u16),
+    /// Runs it for a while first.
+    AnswerAfter(Duration),
+    /// Says that it did not run it.
+    Refuse,
+    /// Says that it is another target.
+    Misdirected,
+    /// Runs it, answers, and sends a second answer with the same id behind it.
+    AnswerTwice,
+    /// Runs it, and answers with the id of another request.
+    AnswerForAnother,
+    /// Runs it, and answers success without a signature.
+    AnswerUnsigned,
+    /// Runs it, and breaks its answer off in the middle.
+    BreakOff,
+    /// Runs it, and ends its answer with the connection.
+    AnswerUnframed,
+    /// Runs it, and closes without an answer.
+    Close,
+    /// Closes without an answer when the next request comes on a kept connection.
+    CloseWhenKept,
+    /// Sends bytes that are no answer.
+    Garbage,
+    /// Answers as soon as the head is in, and reads the body afterwards.
+    AnswerEarly,
+    /// Runs it and says nothing more.
+    Hang,
+    /// Answers and says that it will close the connection.
+    AnswerAndLeave,
+}
+
+/// A request that reached the target.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Seen {
+    /// The request line's method and path with its query.
+    pub line: String,
+    /// The request's id.
+    pub id: String,
+    /// The time that it was told is left, in milliseconds.
+    pub deadline_ms: Option<u64>,
+    /// The target that it was meant for.
+    pub intended: Option<String>,
+    /// Its body.
+    pub body: Vec<u8>,
+    /// Whether the target ran it.
+    pub ran: bool,
+}
+
+#[derive(Default)]
+struct State {
+    script: VecDeque<Behaviour>,
+    usual: Option<Behaviour>,
+    seen: Vec<Seen>,
+    connections: usize,
+    closed_early: usize,
+}
+
+/// The target. Clones share their account.
+#[derive(Clone)]
+pub struct Target {
+    /// Its identifier.
+    pub id: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    dialect: Arc<Dialect>,
+    state: Arc<Mutex<State>>,
+}
+
+impl Target {
+    /// Starts a target on a port that the system chooses.
+    pub async fn start(id: &str, dialect: &Dialect) -> std::io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let target = Self {
+            id: id.to_owned(),
+            address: listener.local_addr()?,
+            dialect: Arc::new(dialect.clone()),
+            state: Arc::default(),
+        };
+        let serving = target.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let target = serving.clone();
+                target.lock().connections += 1;
+                tokio::spawn(async move {
+                    // A caller that breaks off is counted where it matters.
+                    let _ = target.serve(stream).await;
+                });
+            }
+        });
+        Ok(target)
+    }
+
+    /// What it does with the next requests; after them it answers 200.
+    pub fn script(&self, behaviours: impl IntoIterator<Item = Behaviour>) {
+        self.lock().script.extend(behaviours);
+    }
+
+    /// What it does with every request that no script covers.
+    pub fn always(&self, behaviour: Behaviour) {
+        self.lock().usual = Some(behaviour);
+    }
+
+    /// The requests that reached it.
+    pub fn seen(&self) -> Vec<Seen> {
+        self.lock().seen.clone()
+    }
+
+    /// Connections that were made to it.
+    pub fn connections(&self) -> usize {
+        self.lock().connections
+    }
+
+    /// Requests whose caller closed the connection before their answer was out.
+    pub fn closed_early(&self) -> usize {
+        self.lock().closed_early
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn next_behaviour(&self) -> Behaviour {
+        let mut state = self.lock();
+        let usual = state.usual.clone().unwrap_or(Behaviour::Answer(200));
+        state.script.pop_front().unwrap_or(usual)
+    }
+
+    async fn serve(&self, mut stream: TcpStream) -> std::io::Result<()> {
+        let mut buffer = Vec::new();
+        let mut is_kept = false;
+        while let Some(head) = read_head(&mut stream, &mut buffer).await? {
+            let behaviour = self.next_behaviour();
+            if behaviour == Behaviour::CloseWhenKept && is_kept {
+                return Ok(());
+            }
+            if !self
+                .exchange(&mut stream, &mut buffer, &head, &behaviour)
+                .await?
+            {
+                return Ok(());
+            }
+            is_kept = true;
+        }
+        Ok(())
+    }
+
+    /// Reads the rest of a request and does what it is told; says whether the connection
+    /// goes on.
+    async fn exchange(
+        &self,
+        stream: &mut TcpStream,
+        buffer: &mut Vec<u8>,
+        head: &str,
+        behaviour: &Behaviour,
+    ) -> std::io::Result<bool> {
+        let id = header(head, self.dialect.request_id.as_str()).unwrap_or_default();
+        if *behaviour == Behaviour::AnswerEarly {
+            stream.write_all(&self.answer(200, &id, true)).await?;
+        }
+        let body = read_body(stream, buffer, head).await?;
+        let ran = !matches!(behaviour, Behaviour::Refuse | Behaviour::Misdirected);
+        let deadline = header(head, self.dialect.deadline_ms.as_str());
+        self.lock().seen.push(Seen {
+            line: head.lines().next().unwrap_or_default().to_owned(),
+            id: id.clone(),
+            deadline_ms: deadline.and_then(|text| text.parse().ok()),
+            intended: header(head, self.dialect.intended_target.as_str()),
+            body,
+            ran,
+        });
+        self.reply(stream, &id, behaviour).await
+    }
+
+    async fn reply(
+        &self,
+        stream: &mut TcpStream,
+        id: &str,
+        behaviour: &Behaviour,
+    ) -> std::io::Result<bool> {
+        let whole = self.answer(200, id, true);
+        match behaviour {
+            Behaviour::Answer(status) => {
+                stream.write_all(&self.answer(*status, id, true)).await?;
+            }
+            Behaviour::AnswerAfter(time) => {
+                if self.leaves_within(stream, *time).await {
+                    return Ok(false);
+                }
+                stream.write_all(&whole).await?;
+            }
+            Behaviour::Refuse => stream.write_all(&self.refusal(503, id)).await?,
+            Behaviour::Misdirected => stream.write_all(&self.refusal(421, id)).await?,
+            Behaviour::AnswerTwice => {
+                stream.write_all(&[whole.clone(), whole].concat()).await?;
+            }
+            Behaviour::AnswerForAnother => {
+                stream.write_all(&self.answer(200, "another", true)).await?;
+            }
+            Behaviour::AnswerUnsigned => {
+                stream.write_all(&self.answer(200, id, false)).await?;
+            }
+            Behaviour::BreakOff => {
+                stream.write_all(&whole[..whole.len() - 2]).await?;
+                return Ok(false);
+            }
+            Behaviour::AnswerUnframed => {
+                let text = String::from_utf8_lossy(&whole).into_owned();
+                let length = format!("content-length: {}\r\n", self.id.len());
+                stream
+                    .write_all(text.replace(&length, "").as_bytes())
+                    .await?;
+                return Ok(false);
+            }
+            Behaviour::Close => return Ok(false),
+            Behaviour::Garbage => {
+                stream.write_all(b"\x00\x01 no answer\r\n\r\n").await?;
+                return Ok(false);
+            }
+            Behaviour::AnswerEarly => {}
+            Behaviour::CloseWhenKept => stream.write_all(&whole).await?,
+            Behaviour::Hang => {
+                self.leaves_within(stream, Duration::from_secs(60)).await;
+                return Ok(false);
+            }
+            Behaviour::AnswerAndLeave => {
+                let text = String::from_utf8_lossy(&whole).into_owned();
+                let closing = text.replacen("\r\n", "\r\nconnection: close\r\n", 1);
+                stream.write_all(closing.as_bytes()).await?;
+                return Ok(false);
+            }
+        }
+        Ok(true)
+    }
+
+    /// Whether the caller closes the connection within `time`.
+    async fn leaves_within(&self, stream: &mut TcpStream, time: Duration) -> bool {
+        let mut byte = [0];
+        let read = tokio::time::timeout(time, stream.read(&mut byte)).await;
+        let has_left = matches!(read, Ok(Ok(0) | Err(_)));
+        if has_left {
+            self.lock().closed_early += 1;
+        }
+        has_left
+    }
+
+    fn answer(&self, status: u16, id: &str, is_signed: bool) -> Vec<u8> {
+        let signature = if is_signed {
+            format!("{}: signed\r\n", self.dialect.signature)
+        } else {
+            String::new()
+        };
+        let (request_id, load) = (&self.dialect.request_id, &self.dialect.load);
+        let (length, body) = (self.id.len(), &self.id);
+        format!(
+            "HTTP/1.1 {status} Said\r\n{request_id}: {id}\r\n{signature}{load}: 1,0,4\r\n\
+             content-length: {length}\r\n\r\n{body}"
+        )
+        .into_bytes()
+    }
+
+    fn refusal(&self, status: u16, id: &str) -> Vec<u8> {
+        let (request_id, not_run) = (&self.dialect.request_id, &self.dialect.not_run);
+        format!(
+            "HTTP/1.1 {status} Refused\r\n{request_id}: {id}\r\n{not_run}: 1\r\n\
+             content-length: 0\r\n\r\n"
+        )
+        .into_bytes()
+    }
+}
+
+/// The next head on the connection, without its empty line.
+async fn read_head(
+    stream: &mut TcpStream,
+    buffer: &mut Vec<u8>,
+) -> std::io::Result<Option<String>> {
+    loop {
+        if let Some(end) = buffer.windows(4).position(|four| four == b"\r\n\r\n") {
+            let head: Vec<u8> = buffer.drain(..end + 4).collect();
+            return Ok(Some(String::from_utf8_lossy(&head[..end]).into_owned()));
+        }
+        if stream.read_buf(buffer).await? == 0 {
+            return Ok(None);
+        }
+    }
+}
+
+/// The body that belongs to `head`, framed by a length or in chunks.
+async fn read_body(
+    stream: &mut TcpStream,
+    buffer: &mut Vec<u8>,
+    head: &str,
+) -> std::io::Result<Vec<u8>> {
+    let length = header(head, "content-length").and_then(|text| text.parse::<usize>().ok());
+    if let Some(length) = length {
+        fill(stream, buffer, length).await?;
+        return Ok(buffer.drain(..length).collect());
+    }
+    if header(head, "transfer-encoding").is_none() {
+        return Ok(Vec::new());
+    }
+    let mut body = Vec::new();
+    loop {
+        let line = read_line(stream, buffer).await?;
+        let length = usize::from_str_radix(line.trim(), 16)
+            .map_err(|_| std::io::Error::from(std::io::ErrorKind::InvalidData))?;
+        fill(stream, buffer, length + 2).await?;
+        body.extend(buffer.drain(..length));
+        buffer.drain(..2);
+        if length == 0 {
+            return Ok(body);
+        }
+    }
+}
+
+async fn read_line(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> std::io::Result<String> {
+    loop {
+        if let Some(end) = buffer.windows(2).position(|two| two == b"\r\n") {
+            let line: Vec<u8> = buffer.drain(..end + 2).collect();
+            return Ok(String::from_utf8_lossy(&line).into_owned());
+        }
+        fill(stream, buffer, buffer.len() + 1).await?;
+    }
+}
+
+async fn fill(stream: &mut TcpStream, buffer: &mut Vec<u8>, length: usize) -> std::io::Result<()> {
+    while buffer.len() < length {
+        if stream.read_buf(buffer).await? == 0 {
+            return Err(std::io::ErrorKind::UnexpectedEof.into());
+        }
+    }
+    Ok(())
+}
+
+fn header(head: &str, name: &str) -> Option<String> {
+    head.lines().skip(1).find_map(|line| {
+        let (found, value) = line.split_once(':')?;
+        found
+            .eq_ignore_ascii_case(name)
+            .then(|| value.trim().to_owned())
+    })
+}
--- a/crates/routing/src/placement.rs
+++ b/crates/routing/src/placement.rs
@@ -112,6 +112,8 @@
     Answered(f64),
     /// It said that it did not run the request.
     Shed,
+    /// Another target has its address now.
+    Replaced,
     /// No connection could be made.
     Unreachable,
     /// It was sent and got no answer.
@@ -128,6 +130,8 @@
     cold_until: Millis,
     vanished_at: Option<Millis>,
     is_evacuated: bool,
+    /// Another target answered at its address.
+    is_replaced: bool,
     is_slow: bool,
     load: TargetLoad,
     pacing: ColdPacing,
@@ -135,7 +139,7 @@
 
 impl Entry {
     fn takes_requests(&self) -> bool {
-        self.record.state == TargetState::Ready && !self.is_evacuated
+        self.record.state == TargetState::Ready && !self.is_evacuated && !self.is_replaced
     }
 
     fn is_cold(&self, now: Millis) -> bool {
@@ -304,6 +308,7 @@
             cold_until,
             vanished_at: None,
             is_evacuated: fleet.is_evacuated(&record.zone),
+            is_replaced: held.as_ref().is_some_and(|held| held.is_replaced),
             is_slow: held.as_ref().is_some_and(|held| held.is_slow),
             load: held.as_ref().map(|held| held.load).unwrap_or_default(),
             pacing: held.as_ref().map(|held| held.pacing).unwrap_or_default(),
@@ -366,12 +371,14 @@
 
     /// A request that was given to `choice` ended.
     pub fn ended(&mut self, choice: &Choice, outcome: TargetOutcome, now: Millis) {
-        let Some(load) = self.load(choice) else {
+        let Some(entry) = self.held(choice) else {
             return;
         };
+        let load = &mut entry.load;
         match outcome {
             TargetOutcome::Answered(latency_ms) => load.answered(latency_ms, now),
             TargetOutcome::Shed => load.shed(),
+            TargetOutcome::Replaced => entry.is_replaced = true,
             TargetOutcome::Unreachable => load.unreachable(now),
             TargetOutcome::Unanswered => load.unanswered(now),
             TargetOutcome::Abandoned => {}
@@ -381,8 +388,8 @@
 
     /// A target told its load.
     pub fn reported(&mut self, choice: &Choice, report: LoadReport, now: Millis) {
-        if let Some(load) = self.load(choice) {
-            load.reported(report, now);
+        if let Some(entry) = self.held(choice) {
+            entry.load.reported(report, now);
         }
     }
 
@@ -391,11 +398,10 @@
         self.services.get(service)?.median_latency_ms(now)
     }
 
-    fn load(&mut self, choice: &Choice) -> Option<&mut TargetLoad> {
+    fn held(&mut self, choice: &Choice) -> Option<&mut Entry> {
         let service = self.services.get_mut(&choice.service)?;
         let mut entries = service.entries.iter_mut();
-        let entry = entries.find(|entry| entry.record.id == choice.target)?;
-        Some(&mut entry.load)
+        entries.find(|entry| entry.record.id == choice.target)
     }
 }
 
