--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -203,6 +203,11 @@
         }
     }
 
+    /// Takes new addresses of other boxes.
+    pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
+        self.swim().set_seeds(seeds);
+    }
+
     /// Takes whether the store answers.
     pub(crate) fn set_reaches_store(&self, reaches_store: bool) {
         self.swim().set_reaches_store(reaches_store);
--- a/crates/observe/src/events.rs
+++ b/crates/observe/src/events.rs
@@ -56,6 +56,7 @@
     103 Info Stopped "The daemon has finished every request and exits." "None.";
     110 Error BindFailed "An address could not be listened on." "Check the address in the settings and what else uses it.";
     111 Error BlocksUnread "The file of client blocks could not be read again." "Check the file; callers in blocks that are missing count as the answering box's zone's.";
+    112 Warn SettingsUnread "The settings could not be read again; those before stay in force." "Correct the settings file and ask for a reload.";
     200 Warn StoreUnreachable "The platform's store did not answer." "Check the platform. Boxes serve on with the configuration they hold.";
     201 Info StoreReached "The platform's store answers again." "None.";
     202 Error StoreWentBack "The store holds an older version than the one in force." "The store was restored from a copy. Boxes keep the newer version and write it back.";
--- a/crates/observe/tests/events.rs
+++ b/crates/observe/tests/events.rs
@@ -52,8 +52,11 @@
 
 #[test]
 fn the_daemon_logs_every_event_of_the_catalogue() {
-    let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/../daemon/src");
-    let sources = sources(std::path::Path::new(folder));
+    // The routed path and its adapter are parts of the daemon.
+    let root = concat!(env!("CARGO_MANIFEST_DIR"), "/../..");
+    let folders = ["crates/daemon/src", "crates/edge/src", "platform/src"];
+    let in_folder = |folder| sources(&std::path::Path::new(root).join(folder));
+    let sources: String = folders.map(in_folder).concat();
     let logs = |event: &Event| {
         let name = format!("Event::{event:?}");
         sources.match_indices(&name).any(|(at, _)| {
