Answer what has reached a box before it closes

Cause (replacing_every_box... failed with {broken: 1} in a fresh clone and beside busy processes): at the end of a planned stop the HTTP library's graceful shutdown closes a connection whose first request has not been read, and the listener was dropped with connections still in its queue. Ruled out: the drain itself (what ran was finished).

Change: the queue is emptied before the listener goes, and open connections get 250 ms more for a request that was under way; its answer ends the connection.

--- a/crates/daemon/src/traffic/server.rs
+++ b/crates/daemon/src/traffic/server.rs
@@ -6,18 +6,20 @@
 use super::lookup::lookup;
 use super::proxy::proxy;
 use crate::context::Context;
-use http::{Method, Request, Response};
+use http::{HeaderValue, Method, Request, Response, Version, header};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
-use hyper_util::server::graceful::GracefulShutdown;
 use std::convert::Infallible;
-use std::net::IpAddr;
+use std::net::{IpAddr, SocketAddr};
+use std::pin::pin;
 use std::sync::Arc;
-use std::time::Duration;
-use tokio::net::TcpListener;
+use std::time::{Duration, Instant};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tokio::time::timeout;
 
 /// Longest time that a caller may take to send a request's head.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
@@ -28,52 +30,99 @@
 /// Pause after a failed accept, so that a full table of files doesn't spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Time after the stop in which connections that were open still bring a request: it
+/// was sent before its caller could know. The box closes them only then.
+const LAST_REQUESTS: Duration = Duration::from_millis(250);
+
+/// Wait for one more connection in the listener's queue before it is closed.
+const LAST_ACCEPT: Duration = Duration::from_millis(2);
+
+/// Longest time for which the listener's queue is emptied.
+const EMPTY_QUEUE: Duration = Duration::from_millis(100);
+
 /// Serves callers until `stop` says so, then finishes what is under way.
 pub(crate) async fn serve(
     context: Arc<Context>,
     claims: Arc<Claims>,
     listener: TcpListener,
-    mut stop: watch::Receiver<bool>,
+    stop: watch::Receiver<bool>,
 ) {
-    let graceful = GracefulShutdown::new();
+    let mut connections = JoinSet::new();
+    let mut stopped = stop.clone();
+    let caller = |peer: SocketAddr| Caller {
+        context: Arc::clone(&context),
+        claims: Arc::clone(&claims),
+        ip: peer.ip(),
+        stop: stop.clone(),
+    };
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = stop.wait_for(|stopped| *stopped) => break,
+            Some(_) = connections.join_next(), if !connections.is_empty() => continue,
+            _ = stopped.wait_for(|stopped| *stopped) => break,
         };
         let Ok((stream, peer)) = accepted else {
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        let _ = stream.set_nodelay(true);
-        let context = Arc::clone(&context);
-        let claims = Arc::clone(&claims);
-        let service = service_fn(move |request| {
-            let context = Arc::clone(&context);
-            let claims = Arc::clone(&claims);
-            async move {
-                let answer = route(&context, &claims, request, peer.ip()).await;
-                Ok::<_, Infallible>(answer)
-            }
-        });
-        let mut builder = auto::Builder::new(TokioExecutor::new());
-        builder
-            .http1()
-            .timer(TokioTimer::new())
-            .header_read_timeout(HEAD_TIMEOUT)
-            .max_buf_size(MAX_HEAD_BYTES);
-        builder.http2().timer(TokioTimer::new());
-        let connection = builder
-            .serve_connection(TokioIo::new(stream), service)
-            .into_owned();
-        let watched = graceful.watch(connection);
-        tokio::spawn(async move {
-            // A caller that breaks off needs no answer.
-            let _ = watched.await;
-        });
+        connections.spawn(serve_connection(caller(peer), stream));
+    }
+    let emptied_by = Instant::now() + EMPTY_QUEUE;
+    while let Ok(Ok((stream, peer))) = timeout(LAST_ACCEPT, listener.accept()).await {
+        connections.spawn(serve_connection(caller(peer), stream));
+        if Instant::now() >= emptied_by {
+            break;
+        }
     }
     drop(listener);
-    graceful.shutdown().await;
+    while connections.join_next().await.is_some() {}
+}
+
+/// One caller's connection and what its requests need.
+#[derive(Clone)]
+struct Caller {
+    context: Arc<Context>,
+    claims: Arc<Claims>,
+    ip: IpAddr,
+    stop: watch::Receiver<bool>,
+}
+
+async fn serve_connection(caller: Caller, stream: TcpStream) {
+    let _ = stream.set_nodelay(true);
+    let mut stop = caller.stop.clone();
+    let service = service_fn(move |request| {
+        let caller = caller.clone();
+        async move { Ok::<_, Infallible>(answer(&caller, request).await) }
+    });
+    let mut builder = auto::Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT)
+        .max_buf_size(MAX_HEAD_BYTES);
+    builder.http2().timer(TokioTimer::new());
+    let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
+    // A caller that breaks off needs no answer.
+    tokio::select! {
+        _ = connection.as_mut() => return,
+        _ = stop.wait_for(|stopped| *stopped) => {}
+    }
+    if timeout(LAST_REQUESTS, connection.as_mut()).await.is_ok() {
+        return;
+    }
+    connection.as_mut().graceful_shutdown();
+    let _ = connection.await;
+}
+
+/// Answers a request; after the stop the answer ends its connection.
+async fn answer(caller: &Caller, request: Request<Incoming>) -> Response<AnswerBody> {
+    let is_http1 = request.version() <= Version::HTTP_11;
+    let mut response = route(&caller.context, &caller.claims, request, caller.ip).await;
+    if is_http1 && *caller.stop.borrow() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    response
 }
 
 async fn route(
--- a/crates/daemon/tests/leaving.rs
+++ b/crates/daemon/tests/leaving.rs
@@ -159,6 +159,44 @@
     assert_eq!(upstreams.counts().sum(|target| target.cut), 0);
 }
 
+/// Sends a small request on an open connection; whether any answer comes.
+async fn is_answered(mut stream: tokio::net::TcpStream) -> bool {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let request = b"GET /v1/lookup HTTP/1.1\r\nhost: box\r\n\r\n";
+    if stream.write_all(request).await.is_err() {
+        return false;
+    }
+    let mut answer = [0; 8];
+    stream.read_exact(&mut answer).await.is_ok() && &answer == b"HTTP/1.1"
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn what_has_reached_a_box_before_it_stops_is_answered() {
+    // Callers that need this long from their connection to their request.
+    const THINK: Duration = Duration::from_millis(60);
+    const EVERY: Duration = Duration::from_millis(4);
+    let _alone = alone().await;
+    let mut fleet = fleet().await;
+    let name = fleet.site.box_name(0, 1);
+    let address = fleet.daemons[&name].callers;
+    fleet.daemon(&name).terminate();
+    let mut calls = Vec::new();
+    // Until the daemon has closed its port.
+    while let Ok(stream) = tokio::net::TcpStream::connect(address).await {
+        calls.push(tokio::spawn(async move {
+            tokio::time::sleep(THINK).await;
+            is_answered(stream).await
+        }));
+        tokio::time::sleep(EVERY).await;
+    }
+    let all = calls.len();
+    let mut cut = 0;
+    for call in calls {
+        cut += usize::from(!call.await.unwrap());
+    }
+    assert_eq!(cut, 0, "connections that were cut, of {all}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn replacing_every_box_one_after_another_under_load_cuts_nothing() {
     let _alone = alone().await;
--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -15,6 +15,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::time::timeout;
 
 /// Pause after a failed accept, so that a full table of files doesn't spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -31,6 +32,10 @@
 /// Wait for one more connection in the listener's queue when it is about to close.
 const LAST_ACCEPT: Duration = Duration::from_millis(5);
 
+/// Time after the box closed in which open connections still bring a request: it was
+/// sent before its client could know.
+pub(crate) const LAST_REQUESTS: Duration = Duration::from_millis(250);
+
 /// Serves clients until the box is closed, then takes what is left in the queue.
 pub(crate) async fn serve(context: Arc<Context>, listener: TcpListener) {
     let mut closed = pin!(context.reached(Lifecycle::Closed));
@@ -44,7 +49,7 @@
             Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
         }
     }
-    while let Ok(Ok((stream, _))) = tokio::time::timeout(LAST_ACCEPT, listener.accept()).await {
+    while let Ok(Ok((stream, _))) = timeout(LAST_ACCEPT, listener.accept()).await {
         spawn_connection(&context, stream);
     }
 }
@@ -82,6 +87,9 @@
         _ = connection.as_mut() => return,
         () = context.reached(Lifecycle::Closed) => {}
     }
+    if timeout(LAST_REQUESTS, connection.as_mut()).await.is_ok() {
+        return;
+    }
     connection.as_mut().graceful_shutdown();
     let _ = connection.await;
 }
--- a/crates/edge/src/start.rs
+++ b/crates/edge/src/start.rs
@@ -112,7 +112,8 @@
         sleep(grace.mul_f64(OPEN_PART_OF_GRACE)).await;
         context.advance(Lifecycle::Closed);
         let last = began + grace.mul_f64(LAST_PART_OF_GRACE);
-        sleep(STAGE_POLL).await;
+        // Connections that were open still bring what was sent before they close.
+        sleep(server::LAST_REQUESTS + STAGE_POLL).await;
         while context.in_flight.load(Ordering::Relaxed) > 0 && Instant::now() < last {
             sleep(STAGE_POLL).await;
         }
--- a/crates/edge/tests/boxes.rs
+++ b/crates/edge/tests/boxes.rs
@@ -12,6 +12,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 async fn edge(id: &str, seeds: Vec<SocketAddr>, store: &MemoryStore) -> EdgeHandle {
     start(settings(id, seeds), Dialect::default(), store.clone())
@@ -228,8 +230,39 @@
     assert_eq!(on_new.status, 200);
     assert_eq!(under_way.await.unwrap().unwrap().status, 200);
     stopping.await.unwrap();
-    assert!(
-        tokio::net::TcpStream::connect(clients).await.is_err(),
-        "closed"
-    );
+    assert!(TcpStream::connect(clients).await.is_err(), "closed");
+}
+
+/// Sends a small request on an open connection; whether any answer comes.
+async fn is_answered(mut stream: TcpStream) -> bool {
+    let request = b"GET /safe/1 HTTP/1.1\r\nhost: quotes.example\r\n\r\n";
+    if stream.write_all(request).await.is_err() {
+        return false;
+    }
+    let mut answer = [0; 8];
+    stream.read_exact(&mut answer).await.is_ok() && &answer == b"HTTP/1.1"
+}
+
+#[tokio::test]
+async fn what_has_reached_a_box_before_it_closes_is_answered() {
+    // Clients that need this long from their connection to their request.
+    const THINK: Duration = Duration::from_millis(60);
+    const EVERY: Duration = Duration::from_millis(10);
+    let mut site = Site::start(1).await;
+    let stopping = tokio::spawn(site.handle.take().unwrap().stop());
+    let mut calls = Vec::new();
+    while let Ok(stream) = TcpStream::connect(site.clients).await {
+        calls.push(tokio::spawn(async move {
+            tokio::time::sleep(THINK).await;
+            is_answered(stream).await
+        }));
+        tokio::time::sleep(EVERY).await;
+    }
+    let all = calls.len();
+    let mut cut = 0;
+    for call in calls {
+        cut += usize::from(!call.await.unwrap());
+    }
+    assert_eq!(cut, 0, "connections that were cut, of {all}");
+    stopping.await.unwrap();
 }
