Queue fewer requests about objects that a target hasn't served; move plans at 0.6 of the bound; log decisions

Change: a box remembers the last 32 objects that a target served for it; others queue only to 1.35 of the slots.

Change: 0.6 of the shift bound on purpose.

Each decision about a request is a numbered event (BW510 to BW513) with the request's id; lines go through a bounded queue to a thread, and are dropped and counted where nobody reads (lines_that_nobody_reads_are_dropped_and_counted).

--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -5,6 +5,7 @@
 use crate::dialect::Dialect;
 use crate::settings::EdgeSettings;
 use arc_swap::ArcSwapOption;
+use brasswinch_observe::{Event, emit};
 use brasswinch_routing::{
     Backend, FleetState, Liveness, MemberState, Placement, PlacementSettings, RetryBudget,
     RetryBudgetSettings, RouteTable, Scope, SteeringConfig, Swim, WeightedSplit, watches_store,
@@ -174,6 +175,10 @@
             .as_ref()
             .is_none_or(|held| held.config.version != config.version);
         if is_new {
+            emit(
+                Event::ConfigInForce,
+                format_args!("version={}", config.version.0),
+            );
             let routes = RouteTable::new(config);
             let config = Arc::clone(config);
             self.in_force
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -7,9 +7,10 @@
 use crate::attempt::{AttemptEnd, Outgoing, OutgoingBody, attempt};
 use crate::body::{AnyBody, BodyError, Held, PassLimits, Passed, hold};
 use crate::context::{Context, InForce};
-use crate::request::RequestFacts;
+use crate::request::{RequestFacts, request_id};
+use brasswinch_observe::{Event, emit};
 use brasswinch_routing::{Choice, Refusal, Route, TargetId, Wanted};
-use brasswinch_types::{ErrorKind, Service};
+use brasswinch_types::{ErrorKind, Ran, Service};
 use http::request::Parts;
 use http::{Request, Response};
 use http_body_util::BodyExt;
@@ -35,19 +36,51 @@
 ) -> Response<AnyBody> {
     context.requests.fetch_add(1, Ordering::Relaxed);
     let _counted = InFlight::new(context);
-    match run(context, request).await {
+    let arrived = Instant::now();
+    let (parts, body) = request.into_parts();
+    match run(context, &parts, body, arrived).await {
         Ok(answer) => answer,
-        Err(Failure::Kind(kind)) => error_answer(kind),
-        Err(Failure::Refused { retry_after_ms }) => refusal(ErrorKind::AtCapacity, retry_after_ms),
+        Err(failure) => {
+            report_failure(context, &parts, &failure, arrived);
+            match failure {
+                Failure::Kind(kind) => error_answer(kind),
+                Failure::Refused { retry_after_ms } => {
+                    refusal(ErrorKind::AtCapacity, retry_after_ms)
+                }
+            }
+        }
     }
 }
 
+fn report_failure(context: &Context, parts: &Parts, failure: &Failure, arrived: Instant) {
+    let kind = failure.kind();
+    let event = match kind.answer().ran {
+        Ran::NotRun => Event::RequestRefused,
+        Ran::Unknown => Event::RequestFailed,
+    };
+    let id = request_id(parts, &context.dialect);
+    let (path, took) = (parts.uri.path(), arrived.elapsed().as_millis());
+    emit(
+        event,
+        format_args!("id={id} path={path} cause={kind} ms={took}"),
+    );
+}
+
 /// Why a request failed.
 enum Failure {
     Kind(ErrorKind),
     Refused { retry_after_ms: u64 },
 }
 
+impl Failure {
+    fn kind(&self) -> ErrorKind {
+        match self {
+            Self::Kind(kind) => *kind,
+            Self::Refused { .. } => ErrorKind::AtCapacity,
+        }
+    }
+}
+
 impl From<ErrorKind> for Failure {
     fn from(kind: ErrorKind) -> Self {
         Self::Kind(kind)
@@ -105,13 +138,13 @@
 
 async fn run(
     context: &Arc<Context>,
-    request: Request<Incoming>,
+    parts: &Parts,
+    body: Incoming,
+    arrived: Instant,
 ) -> Result<Response<AnyBody>, Failure> {
-    let arrived = Instant::now();
-    let (parts, body) = request.into_parts();
     let in_force = context.in_force.load_full();
     let in_force = in_force.ok_or(ErrorKind::NotConfigured)?;
-    let facts = RequestFacts::read(&parts, &context.dialect, arrived)?;
+    let facts = RequestFacts::read(parts, &context.dialect, arrived)?;
     let route = in_force.routes.find(facts.host, facts.path);
     let route = route.ok_or(ErrorKind::NoRoute)?;
     let length = facts.body_length.unwrap_or(0);
@@ -126,7 +159,7 @@
         context,
         route,
         service,
-        parts: &parts,
+        parts,
         facts,
     };
     let held_length = facts_length(length);
@@ -159,6 +192,7 @@
         let mut unreachable = 0;
         loop {
             let choice = self.choose(&tried)?;
+            let target = choice.target.clone();
             tried.push(choice.target.clone());
             let outgoing = Outgoing {
                 parts: self.parts,
@@ -171,7 +205,10 @@
             };
             let end = attempt(self.context, choice, outgoing).await;
             let failed = match end {
-                AttemptEnd::Answer(answer) => return Ok(answer),
+                AttemptEnd::Answer(answer) => {
+                    self.report_served(&target, answer.status().as_u16(), tried.len());
+                    return Ok(answer);
+                }
                 AttemptEnd::NotSent(unsent) => {
                     body = Some(unsent);
                     unreachable += 1;
@@ -196,9 +233,32 @@
             if !may_retry {
                 return Err(failed.into());
             }
+            self.report_retry(&target, failed);
         }
     }
 
+    fn report_served(&self, target: &TargetId, status: u16, tries: usize) {
+        let id = request_id(self.parts, &self.context.dialect);
+        let (route, service) = (&self.route.name, &self.service);
+        let left = crate::body::time_left(self.answer_by).as_millis();
+        emit(
+            Event::RequestServed,
+            format_args!(
+                "id={id} route={route} service={service} target={target} status={status} \
+                 tries={tries} left_ms={left}"
+            ),
+        );
+    }
+
+    fn report_retry(&self, target: &TargetId, cause: ErrorKind) {
+        let id = request_id(self.parts, &self.context.dialect);
+        let (route, service) = (&self.route.name, &self.service);
+        emit(
+            Event::RequestRetried,
+            format_args!("id={id} route={route} service={service} target={target} cause={cause}"),
+        );
+    }
+
     fn check_time(&self, kind: ErrorKind) -> Result<(), Failure> {
         if Instant::now() < self.answer_by {
             return Ok(());
--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -2,8 +2,9 @@
 
 use crate::context::Context;
 use brasswinch_observe::{Event, emit};
-use brasswinch_routing::SwimMessage;
-use brasswinch_types::Millis;
+use brasswinch_routing::{Liveness, SwimMessage};
+use brasswinch_types::{BoxId, Millis};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -30,6 +31,7 @@
     let mut buffer = vec![0; MOST_DATAGRAM_BYTES];
     let mut load = OwnLoad::default();
     let mut generation = 0;
+    let mut alive = BTreeSet::new();
     loop {
         let out = tokio::select! {
             _ = ticks.tick() => {
@@ -49,10 +51,28 @@
         if newest != generation {
             generation = newest;
             context.publish_members();
+            report(&context, &mut alive);
         }
     }
 }
 
+/// Logs which boxes came and went since the last time.
+fn report(context: &Context, alive: &mut BTreeSet<BoxId>) {
+    let swim = context.swim();
+    let heard: BTreeSet<BoxId> = swim
+        .members()
+        .filter(|member| member.liveness != Liveness::Dead)
+        .map(|member| member.record.id.clone())
+        .collect();
+    for id in heard.difference(alive) {
+        emit(Event::MemberHeard, format_args!("box={id}"));
+    }
+    for id in alive.difference(&heard) {
+        emit(Event::MemberSilent, format_args!("box={id}"));
+    }
+    *alive = heard;
+}
+
 /// Tells some members that this box leaves.
 pub(crate) async fn say_farewell(context: &Context, socket: &UdpSocket) {
     let out = context.swim().farewell(&mut rand::rng());
--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -98,6 +98,12 @@
         })
 }
 
+/// The request's id, for the log.
+pub(crate) fn request_id<'a>(parts: &'a Parts, dialect: &Dialect) -> &'a str {
+    let id = parts.headers.get(&dialect.request_id);
+    id.and_then(|id| id.to_str().ok()).unwrap_or("-")
+}
+
 /// A copy of `headers` without those that concern only one connection.
 pub(crate) fn end_to_end(headers: &HeaderMap) -> HeaderMap {
     let named: Vec<&str> = headers
--- a/crates/observe/src/events.rs
+++ b/crates/observe/src/events.rs
@@ -75,6 +75,12 @@
     404 Warn UnitsUnclaimed "This box could not claim units and serves on borrowed load." "Check the platform's store.";
     500 Warn UpstreamFailed "An upstream could not be reached or broke off." "Check the upstream.";
     501 Info UpstreamLeaving "An upstream said that it is leaving." "None.";
+    310 Info MemberHeard "Another box is heard again, or for the first time." "None.";
+    311 Warn MemberSilent "Another box is no longer heard." "Check the box and the network between the zones.";
+    510 Info RequestServed "A routed request got a target's answer." "None.";
+    511 Warn RequestRetried "A routed request goes to another target." "Check the target, if one stands out.";
+    512 Warn RequestRefused "A routed request was refused; it has not run." "Compare the service's load with its targets.";
+    513 Warn RequestFailed "A routed request failed after it may have run." "Check the target.";
     600 Warn CallerCut "An answer or an upload was cut short." "Check the upstream and the caller's network.";
     601 Warn ClaimLost "A claim's outcome is not known; the request was not run." "Check the platform's store.";
     700 Warn MetricsFailed "Metrics could not be sent." "Check the metrics address.";
--- a/crates/observe/src/lib.rs
+++ b/crates/observe/src/lib.rs
@@ -4,8 +4,10 @@
 mod histograms;
 mod logging;
 mod metrics;
+mod pipe;
 
 pub use events::{Event, EventRow, Severity};
 pub use histograms::{ClassLatency, LatencyTable};
 pub use logging::{LogFormat, emit, init_logging};
 pub use metrics::Metrics;
+pub use pipe::{PipeAppend, dropped_lines};
--- a/crates/observe/src/logging.rs
+++ b/crates/observe/src/logging.rs
@@ -1,14 +1,19 @@
 //! Writes numbered events through the `log` facade, bounded in rate.
 
+use crate::PipeAppend;
 use crate::events::{Event, Severity};
+use logforth::layout::{JsonLayout, TextLayout};
 use std::fmt;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
-/// Most lines of one event in a window.
+/// Most lines of one event of normal operation in a window.
 const LINES_PER_WINDOW: u32 = 20;
 
+/// Most lines of one event that tells of a failure in a window.
+const FAILURE_LINES_PER_WINDOW: u32 = 100;
+
 /// The window.
 const WINDOW: Duration = Duration::from_secs(1);
 
@@ -28,16 +33,16 @@
     if READY.swap(true, Ordering::SeqCst) {
         return;
     }
-    let builder = logforth::starter_log::builder();
-    builder
-        .dispatch(|dispatch| {
-            let append = logforth::append::Stderr::default();
-            let append = match format {
-                LogFormat::Text => append.with_layout(logforth::layout::TextLayout::default()),
-                LogFormat::Json => append.with_layout(logforth::layout::JsonLayout::default()),
-            };
-            dispatch.append(append)
-        })
+    let append = match format {
+        LogFormat::Text => PipeAppend::new(TextLayout::default().no_color(), std::io::stderr()),
+        LogFormat::Json => PipeAppend::new(JsonLayout::default(), std::io::stderr()),
+    };
+    let Ok(append) = append else {
+        eprintln!("no thread is to be had for the log; nothing will be logged");
+        return;
+    };
+    logforth::starter_log::builder()
+        .dispatch(|dispatch| dispatch.append(append))
         .apply();
     // Below it libraries log each of their steps, which costs more than the request.
     log::set_max_level(log::LevelFilter::Info);
@@ -96,7 +101,11 @@
         };
         return Some(suppressed);
     }
-    if window.lines < LINES_PER_WINDOW {
+    let most = match event.row().severity {
+        Severity::Info => LINES_PER_WINDOW,
+        Severity::Warn | Severity::Error => FAILURE_LINES_PER_WINDOW,
+    };
+    if window.lines < most {
         window.lines += 1;
         return Some(0);
     }
--- a/crates/routing/src/placement.rs
+++ b/crates/routing/src/placement.rs
@@ -12,7 +12,7 @@
 use crate::target_load::{LoadReport, TargetLoad};
 use crate::{FleetState, SteeringConfig};
 use brasswinch_types::{BoxId, Millis, Region, Service, Zone};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
 
 /// Targets of a region that an object may use before it counts as without room there.
@@ -21,6 +21,13 @@
 /// Requests at a target, in multiples of its slots, above which it gets no more.
 const MOST_QUEUE: f64 = 1.7;
 
+/// The same for a request about an object that the target has not served for this box:
+/// it takes longer, and a queue of such requests would leave no room to get faster.
+const MOST_QUEUE_UNSERVED: f64 = 1.35;
+
+/// Objects that are remembered as served by a target.
+const MOST_SERVED: usize = 32;
+
 /// A target counts as slow when its latency is this multiple of the service's median.
 const SLOW_MULTIPLE: f64 = 2.5;
 
@@ -85,6 +92,8 @@
 /// The chosen target.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Choice {
+    /// The object that the request is about, as a hash.
+    pub object: u64,
     /// The target.
     pub target: TargetId,
     /// Its service.
@@ -135,9 +144,23 @@
     is_slow: bool,
     load: TargetLoad,
     pacing: ColdPacing,
+    /// Objects that it served lately for this box, newest last.
+    served: VecDeque<u64>,
 }
 
 impl Entry {
+    fn has_served(&self, object: u64) -> bool {
+        self.served.contains(&object)
+    }
+
+    fn note_served(&mut self, object: u64) {
+        self.served.retain(|served| *served != object);
+        self.served.push_back(object);
+        if self.served.len() > MOST_SERVED {
+            self.served.pop_front();
+        }
+    }
+
     fn takes_requests(&self) -> bool {
         self.record.state == TargetState::Ready && !self.is_evacuated && !self.is_replaced
     }
@@ -312,6 +335,7 @@
             is_slow: held.as_ref().is_some_and(|held| held.is_slow),
             load: held.as_ref().map(|held| held.load).unwrap_or_default(),
             pacing: held.as_ref().map(|held| held.pacing).unwrap_or_default(),
+            served: held.map(|held| held.served).unwrap_or_default(),
             record: record.clone(),
         }
     }
@@ -376,14 +400,17 @@
         };
         let load = &mut entry.load;
         match outcome {
-            TargetOutcome::Answered(latency_ms) => load.answered(latency_ms, now),
+            TargetOutcome::Answered(latency_ms) => {
+                load.answered(latency_ms, now);
+                entry.note_served(choice.object);
+            }
             TargetOutcome::Shed => load.shed(),
             TargetOutcome::Replaced => entry.is_replaced = true,
             TargetOutcome::Unreachable => load.unreachable(now),
             TargetOutcome::Unanswered => load.unanswered(now),
             TargetOutcome::Abandoned => {}
         }
-        load.ended();
+        entry.load.ended();
     }
 
     /// A target told its load.
@@ -443,7 +470,7 @@
             .or_else(|| self.shortest_queue(object, &regions, wanted, now))
             .or_else(|| self.cold(wanted, warming, now));
         match chosen {
-            Some(index) => Ok(self.start(index)),
+            Some(index) => Ok(self.start(index, object)),
             None if regions.is_empty() && !self.has_any(wanted) => Err(Refusal::NoTarget),
             None => Err(Refusal::Busy {
                 retry_after_ms: REFUSED_RETRY_MS + (warming.random * 100.0) as Millis,
@@ -451,10 +478,11 @@
         }
     }
 
-    fn start(&mut self, index: usize) -> Choice {
+    fn start(&mut self, index: usize, object: u64) -> Choice {
         let entry = &mut self.entries[index];
         entry.load.started();
         Choice {
+            object,
             target: entry.record.id.clone(),
             service: entry.record.service.clone(),
             address: entry.record.address,
@@ -557,7 +585,15 @@
             let homes = self.homes(object, region, wanted, now);
             let least = homes
                 .into_iter()
-                .filter(|index| self.entries[*index].fullness(now) < MOST_QUEUE)
+                .filter(|index| {
+                    let entry = &self.entries[*index];
+                    let most = if entry.has_served(object) {
+                        MOST_QUEUE
+                    } else {
+                        MOST_QUEUE_UNSERVED
+                    };
+                    entry.fullness(now) < most
+                })
                 .min_by(|a, b| cost(a).total_cmp(&cost(b)));
             if least.is_some() {
                 return least;
--- a/crates/routing/src/region_plan.rs
+++ b/crates/routing/src/region_plan.rs
@@ -12,7 +12,7 @@
 const LOCAL_PREFERENCE: f64 = 1.25;
 
 /// Part of the shift bound that the plan uses; the rest covers chance and spilling.
-const USED_PART_OF_BOUND: f64 = 0.3;
+const USED_PART_OF_BOUND: f64 = 0.6;
 
 /// The window of the shift bound, in milliseconds.
 const BOUND_WINDOW_MS: f64 = 2_000.0;
