Begin region plans as if each region asked alike; keep more at home

Change: as long as nothing is known of demand every region is taken to ask alike; a region keeps up to 1.6 times its even part (1.25 before).

--- a/crates/routing/src/region_plan.rs
+++ b/crates/routing/src/region_plan.rs
@@ -9,7 +9,7 @@
 
 /// A region may take this much more than its even part of the load to keep requests
 /// near their callers.
-const LOCAL_PREFERENCE: f64 = 1.25;
+const LOCAL_PREFERENCE: f64 = 1.6;
 
 /// Part of the shift bound that the plan uses; the rest covers chance and spilling.
 const USED_PART_OF_BOUND: f64 = 0.6;
@@ -92,8 +92,23 @@
     }
 }
 
-/// The parts that balance load, with a preference for the origin.
+/// The parts that balance load, with a preference for the origin. Where nothing is known
+/// of demand yet, each region is taken to ask alike.
 fn goal(origin: &Region, rooms: &[RegionRoom]) -> BTreeMap<Region, f64> {
+    if rooms.iter().all(|room| room.demand <= 0.0) {
+        let asking_alike: Vec<RegionRoom> = rooms
+            .iter()
+            .map(|room| RegionRoom {
+                demand: 1.0,
+                ..room.clone()
+            })
+            .collect();
+        return balanced(origin, &asking_alike);
+    }
+    balanced(origin, rooms)
+}
+
+fn balanced(origin: &Region, rooms: &[RegionRoom]) -> BTreeMap<Region, f64> {
     let slots: f64 = rooms.iter().map(|room| room.slots).sum();
     let demand: f64 = rooms.iter().map(|room| room.demand).sum();
     if slots <= 0.0 {
@@ -103,7 +118,7 @@
         .iter()
         .find(|room| &room.region == origin)
         .map_or(0.0, |room| room.demand);
-    if demand <= 0.0 || own_demand <= 0.0 {
+    if own_demand <= 0.0 {
         let even = |room: &RegionRoom| (room.region.clone(), room.slots / slots);
         return rooms.iter().map(even).collect();
     }
