--- a/crates/routing/tests/placement.rs
+++ b/crates/routing/tests/placement.rs
@@ -88,10 +88,10 @@
         "{} moved, {own} were its own",
         moved.len()
     );
-    assert!(
-        before.values().collect::<BTreeSet<_>>().len() > 10,
-        "spread"
-    );
+    // The region has room for its own requests, and all of its targets share them.
+    let used: BTreeSet<&TargetId> = before.values().collect();
+    assert_eq!(used.len(), 6, "{used:?}");
+    assert!(used.iter().all(|id| id.as_str().starts_with("west")));
 }
 
 #[test]
@@ -247,7 +247,7 @@
             Err(Refusal::NoTarget) => panic!("there are targets"),
         }
     }
-    assert!(away + refused > 0);
+    assert!(away > 0 && refused > 0, "{away} away, {refused} refused");
 }
 
 #[test]
