--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -3,6 +3,7 @@
 use crate::clock::Clock;
 use crate::connections::ConnectionPool;
 use crate::dialect::Dialect;
+use crate::figures::Figures;
 use crate::settings::EdgeSettings;
 use arc_swap::ArcSwapOption;
 use brasswinch_observe::{Event, emit};
@@ -65,6 +66,7 @@
     pub(crate) clock: Clock,
     pub(crate) in_force: ArcSwapOption<InForce>,
     pub(crate) pool: Arc<ConnectionPool>,
+    pub(crate) figures: Figures,
     /// Requests that are being answered.
     pub(crate) in_flight: AtomicUsize,
     /// Bytes of bodies that are held.
@@ -104,6 +106,7 @@
             clock: Clock::new(),
             in_force: ArcSwapOption::empty(),
             pool: Arc::new(ConnectionPool::new(settings.addresses.clients.ip())),
+            figures: Figures::default(),
             in_flight: AtomicUsize::new(0),
             held_bytes: AtomicUsize::new(0),
             requests: AtomicU64::new(0),
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -162,10 +162,17 @@
         parts,
         facts,
     };
-    let held_length = facts_length(length);
-    let _held = HeldBytes::reserve(context, held_length).ok_or(ErrorKind::AtCapacity)?;
-    let held = routed.read_body(body).await?;
-    routed.send(held, &in_force).await
+    let ended = routed.serve(body, length, &in_force).await;
+    let outcome = match &ended {
+        Ok(_) => "answered",
+        Err(failure) => failure.kind().code(),
+    };
+    context.figures.count(&routed.service, outcome);
+    if ended.is_ok() {
+        let (service, kind) = (&routed.service, routed.route.kind);
+        context.figures.answered(service, kind, arrived.elapsed());
+    }
+    ended
 }
 
 /// Bytes that a body is counted with while it is held.
@@ -174,6 +181,19 @@
 }
 
 impl Routed<'_> {
+    async fn serve(
+        &self,
+        body: Incoming,
+        length: u64,
+        in_force: &InForce,
+    ) -> Result<Response<AnyBody>, Failure> {
+        let held_length = facts_length(length);
+        let reserved = HeldBytes::reserve(self.context, held_length);
+        let _reserved = reserved.ok_or(ErrorKind::AtCapacity)?;
+        let held = self.read_body(body).await?;
+        self.send(held, in_force).await
+    }
+
     async fn read_body(&self, body: Incoming) -> Result<Held, Failure> {
         match timeout_at(self.answer_by, hold(body, MOST_HELD_BODY)).await {
             Ok(Ok(held)) => Ok(held),
--- /dev/null
+++ b/crates/edge/src/figures.rs
@@ -0,0 +1,111 @@
+//! What the box counts of the requests that it answers, as text that collectors read.
+
+use crate::context::Context;
+use brasswinch_observe::{LatencyTable, dropped_lines};
+use brasswinch_routing::{Liveness, RouteKind, Scope};
+use brasswinch_types::{Class, OnceProof, Service, Workspace};
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::sync::atomic::Ordering;
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+/// Most services that are counted by themselves.
+const MOST_SERVICES: usize = 256;
+
+/// Requests by service and outcome, and the latency of those that were answered.
+#[derive(Debug, Default)]
+pub(crate) struct Figures {
+    outcomes: Mutex<BTreeMap<(Service, &'static str), u64>>,
+    latency: LatencyTable,
+}
+
+impl Figures {
+    /// Counts a request's end by the code of its error, or as answered.
+    pub(crate) fn count(&self, service: &Service, outcome: &'static str) {
+        let mut outcomes = self.outcomes.lock().unwrap_or_else(PoisonError::into_inner);
+        if outcomes.len() < MOST_SERVICES || outcomes.contains_key(&(service.clone(), outcome)) {
+            *outcomes.entry((service.clone(), outcome)).or_default() += 1;
+        }
+    }
+
+    /// Counts the latency of an answered request.
+    pub(crate) fn answered(&self, service: &Service, kind: RouteKind, took: Duration) {
+        let class = match kind {
+            RouteKind::Repeatable => Class::Repeatable,
+            RouteKind::Once => Class::Once(OnceProof::default()),
+            RouteKind::Upload => Class::Upload,
+        };
+        let name = Workspace::new(service.as_str());
+        self.latency.record(&name, class, took.as_micros() as u64);
+    }
+
+    fn write(&self, text: &mut String) {
+        let outcomes = self.outcomes.lock().unwrap_or_else(PoisonError::into_inner);
+        for ((service, outcome), count) in &*outcomes {
+            line(
+                text,
+                "requests_total",
+                &format!("service=\"{service}\",outcome=\"{outcome}\""),
+                *count as f64,
+            );
+        }
+        for summary in self.latency.summary() {
+            let quantiles = [
+                ("0.5", summary.p50_us),
+                ("0.99", summary.p99_us),
+                ("0.999", summary.p999_us),
+            ];
+            for (quantile, micros) in quantiles {
+                let labels = format!(
+                    "service=\"{}\",class=\"{}\",quantile=\"{quantile}\"",
+                    summary.workspace, summary.class
+                );
+                line(text, "request_seconds", &labels, micros as f64 / 1e6);
+            }
+        }
+    }
+}
+
+impl Context {
+    /// All figures of the box, a line each, in the text form of Prometheus.
+    pub fn figures_text(&self) -> String {
+        let mut text = String::new();
+        self.figures.write(&mut text);
+        let in_flight = self.in_flight.load(Ordering::Relaxed) as f64;
+        line(&mut text, "requests_in_flight", "", in_flight);
+        line(
+            &mut text,
+            "log_lines_dropped_total",
+            "",
+            dropped_lines() as f64,
+        );
+        let held = self.held_bytes.load(Ordering::Relaxed) as f64;
+        line(&mut text, "held_body_bytes", "", held);
+        let swim = self.swim();
+        let alive = swim.members().filter(|m| m.liveness == Liveness::Alive);
+        line(&mut text, "members_alive", "", alive.count() as f64);
+        drop(swim);
+        for (scope, name) in [(Scope::Operator, "operator"), (Scope::Targets, "targets")] {
+            if let Some(revision) = self.fleet().newest(scope) {
+                let labels = format!("scope=\"{name}\"");
+                line(&mut text, "store_revision", &labels, revision.0 as f64);
+            }
+        }
+        if let Some(in_force) = &*self.in_force.load() {
+            let version = in_force.config.version.0 as f64;
+            line(&mut text, "config_version", "", version);
+        }
+        text
+    }
+}
+
+fn line(text: &mut String, name: &str, labels: &str, value: f64) {
+    let labels = if labels.is_empty() {
+        String::new()
+    } else {
+        format!("{{{labels}}}")
+    };
+    // Writing to a string doesn't fail.
+    let _ = writeln!(text, "brasswinch_{name}{labels} {value}");
+}
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -13,6 +13,7 @@
 mod context;
 mod dialect;
 mod exchange;
+mod figures;
 mod follow;
 mod gossip;
 mod relay;
