--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -8,11 +8,12 @@
 use arc_swap::ArcSwapOption;
 use brasswinch_observe::{Event, emit};
 use brasswinch_routing::{
-    Backend, FleetState, Liveness, MemberState, Placement, PlacementSettings, RetryBudget,
-    RetryBudgetSettings, RouteTable, Scope, SteeringConfig, Swim, WeightedSplit, watches_store,
+    Backend, DemandSample, FleetState, Liveness, MemberState, Placement, PlacementSettings,
+    RetryBudget, RetryBudgetSettings, RouteTable, Scope, SteeringConfig, Swim, WeightedSplit,
+    watches_store,
 };
 use brasswinch_types::{Millis, Region, Service, Zone};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, AtomicUsize};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -201,12 +202,18 @@
         let _ = changes.wait_for(|watches| *watches).await;
     }
 
-    /// Tells other boxes how far `scope` is known here, where that went on.
-    pub(crate) fn told(&self, scope: Scope) {
+    /// Tells other boxes how far `scope` is known here, where that went on by news from
+    /// `source`.
+    pub(crate) fn told(&self, scope: Scope, source: &dyn std::fmt::Display) {
         let Some(newest) = self.fleet().newest(scope) else {
             return;
         };
         if self.swim().set_revision(scope, newest) {
+            let revision = newest.0;
+            emit(
+                Event::NewsLearned,
+                format_args!("scope={scope:?} revision={revision} from={source}"),
+            );
             self.has_news.notify_one();
         }
     }
@@ -229,15 +236,16 @@
             .members()
             .filter(|member| member.liveness == Liveness::Alive)
             .map(|member| &member.record);
-        let mut demand: BTreeMap<Region, f64> = BTreeMap::new();
+        let mut demand = DemandSample::default();
         let mut ids = Vec::new();
         for record in others.chain([me]) {
             if let Some(region) = self.settings.zones.get(&record.zone) {
-                *demand.entry(region.clone()).or_default() += f64::from(record.requests_per_s);
+                demand.add(region, record.requests_per_s);
             }
             ids.push(&record.id);
         }
-        self.placement().set_boxes(ids.into_iter(), demand);
+        self.placement()
+            .set_boxes(ids.into_iter(), demand.by_region());
         let watches = watches_store(&swim);
         self.watches_store.send_if_modified(|held| {
             let is_new = *held != watches;
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -78,7 +78,7 @@
     let now = context.clock.now();
     context.fleet().apply_snapshot(snapshot, now);
     context.publish();
-    context.told(scope);
+    context.told(scope, &"listing");
     Ok(at)
 }
 
@@ -100,7 +100,7 @@
     if changed {
         context.publish();
     }
-    context.told(scope);
+    context.told(scope, &"watch");
     sleep(GATHER).await;
     Ok(watched.at)
 }
--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -121,10 +121,13 @@
         }
         let requests = context.requests.load(Ordering::Relaxed);
         let newest = (requests - self.requests) as f64 * 1_000.0 / elapsed as f64;
-        self.per_s += LOAD_WEIGHT * (newest - self.per_s);
+        let weight = if self.requests == 0 { 1.0 } else { LOAD_WEIGHT };
+        self.per_s += weight * (newest - self.per_s);
         self.measured_at = now;
         self.requests = requests;
-        context.swim().set_requests_per_s(self.per_s as f32);
+        if requests > 0 {
+            context.swim().set_requests_per_s(self.per_s as f32);
+        }
         context.publish_members();
     }
 }
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -18,7 +18,7 @@
 use tokio_tungstenite::{WebSocketStream, accept_async_with_config, client_async_with_config};
 
 /// Longest time for a question and its answer.
-const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(1_000);
+const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Longest message: everything that is known of the largest fleet.
 const MOST_MESSAGE_BYTES: usize = 64 * 1024 * 1024;
@@ -45,6 +45,9 @@
     /// A message can't be read.
     #[error("the message can't be read: {0}")]
     Malformed(String),
+    /// The other box has only just started.
+    #[error("it knows nothing yet")]
+    KnowsNothing,
     /// No answer in time.
     #[error("no answer in time")]
     TimeOver,
@@ -89,9 +92,9 @@
         .await
         .map_err(failed)?;
     send(&mut socket, &question).await?;
-    let answer = receive(&mut socket).await?;
+    let answer: Option<CatchUp> = receive(&mut socket).await?;
     let _ = socket.close(None).await;
-    Ok(answer)
+    answer.ok_or(RelayError::KnowsNothing)
 }
 
 async fn connect(context: &Context, peer: SocketAddr) -> std::io::Result<TcpStream> {
@@ -112,10 +115,9 @@
         .await
         .map_err(failed)?;
     let question: Question = receive(&mut socket).await?;
+    // A box that knows nothing yet says so, and the asker turns to another.
     let missing = context.fleet().missing(question.scope, question.after);
-    if let Some(missing) = missing {
-        send(&mut socket, &missing).await?;
-    }
+    send(&mut socket, &missing).await?;
     // Reads the asker's close, so that the answer isn't cut off.
     while let Some(Ok(_)) = socket.next().await {}
     Ok(())
--- a/crates/edge/src/start.rs
+++ b/crates/edge/src/start.rs
@@ -134,7 +134,7 @@
         caller_address: settings.addresses.clients,
         peer_address: settings.addresses.peers,
         state: MemberState::Starting,
-        requests_per_s: 0.0,
+        requests_per_s: None,
         operator_revision: Revision::default(),
         target_revision: Revision::default(),
         reaches_store: true,
--- a/crates/edge/tests/boxes.rs
+++ b/crates/edge/tests/boxes.rs
@@ -6,11 +6,15 @@
 use brasswinch_edge::{Dialect, EdgeHandle, start};
 use brasswinch_lab::memory_store::{MemoryStore, StoreFault};
 use brasswinch_lab::target::{Behaviour, Target};
-use brasswinch_routing::{Change, ChangeKey, RouteKind, TargetId, TargetState};
-use brasswinch_types::{Region, Zone};
+use brasswinch_routing::{
+    Change, ChangeKey, MemberRecord, MemberState, Revision, RouteKind, Swim, SwimSettings,
+    TargetId, TargetState,
+};
+use brasswinch_types::{BoxId, Region, Zone};
 use common::{Kept, Site, call, config, eventually, record, request, route, settings};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -266,3 +270,92 @@
     assert_eq!(cut, 0, "connections that were cut, of {all}");
     stopping.await.unwrap();
 }
+
+/// A member that says it knows more than anybody, and never answers a question.
+async fn silent_know_all(of: SocketAddr) -> Arc<AtomicUsize> {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let socket = tokio::net::UdpSocket::bind(address).await.unwrap();
+    let asked = Arc::new(AtomicUsize::new(0));
+    let counting = Arc::clone(&asked);
+    tokio::spawn(async move {
+        let mut kept = Vec::new();
+        while let Ok((stream, _)) = listener.accept().await {
+            counting.fetch_add(1, Ordering::Relaxed);
+            kept.push(stream);
+        }
+    });
+    let record = MemberRecord {
+        id: BoxId::new("know-all"),
+        incarnation: 1,
+        zone: Zone::new("west-a"),
+        caller_address: address,
+        peer_address: address,
+        state: MemberState::Serving,
+        requests_per_s: None,
+        operator_revision: Revision(1_000_000),
+        target_revision: Revision(1_000_000),
+        reaches_store: true,
+    };
+    let settings = SwimSettings::default();
+    let mut swim = Swim::new(record, vec![of], settings);
+    tokio::spawn(async move {
+        let mut buffer = vec![0; 16_384];
+        let began = std::time::Instant::now();
+        loop {
+            let now = began.elapsed().as_millis() as u64 + 1;
+            let wait = Duration::from_millis(50);
+            let received = tokio::time::timeout(wait, socket.recv_from(&mut buffer)).await;
+            let out = match received {
+                Ok(Ok((length, from))) => {
+                    let message = ciborium::from_reader(&buffer[..length]).unwrap();
+                    swim.receive(from, message, now, &mut rand::rng())
+                }
+                _ => swim.tick(now, &mut rand::rng()),
+            };
+            for (to, message) in out {
+                let mut datagram = Vec::new();
+                ciborium::into_writer(&message, &mut datagram).unwrap();
+                let _ = socket.send_to(&datagram, to).await;
+            }
+        }
+    });
+    asked
+}
+
+#[tokio::test]
+async fn a_box_that_never_answers_keeps_nobody_from_hearing_from_others() {
+    let store = MemoryStore::default();
+    let target = Target::start("target-0", &Dialect::default())
+        .await
+        .unwrap();
+    store.write(Change::Config(Arc::new(config(1))));
+    store.write(Change::Target(record(&target)));
+    let boxes = boxes(2, &store).await;
+    let asked = silent_know_all(boxes[0].0.addresses().peers).await;
+    let (turned_away, fault) = &boxes[1];
+    fault.set_fault(StoreFault::TurnedAway);
+    let asks = Arc::clone(&asked);
+    eventually("the silent one is asked", || {
+        asks.load(Ordering::Relaxed) > 0
+    })
+    .await;
+    // A watch that was under way when the fault began still brings one change.
+    store.write(Change::Evacuated(Zone::new("north-a")));
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let mut newer = config(2);
+    newer
+        .routes
+        .push(route("/new/", RouteKind::Repeatable, "desk"));
+    let before = asked.load(Ordering::Relaxed);
+    store.write(Change::Config(Arc::new(newer)));
+    let clients = turned_away.addresses().clients;
+    while status(clients, "/new/1").await != 200 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let wasted = asked.load(Ordering::Relaxed) - before;
+    assert!(
+        wasted <= 3,
+        "{wasted} questions to the one that never answers"
+    );
+}
--- a/crates/observe/src/events.rs
+++ b/crates/observe/src/events.rs
@@ -64,6 +64,7 @@
     210 Info ConfigInForce "A newer configuration entry is in force here." "None.";
     211 Error PolicyRefused "A stored policy could not be evaluated; the one before stays in force." "Submit a corrected policy.";
     212 Warn ConfigMalformed "A stored configuration value can't be read." "Submit the entry again.";
+    220 Info NewsLearned "Changes of configuration or targets were learned, from the store or another box." "None.";
     300 Info PeerUp "A link to another box is up." "None.";
     301 Warn PeerDown "A link to another box went down." "Check the box and the network between the zones.";
     302 Warn PeerMalformed "A peer sent a message that can't be read; its link was closed." "Check that all boxes run versions that speak the same protocol.";
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -7,6 +7,7 @@
 mod change;
 mod cold_pacing;
 mod config;
+mod demand;
 mod fleet_state;
 mod placement;
 mod region_plan;
@@ -25,6 +26,7 @@
     Backend, ClientLimits, ConfigError, ConfigVersion, Route, RouteKind, ServiceConfig,
     SteeringConfig,
 };
+pub use demand::DemandSample;
 pub use fleet_state::{CatchUp, FleetState};
 pub use placement::{
     Choice, Placement, PlacementSettings, Refusal, ServiceTargets, TargetOutcome, Wanted,
--- a/crates/routing/src/swim.rs
+++ b/crates/routing/src/swim.rs
@@ -67,9 +67,9 @@
     /// What it is doing.
     #[serde(rename = "s")]
     pub state: MemberState,
-    /// Requests a second that its callers send.
+    /// Requests a second that its callers send; `None` until it has measured them.
     #[serde(rename = "r")]
-    pub requests_per_s: f32,
+    pub requests_per_s: Option<f32>,
     /// Up to where it knows what operators wrote.
     #[serde(rename = "o")]
     pub operator_revision: Revision,
@@ -260,7 +260,7 @@
 
     /// Changes the load that this box tells.
     pub fn set_requests_per_s(&mut self, requests_per_s: f32) {
-        self.me.requests_per_s = requests_per_s;
+        self.me.requests_per_s = Some(requests_per_s);
         self.me.incarnation += 1;
     }
 
--- a/crates/routing/tests/membership.rs
+++ b/crates/routing/tests/membership.rs
@@ -26,7 +26,7 @@
         caller_address: address(number),
         peer_address: address(number),
         state: MemberState::Serving,
-        requests_per_s: 1.0,
+        requests_per_s: Some(1.0),
         operator_revision: Revision(0),
         target_revision: Revision(0),
         reaches_store: true,
--- a/crates/routing/tests/shared_bounds.rs
+++ b/crates/routing/tests/shared_bounds.rs
@@ -1,7 +1,9 @@
 //! Bounds that all boxes keep together without a message.
 #![allow(clippy::unwrap_used, clippy::expect_used)]
 
-use brasswinch_routing::{ColdPacing, RegionPlan, RegionRoom, RetryBudget, RetryBudgetSettings};
+use brasswinch_routing::{
+    ColdPacing, DemandSample, RegionPlan, RegionRoom, RetryBudget, RetryBudgetSettings,
+};
 use brasswinch_types::Region;
 use proptest::prelude::*;
 
@@ -154,3 +156,18 @@
     assert!((0.2..0.5).contains(&own), "{own}");
     assert!(south > north && north > 0.0, "{north} {south}");
 }
+
+#[test]
+fn demand_is_a_sample_and_what_was_not_heard_is_not_taken_for_nothing() {
+    let [west, north, south] = ["west", "north", "south"].map(Region::new);
+    let mut sample = DemandSample::default();
+    for heard in [Some(10.0), Some(20.0), None, None] {
+        sample.add(&west, heard);
+    }
+    sample.add(&north, Some(30.0));
+    sample.add(&south, None);
+    let demand = sample.by_region();
+    assert_eq!(demand[&west], 60.0, "two heard of four boxes");
+    assert_eq!(demand[&north], 30.0);
+    assert_eq!(demand[&south], 45.0, "as the others on average");
+}
