Split placement and membership by job; tell the truth after a lost try; bad input

Cause 1: a repeatable request that one target lost and the next refused was told 503, a promise that it has not run. what_may_have_run_is_never_told_not_run_by_a_later_try failed first (503), now 502. Change: Tries keeps whether any try may have run.

Cause 2 (edge/tests/bad_input.rs, failed first): a deadline of NaN was taken for 0; a request whose deadline had passed reached a target.

BW513 names the target.

--- a/crates/edge/src/catch_up.rs
+++ b/crates/edge/src/catch_up.rs
@@ -72,6 +72,9 @@
 fn ahead(context: &Context, scope: Scope, avoided: &Avoided) -> Option<(SocketAddr, Revision)> {
     let mine = context.fleet().newest(scope).unwrap_or_default();
     let swim = context.swim();
+    if swim.newest_heard(scope) <= mine {
+        return None;
+    }
     let mut ahead: Vec<(u8, SocketAddr, Revision)> = swim
         .members()
         .filter(|member| member.liveness == Liveness::Alive)
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -11,6 +11,7 @@
 use brasswinch_observe::{Event, emit};
 use brasswinch_routing::{Choice, Refusal, Route, TargetId, Wanted};
 use brasswinch_types::{ErrorKind, Ran, Service};
+use bytes::Bytes;
 use http::request::Parts;
 use http::{Request, Response};
 use http_body_util::BodyExt;
@@ -43,7 +44,7 @@
         Err(failure) => {
             report_failure(context, &parts, &failure, arrived);
             match failure {
-                Failure::Kind(kind) => error_answer(kind),
+                Failure::Kind(kind) | Failure::AtTarget { kind, .. } => error_answer(kind),
                 Failure::Refused { retry_after_ms } => {
                     refusal(ErrorKind::AtCapacity, retry_after_ms)
                 }
@@ -60,22 +61,30 @@
     };
     let id = request_id(parts, &context.dialect);
     let (path, took) = (parts.uri.path(), arrived.elapsed().as_millis());
+    let target = match failure {
+        Failure::AtTarget { target, .. } => target.as_str(),
+        Failure::Kind(_) | Failure::Refused { .. } => "-",
+    };
     emit(
         event,
-        format_args!("id={id} path={path} cause={kind} ms={took}"),
+        format_args!("id={id} path={path} target={target} cause={kind} ms={took}"),
     );
 }
 
 /// Why a request failed.
 enum Failure {
+    /// For a reason that has a fixed answer.
     Kind(ErrorKind),
+    /// The same, after it was sent to a target.
+    AtTarget { kind: ErrorKind, target: TargetId },
+    /// For lack of room, with a time to come back.
     Refused { retry_after_ms: u64 },
 }
 
 impl Failure {
     fn kind(&self) -> ErrorKind {
         match self {
-            Self::Kind(kind) => *kind,
+            Self::Kind(kind) | Self::AtTarget { kind, .. } => *kind,
             Self::Refused { .. } => ErrorKind::AtCapacity,
         }
     }
@@ -126,6 +135,50 @@
     }
 }
 
+/// What is known of a request's tries.
+struct Tries {
+    targets: Vec<TargetId>,
+    /// The body, where it is held whole.
+    whole: Bytes,
+    can_repeat: bool,
+    /// Tries in which it was sent.
+    sent: u32,
+    /// Tries in which nothing was sent.
+    unreachable: u32,
+    may_have_run: bool,
+}
+
+impl Tries {
+    fn new(held: &Held) -> Self {
+        Self {
+            targets: Vec::new(),
+            whole: held.bytes.clone(),
+            can_repeat: held.is_whole(),
+            sent: 0,
+            unreachable: 0,
+            may_have_run: false,
+        }
+    }
+
+    /// Counts a try in which the request was sent and that failed.
+    fn sent(&mut self, kind: ErrorKind) {
+        self.sent += 1;
+        self.may_have_run |= kind.answer().ran == Ran::Unknown;
+    }
+
+    /// Once a try may have run, no later one makes the answer "not run".
+    fn truth(&self, failure: Failure) -> Failure {
+        let claims_not_run = failure.kind().answer().ran == Ran::NotRun;
+        match self.targets.last() {
+            Some(target) if self.may_have_run && claims_not_run => Failure::AtTarget {
+                kind: ErrorKind::UpstreamBroken,
+                target: target.clone(),
+            },
+            _ => failure,
+        }
+    }
+}
+
 /// A request whose route is known.
 struct Routed<'a> {
     context: &'a Arc<Context>,
@@ -204,57 +257,69 @@
 
     /// Sends the request to targets until one answers or it has to be given up.
     async fn send(&self, held: Held, in_force: &InForce) -> Result<Response<AnyBody>, Failure> {
-        let can_repeat = held.is_whole();
-        let whole = held.bytes.clone();
+        let mut tries = Tries::new(&held);
         let mut body = Some(self.outgoing_body(held, in_force));
-        let mut tried: Vec<TargetId> = Vec::new();
-        let mut sent = 0;
-        let mut unreachable = 0;
         loop {
-            let choice = self.choose(&tried)?;
+            let choice = self
+                .next_target(&tries)
+                .map_err(|failure| tries.truth(failure))?;
             let target = choice.target.clone();
-            tried.push(choice.target.clone());
+            tries.targets.push(target.clone());
             let outgoing = Outgoing {
                 parts: self.parts,
                 body: match body.take() {
                     Some(body) => body,
-                    None => OutgoingBody::Whole(whole.clone()),
+                    None => OutgoingBody::Whole(tries.whole.clone()),
                 },
                 answer_by: self.answer_by,
                 is_repeatable: self.route.kind.is_repeatable(),
             };
-            let end = attempt(self.context, choice, outgoing).await;
-            let failed = match end {
+            let kind = match attempt(self.context, choice, outgoing).await {
                 AttemptEnd::Answer(answer) => {
-                    self.report_served(&target, answer.status().as_u16(), tried.len());
+                    let count = tries.targets.len();
+                    self.report_served(&target, answer.status().as_u16(), count);
                     return Ok(answer);
                 }
                 AttemptEnd::NotSent(unsent) => {
                     body = Some(unsent);
-                    unreachable += 1;
-                    if unreachable >= MOST_UNREACHABLE {
-                        return Err(ErrorKind::NoTarget.into());
-                    }
-                    self.check_time(ErrorKind::TimeoutBeforeSend)?;
+                    tries.unreachable += 1;
                     continue;
                 }
-                AttemptEnd::TimeOver => return Err(ErrorKind::TimeoutAfterSend.into()),
+                AttemptEnd::TimeOver => ErrorKind::TimeoutAfterSend,
                 AttemptEnd::Refused => ErrorKind::UpstreamRefused,
                 AttemptEnd::Lost => ErrorKind::UpstreamBroken,
             };
-            sent += 1;
-            let may_run_again =
-                failed == ErrorKind::UpstreamRefused || self.route.kind.is_repeatable();
-            let may_retry = may_run_again
-                && can_repeat
-                && sent < self.route.max_attempts
-                && Instant::now() < self.answer_by
-                && self.context.spend_retry(&self.service);
-            if !may_retry {
-                return Err(failed.into());
+            tries.sent(kind);
+            if !self.may_retry(&tries, kind) {
+                return Err(tries.truth(Failure::AtTarget { kind, target }));
             }
-            self.report_retry(&target, failed);
+            self.report_retry(&target, kind);
+        }
+    }
+
+    /// The target of the next try, while there is time for one.
+    fn next_target(&self, tries: &Tries) -> Result<Choice, Failure> {
+        if Instant::now() >= self.answer_by {
+            return Err(ErrorKind::TimeoutBeforeSend.into());
+        }
+        if tries.unreachable >= MOST_UNREACHABLE {
+            return Err(ErrorKind::NoTarget.into());
         }
+        self.choose(&tries.targets)
+    }
+
+    /// Whether the request may be sent once more after a try that ended with `kind`.
+    fn may_retry(&self, tries: &Tries, kind: ErrorKind) -> bool {
+        let may_run_again = match kind {
+            ErrorKind::UpstreamRefused => true,
+            ErrorKind::UpstreamBroken => self.route.kind.is_repeatable(),
+            _ => false,
+        };
+        may_run_again
+            && tries.can_repeat
+            && tries.sent < self.route.max_attempts
+            && Instant::now() < self.answer_by
+            && self.context.spend_retry(&self.service)
     }
 
     fn report_served(&self, target: &TargetId, status: u16, tries: usize) {
@@ -279,13 +344,6 @@
         );
     }
 
-    fn check_time(&self, kind: ErrorKind) -> Result<(), Failure> {
-        if Instant::now() < self.answer_by {
-            return Ok(());
-        }
-        Err(kind.into())
-    }
-
     fn choose(&self, tried: &[TargetId]) -> Result<Choice, Failure> {
         let wanted = Wanted {
             service: &self.service,
--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -10,11 +10,15 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::net::UdpSocket;
-use tokio::time::{MissedTickBehavior, interval};
+use tokio::time::{Instant, MissedTickBehavior, interval};
 
 /// Between two looks at the protocol's timers.
 const TICK: Duration = Duration::from_millis(75);
 
+/// Least time between two looks at which boxes there are: in a large fleet they change
+/// all the time.
+const PUBLISH: Duration = Duration::from_millis(150);
+
 /// Longest datagram that is read.
 const MOST_DATAGRAM_BYTES: usize = 16 * 1024;
 
@@ -31,6 +35,7 @@
     let mut buffer = vec![0; MOST_DATAGRAM_BYTES];
     let mut load = OwnLoad::default();
     let mut generation = 0;
+    let mut published_at = Instant::now();
     let mut alive = BTreeSet::new();
     loop {
         let out = tokio::select! {
@@ -48,8 +53,9 @@
         };
         send(&socket, out).await;
         let newest = context.swim().generation();
-        if newest != generation {
+        if newest != generation && published_at.elapsed() >= PUBLISH {
             generation = newest;
+            published_at = Instant::now();
             context.publish_members();
             report(&context, &mut alive);
         }
--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -74,6 +74,9 @@
         .trim()
         .parse()
         .map_err(|_| ErrorKind::MalformedRequest)?;
+    if !millis.is_finite() {
+        return Err(ErrorKind::MalformedRequest);
+    }
     let left = Duration::try_from_secs_f64(millis.max(0.0) / 1_000.0);
     left.map(Some).map_err(|_| ErrorKind::MalformedRequest)
 }
--- a/crates/edge/tests/answers.rs
+++ b/crates/edge/tests/answers.rs
@@ -134,6 +134,24 @@
     }
 }
 
+#[tokio::test]
+async fn what_may_have_run_is_never_told_not_run_by_a_later_try() {
+    // Whichever is home, one loses the request and the other refuses it.
+    for order in [
+        [Behaviour::Close, Behaviour::Refuse],
+        [Behaviour::Refuse, Behaviour::Close],
+    ] {
+        let site = Site::start(2).await;
+        for (target, behaviour) in site.targets.iter().zip(order) {
+            target.always(behaviour);
+        }
+        let answer = site.get("/safe/1").await;
+        assert_eq!(site.seen(), 2, "both were tried");
+        assert_eq!(answer.status, 502);
+        assert!(!answer.headers.contains_key("retry-after"));
+    }
+}
+
 #[tokio::test]
 async fn a_second_answer_never_reaches_the_next_request() {
     let site = Site::start(1).await;
--- /dev/null
+++ b/crates/edge/tests/bad_input.rs
@@ -0,0 +1,79 @@
+//! Bytes that make no sense, on every listener of a box: it serves on.
+#![allow(clippy::unwrap_used, clippy::expect_used)]
+
+mod common;
+
+use brasswinch_edge::Dialect;
+use common::{Site, call, request};
+use proptest::prelude::*;
+use proptest::strategy::ValueTree;
+use proptest::test_runner::TestRunner;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpStream, UdpSocket};
+
+const TRIES: usize = 60;
+
+/// Random bytes, and heads that are nearly right.
+fn nonsense(runner: &mut TestRunner) -> Vec<u8> {
+    let bytes = proptest::collection::vec(any::<u8>(), 0..600);
+    let head = "(GET|POST|G@T) /[a-z/%]{0,9} HTTP/1.[019]\r\n(host: [a-z.]{0,9}\r\n){0,2}\
+                (content-length: [0-9a-z]{0,4}\r\n){0,2}(transfer-encoding: [a-z]{0,7}\r\n)?\
+                (\r\n)?[a-z]{0,9}";
+    let head = proptest::string::string_regex(head).unwrap();
+    let either = prop_oneof![bytes, head.prop_map(String::into_bytes)];
+    either.new_tree(runner).unwrap().current()
+}
+
+async fn throw_at(to: std::net::SocketAddr, bytes: &[u8]) {
+    let mut stream = TcpStream::connect(to).await.unwrap();
+    // A box that has had enough may close at any byte.
+    let _ = stream.write_all(bytes).await;
+    let _ = stream.shutdown().await;
+    let mut answer = Vec::new();
+    let reading = stream.read_to_end(&mut answer);
+    let _ = tokio::time::timeout(Duration::from_secs(5), reading).await;
+}
+
+#[tokio::test]
+async fn nonsense_from_clients_and_boxes_stops_nothing() {
+    let site = Site::start(1).await;
+    let addresses = site.handle.as_ref().unwrap().addresses();
+    let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let mut runner = TestRunner::deterministic();
+    for _ in 0..TRIES {
+        throw_at(addresses.clients, &nonsense(&mut runner)).await;
+        throw_at(addresses.peers, &nonsense(&mut runner)).await;
+        let datagram = nonsense(&mut runner);
+        socket.send_to(&datagram, addresses.peers).await.unwrap();
+    }
+    assert_eq!(site.get("/safe/1").await.status, 200);
+    let runs = site.runs();
+    assert_eq!(runs, 1, "nonsense ran on a target");
+}
+
+#[tokio::test]
+async fn a_deadline_that_is_no_number_is_refused_as_malformed() {
+    let site = Site::start(1).await;
+    for bad in ["soon", "1e400", "", "-", "NaN"] {
+        let mut request = request("GET", "/safe/1", "");
+        let name = Dialect::default().deadline_ms;
+        request.headers_mut().insert(name, bad.parse().unwrap());
+        let answer = call(site.clients, request).await.unwrap();
+        assert_eq!(answer.status, 400, "{bad:?}");
+    }
+    assert_eq!(site.seen(), 0);
+}
+
+#[tokio::test]
+async fn a_deadline_that_has_passed_reaches_no_target() {
+    let site = Site::start(1).await;
+    for passed in ["0", "-5"] {
+        let mut request = request("POST", "/once/1", "x");
+        let name = Dialect::default().deadline_ms;
+        request.headers_mut().insert(name, passed.parse().unwrap());
+        let answer = call(site.clients, request).await.unwrap();
+        assert_eq!(answer.status, 503, "{passed}");
+    }
+    assert_eq!(site.seen(), 0);
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -28,9 +28,7 @@
 };
 pub use demand::DemandSample;
 pub use fleet_state::{CatchUp, FleetState};
-pub use placement::{
-    Choice, Placement, PlacementSettings, Refusal, ServiceTargets, TargetOutcome, Wanted,
-};
+pub use placement::{Choice, Placement, PlacementSettings, Refusal, TargetOutcome, Wanted};
 pub use region_plan::{RegionPlan, RegionRoom};
 pub use rendezvous::{object_hash, weighted_score};
 pub use retry_budget::{RetryBudget, RetryBudgetSettings};
--- /dev/null
+++ b/crates/routing/src/placement/entry.rs
@@ -0,0 +1,54 @@
+//! One target as placement holds it.
+
+use crate::cold_pacing::ColdPacing;
+use crate::target::{TargetRecord, TargetState};
+use crate::target_load::TargetLoad;
+use brasswinch_types::{Millis, Region};
+use std::collections::VecDeque;
+
+/// Objects that are remembered as served by a target.
+const MOST_SERVED: usize = 32;
+
+/// A target and what this box knows of it.
+#[derive(Clone, Debug)]
+pub(super) struct Entry {
+    pub(super) record: TargetRecord,
+    pub(super) region: Region,
+    pub(super) hash: u64,
+    pub(super) cold_until: Millis,
+    pub(super) vanished_at: Option<Millis>,
+    pub(super) is_evacuated: bool,
+    /// Another target answered at its address.
+    pub(super) is_replaced: bool,
+    pub(super) is_slow: bool,
+    pub(super) load: TargetLoad,
+    pub(super) pacing: ColdPacing,
+    /// Objects that it served lately for this box, newest last.
+    pub(super) served: VecDeque<u64>,
+}
+
+impl Entry {
+    pub(super) fn has_served(&self, object: u64) -> bool {
+        self.served.contains(&object)
+    }
+
+    pub(super) fn note_served(&mut self, object: u64) {
+        self.served.retain(|served| *served != object);
+        self.served.push_back(object);
+        if self.served.len() > MOST_SERVED {
+            self.served.pop_front();
+        }
+    }
+
+    pub(super) fn takes_requests(&self) -> bool {
+        self.record.state == TargetState::Ready && !self.is_evacuated && !self.is_replaced
+    }
+
+    pub(super) fn is_cold(&self, now: Millis) -> bool {
+        now < self.cold_until
+    }
+
+    pub(super) fn fullness(&self, now: Millis) -> f64 {
+        self.load.estimate(now) / f64::from(self.record.slots.max(1))
+    }
+}
--- a/crates/routing/src/placement.rs
+++ b/crates/routing/src/placement/mod.rs
@@ -5,58 +5,31 @@
 //! slot gets the request. Only where none has one does it wait at the least loaded of
 //! them, or go to another region, and where all are full it is refused at once.
 
-use crate::cold_pacing::ColdPacing;
-use crate::region_plan::{RegionPlan, RegionRoom};
-use crate::rendezvous::{object_hash, weighted_score};
-use crate::target::{TargetId, TargetRecord, TargetState};
-use crate::target_load::{LoadReport, TargetLoad};
+mod entry;
+mod service_targets;
+mod spill;
+
+use crate::region_plan::RegionRoom;
+use crate::rendezvous::object_hash;
+use crate::target::{TargetId, TargetRecord};
+use crate::target_load::LoadReport;
 use crate::{FleetState, SteeringConfig};
 use brasswinch_types::{BoxId, Millis, Region, Service, Zone};
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use entry::Entry;
+use service_targets::{ServiceTargets, Warming};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 
-/// Targets of a region that an object may use before it counts as without room there.
-const HOMES_IN_REGION: usize = 1;
-
-/// Requests at a target, in multiples of its slots, above which it gets no more.
-const MOST_QUEUE: f64 = 1.7;
-
-/// The same for a request about an object that the target has not served for this box:
-/// it takes longer, and a queue of such requests would leave no room to get faster.
-const MOST_QUEUE_UNSERVED: f64 = 1.35;
-
-/// Objects that are remembered as served by a target.
-const MOST_SERVED: usize = 32;
-
-/// A target counts as slow when its latency is this multiple of the service's median.
-const SLOW_MULTIPLE: f64 = 2.5;
-
-/// Part of requests that still try a slow target.
-const SLOW_TRIAL_PART: f64 = 0.05;
-
-/// Part of requests in the spill window that may leave their planned region for lack
-/// of room.
-const MOST_SPILL: f64 = 0.05;
-
-/// Spills that are allowed in a window whatever the traffic.
-const FREE_SPILLS: f64 = 1.0;
-
-/// The spill window.
-const SPILL_WINDOW_MS: Millis = 2_000;
-
-/// Between two looks at latencies and room.
-const REVIEW_MS: Millis = 500;
-
 /// Where more than this part of a service's targets lose their entries at once, the
 /// store is taken to have lost the entries rather than the service its targets.
 const MASS_LOSS_PART: f64 = 0.34;
 
+/// Between two looks at latencies and room.
+const REVIEW_MS: Millis = 500;
+
 /// Added to every cold time, for the way of the news.
 const COLD_MARGIN_MS: Millis = 500;
 
-/// Retry times that a refused caller is told, in milliseconds.
-const REFUSED_RETRY_MS: Millis = 150;
-
 /// What placement needs to know of its box and of the bounds.
 #[derive(Clone, Debug)]
 pub struct PlacementSettings {
@@ -131,85 +104,6 @@
     Abandoned,
 }
 
-#[derive(Clone, Debug)]
-struct Entry {
-    record: TargetRecord,
-    region: Region,
-    hash: u64,
-    cold_until: Millis,
-    vanished_at: Option<Millis>,
-    is_evacuated: bool,
-    /// Another target answered at its address.
-    is_replaced: bool,
-    is_slow: bool,
-    load: TargetLoad,
-    pacing: ColdPacing,
-    /// Objects that it served lately for this box, newest last.
-    served: VecDeque<u64>,
-}
-
-impl Entry {
-    fn has_served(&self, object: u64) -> bool {
-        self.served.contains(&object)
-    }
-
-    fn note_served(&mut self, object: u64) {
-        self.served.retain(|served| *served != object);
-        self.served.push_back(object);
-        if self.served.len() > MOST_SERVED {
-            self.served.pop_front();
-        }
-    }
-
-    fn takes_requests(&self) -> bool {
-        self.record.state == TargetState::Ready && !self.is_evacuated && !self.is_replaced
-    }
-
-    fn is_cold(&self, now: Millis) -> bool {
-        now < self.cold_until
-    }
-
-    fn fullness(&self, now: Millis) -> f64 {
-        self.load.estimate(now) / f64::from(self.record.slots.max(1))
-    }
-}
-
-/// The targets of one service.
-#[derive(Debug, Default)]
-pub struct ServiceTargets {
-    entries: Vec<Entry>,
-    plan: RegionPlan,
-    cold_per_s: f64,
-    spills: SpillWindow,
-}
-
-/// Counts requests and spills of the last window.
-#[derive(Debug, Default)]
-struct SpillWindow {
-    began: Millis,
-    requests: [f64; 2],
-    spills: [f64; 2],
-}
-
-impl SpillWindow {
-    fn roll(&mut self, now: Millis) {
-        let elapsed = now.saturating_sub(self.began);
-        if elapsed < SPILL_WINDOW_MS {
-            return;
-        }
-        let keeps_last = elapsed < 2 * SPILL_WINDOW_MS;
-        let last = |counts: [f64; 2]| if keeps_last { counts[0] } else { 0.0 };
-        self.requests = [0.0, last(self.requests)];
-        self.spills = [0.0, last(self.spills)];
-        self.began = now;
-    }
-
-    fn may_spill(&self) -> bool {
-        let requests = self.requests[0].max(self.requests[1]);
-        self.spills[0] + 1.0 <= requests * MOST_SPILL + FREE_SPILLS
-    }
-}
-
 /// All services' targets as one box sees them.
 #[derive(Debug)]
 pub struct Placement {
@@ -431,229 +325,3 @@
         entries.find(|entry| entry.record.id == choice.target)
     }
 }
-
-/// Which boxes warm cold targets, and this one's dice.
-struct Warming<'a> {
-    boxes: &'a [u64],
-    me: u64,
-    random: f64,
-}
-
-impl Warming<'_> {
-    fn is_mine(&self, target: u64) -> bool {
-        let mine = weighted_score(target, self.me, 1.0);
-        let better = self
-            .boxes
-            .iter()
-            .filter(|other| weighted_score(target, **other, 1.0) > mine)
-            .count();
-        better < ColdPacing::warmers(self.boxes.len())
-    }
-}
-
-impl ServiceTargets {
-    fn choose(
-        &mut self,
-        wanted: &Wanted<'_>,
-        warming: &Warming<'_>,
-        now: Millis,
-    ) -> Result<Choice, Refusal> {
-        self.spills.roll(now);
-        self.spills.requests[0] += 1.0;
-        let object = match wanted.object {
-            Some(object) => object_hash(wanted.service.as_str(), object),
-            None => (warming.random * u64::MAX as f64) as u64,
-        };
-        let regions = self.ranked_regions(object, wanted);
-        let chosen = self
-            .with_room(object, &regions, wanted, warming.random, now)
-            .or_else(|| self.shortest_queue(object, &regions, wanted, now))
-            .or_else(|| self.cold(wanted, warming, now));
-        match chosen {
-            Some(index) => Ok(self.start(index, object)),
-            None if regions.is_empty() && !self.has_any(wanted) => Err(Refusal::NoTarget),
-            None => Err(Refusal::Busy {
-                retry_after_ms: REFUSED_RETRY_MS + (warming.random * 100.0) as Millis,
-            }),
-        }
-    }
-
-    fn start(&mut self, index: usize, object: u64) -> Choice {
-        let entry = &mut self.entries[index];
-        entry.load.started();
-        Choice {
-            object,
-            target: entry.record.id.clone(),
-            service: entry.record.service.clone(),
-            address: entry.record.address,
-        }
-    }
-
-    fn has_any(&self, wanted: &Wanted<'_>) -> bool {
-        self.entries
-            .iter()
-            .any(|entry| entry.takes_requests() && is_allowed(entry, wanted))
-    }
-
-    /// Regions with usable targets, the object's home first.
-    fn ranked_regions(&self, object: u64, wanted: &Wanted<'_>) -> Vec<Region> {
-        let mut ranked: Vec<(f64, f64, &Region)> = Vec::new();
-        for entry in &self.entries {
-            let is_known = ranked.iter().any(|(_, _, region)| *region == &entry.region);
-            if is_known || !entry.takes_requests() || !is_allowed(entry, wanted) {
-                continue;
-            }
-            let place = object_hash("region", entry.region.as_str().as_bytes());
-            let part = self.plan.part(&entry.region);
-            let tie = weighted_score(object, place, 1.0);
-            ranked.push((weighted_score(object, place, part), tie, &entry.region));
-        }
-        ranked.sort_by(|a, b| b.0.total_cmp(&a.0).then(b.1.total_cmp(&a.1)));
-        ranked
-            .into_iter()
-            .map(|(_, _, region)| region.clone())
-            .collect()
-    }
-
-    /// Usable warm targets of `region`, the object's homes first.
-    fn homes(&self, object: u64, region: &Region, wanted: &Wanted<'_>, now: Millis) -> Vec<usize> {
-        let mut ranked: Vec<(f64, usize)> = self
-            .entries
-            .iter()
-            .enumerate()
-            .filter(|(_, entry)| &entry.region == region && is_usable(entry, wanted, now))
-            .filter(|(_, entry)| !entry.is_cold(now))
-            .map(|(index, entry)| {
-                let weight = f64::from(entry.record.slots.max(1));
-                (weighted_score(object, entry.hash, weight), index)
-            })
-            .collect();
-        ranked.sort_by(|a, b| b.0.total_cmp(&a.0));
-        ranked.truncate(HOMES_IN_REGION);
-        ranked.into_iter().map(|(_, index)| index).collect()
-    }
-
-    /// The first home with a free slot, in the home region or, where the spill window
-    /// allows, in the next.
-    fn with_room(
-        &mut self,
-        object: u64,
-        regions: &[Region],
-        wanted: &Wanted<'_>,
-        random: f64,
-        now: Millis,
-    ) -> Option<usize> {
-        let mut is_home = true;
-        for region in regions {
-            let homes = self.homes(object, region, wanted, now);
-            if homes.is_empty() {
-                continue;
-            }
-            if !is_home && !self.spills.may_spill() {
-                return None;
-            }
-            let tries_slow = random < SLOW_TRIAL_PART;
-            let free = homes.into_iter().find(|index| {
-                let entry = &self.entries[*index];
-                entry.fullness(now) < 1.0 && (!entry.is_slow || tries_slow)
-            });
-            if let Some(index) = free {
-                if !is_home {
-                    self.spills.spills[0] += 1.0;
-                }
-                return Some(index);
-            }
-            is_home = false;
-        }
-        None
-    }
-
-    /// The least loaded home of the nearest region that has any.
-    fn shortest_queue(
-        &self,
-        object: u64,
-        regions: &[Region],
-        wanted: &Wanted<'_>,
-        now: Millis,
-    ) -> Option<usize> {
-        let cost = |index: &usize| {
-            let entry = &self.entries[*index];
-            let slowness = if entry.is_slow { SLOW_MULTIPLE } else { 1.0 };
-            (entry.fullness(now) + 0.1) * slowness
-        };
-        for region in regions {
-            let homes = self.homes(object, region, wanted, now);
-            let least = homes
-                .into_iter()
-                .filter(|index| {
-                    let entry = &self.entries[*index];
-                    let most = if entry.has_served(object) {
-                        MOST_QUEUE
-                    } else {
-                        MOST_QUEUE_UNSERVED
-                    };
-                    entry.fullness(now) < most
-                })
-                .min_by(|a, b| cost(a).total_cmp(&cost(b)));
-            if least.is_some() {
-                return least;
-            }
-        }
-        None
-    }
-
-    /// A cold target whose turn it is; this box must be one of those that warm it.
-    fn cold(&mut self, wanted: &Wanted<'_>, warming: &Warming<'_>, now: Millis) -> Option<usize> {
-        let cold_per_s = self.cold_per_s;
-        let boxes = warming.boxes.len();
-        self.entries.iter_mut().position(|entry| {
-            is_usable(entry, wanted, now)
-                && entry.is_cold(now)
-                && warming.is_mine(entry.hash)
-                && entry.pacing.admit(cold_per_s, boxes, warming.random, now)
-        })
-    }
-
-    fn slots_in(&self, region: &Region, now: Millis) -> f64 {
-        self.entries
-            .iter()
-            .filter(|entry| &entry.region == region && entry.takes_requests())
-            .filter(|entry| !entry.is_cold(now))
-            .map(|entry| f64::from(entry.record.slots))
-            .sum()
-    }
-
-    fn median_latency_ms(&self, now: Millis) -> Option<f64> {
-        let mut latencies: Vec<f64> = self
-            .entries
-            .iter()
-            .filter_map(|entry| entry.load.recent_latency_ms(now))
-            .collect();
-        if latencies.is_empty() {
-            return None;
-        }
-        latencies.sort_by(f64::total_cmp);
-        Some(latencies[latencies.len() / 2])
-    }
-
-    fn review_latencies(&mut self, now: Millis) {
-        let Some(median) = self.median_latency_ms(now) else {
-            return;
-        };
-        for entry in &mut self.entries {
-            let latency = entry.load.recent_latency_ms(now);
-            entry.is_slow = latency.is_some_and(|latency| latency > median * SLOW_MULTIPLE);
-        }
-    }
-}
-
-fn is_allowed(entry: &Entry, wanted: &Wanted<'_>) -> bool {
-    wanted.allowed_regions.is_empty() || wanted.allowed_regions.contains(&entry.region)
-}
-
-fn is_usable(entry: &Entry, wanted: &Wanted<'_>, now: Millis) -> bool {
-    entry.takes_requests()
-        && is_allowed(entry, wanted)
-        && entry.load.is_usable(now)
-        && !wanted.tried.contains(&entry.record.id)
-}
--- /dev/null
+++ b/crates/routing/src/swim/mod.rs
@@ -0,0 +1,290 @@
+//! Membership by the SWIM protocol: each box probes one other at a time, asks a few
+//! others to probe it where it is silent, and spreads what it learns on the probes.
+//!
+//! The load on a box doesn't depend on the size of the fleet. Source: Das, Gupta,
+//! Motivala, "SWIM: Scalable Weakly-consistent Infection-style Process Group Membership
+//! Protocol", 2002, with its suspicion and round-robin probing.
+
+mod member;
+mod message;
+mod probing;
+mod spreading;
+
+pub use member::{Liveness, Member, MemberRecord, MemberState};
+pub use message::{Outgoing, SwimMessage};
+
+use crate::change::{Revision, Scope};
+use brasswinch_types::{BoxId, Millis};
+use message::Update;
+use probing::{Errand, Probe};
+use rand::Rng;
+use rand::seq::SliceRandom;
+use spreading::MOST_UPDATES;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// Boxes that are told at once that there is news from the store; each of them tells as
+/// many.
+const HINTED: usize = 3;
+
+/// How long a dead member is remembered and looked for now and then.
+const KEEP_DEAD_MS: Millis = 60_000;
+
+/// Times of the protocol, in milliseconds.
+#[derive(Clone, Copy, Debug)]
+pub struct SwimSettings {
+    /// Between two probes.
+    pub period_ms: Millis,
+    /// Until helpers are asked.
+    pub ack_timeout_ms: Millis,
+    /// From suspicion to death.
+    pub suspicion_ms: Millis,
+}
+
+impl Default for SwimSettings {
+    fn default() -> Self {
+        Self {
+            period_ms: 300,
+            ack_timeout_ms: 150,
+            suspicion_ms: 1_200,
+        }
+    }
+}
+
+/// One box's side of the protocol.
+#[derive(Debug)]
+pub struct Swim {
+    settings: SwimSettings,
+    me: MemberRecord,
+    seeds: Vec<SocketAddr>,
+    members: BTreeMap<BoxId, Member>,
+    round: Vec<BoxId>,
+    probe: Option<Probe>,
+    errands: BTreeMap<u32, Errand>,
+    next_sequence: u32,
+    next_probe_at: Millis,
+    next_sync_at: Millis,
+    generation: u64,
+    /// The latest revisions that any box ever told of.
+    heard: BTreeMap<Scope, Revision>,
+}
+
+impl Swim {
+    /// Knows nobody but the addresses of `seeds`.
+    pub fn new(me: MemberRecord, seeds: Vec<SocketAddr>, settings: SwimSettings) -> Self {
+        let seeds = seeds
+            .into_iter()
+            .filter(|seed| *seed != me.peer_address)
+            .collect();
+        Self {
+            settings,
+            me,
+            seeds,
+            members: BTreeMap::new(),
+            round: Vec::new(),
+            probe: None,
+            errands: BTreeMap::new(),
+            next_sequence: 1,
+            next_probe_at: 0,
+            next_sync_at: 0,
+            generation: 0,
+            heard: BTreeMap::new(),
+        }
+    }
+
+    /// This box's own word.
+    pub fn me(&self) -> &MemberRecord {
+        &self.me
+    }
+
+    /// All other members, the dead ones included.
+    pub fn members(&self) -> impl Iterator<Item = &Member> {
+        self.members.values()
+    }
+
+    /// The latest revision of `scope` that any box ever told of.
+    pub fn newest_heard(&self, scope: Scope) -> Revision {
+        self.heard.get(&scope).copied().unwrap_or_default()
+    }
+
+    /// Goes up whenever a member comes, goes or changes what it does.
+    pub fn generation(&self) -> u64 {
+        self.generation
+    }
+
+    /// Changes what this box does.
+    pub fn set_state(&mut self, state: MemberState) {
+        if self.me.state != state {
+            self.me.state = state;
+            self.me.incarnation += 1;
+            self.generation += 1;
+        }
+    }
+
+    /// Changes the load that this box tells.
+    pub fn set_requests_per_s(&mut self, requests_per_s: f32) {
+        self.me.requests_per_s = Some(requests_per_s);
+        self.me.incarnation += 1;
+    }
+
+    /// Changes up to where this box says that it knows `scope`; says whether that is
+    /// further than before.
+    pub fn set_revision(&mut self, scope: Scope, revision: Revision) -> bool {
+        let held = match scope {
+            Scope::Operator => &mut self.me.operator_revision,
+            Scope::Targets => &mut self.me.target_revision,
+        };
+        if *held >= revision {
+            return false;
+        }
+        *held = revision;
+        self.me.incarnation += 1;
+        true
+    }
+
+    /// Changes whether this box says that the store answers it.
+    pub fn set_reaches_store(&mut self, reaches_store: bool) {
+        if self.me.reaches_store != reaches_store {
+            self.me.reaches_store = reaches_store;
+            self.me.incarnation += 1;
+            self.generation += 1;
+        }
+    }
+
+    /// Pings to some members, so that they hear this box's newest word at once.
+    pub fn hints(&mut self, random: &mut impl Rng) -> Vec<Outgoing> {
+        let mut addresses = self.addresses(Liveness::Alive);
+        addresses.shuffle(random);
+        addresses.truncate(HINTED);
+        let mut out = Vec::new();
+        for address in addresses {
+            let sequence = self.new_sequence();
+            let updates = vec![self.my_update()];
+            out.push((address, SwimMessage::Ping { sequence, updates }));
+        }
+        out
+    }
+
+    /// Takes new seeds.
+    pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
+        self.seeds = seeds;
+        self.seeds.retain(|seed| *seed != self.me.peer_address);
+    }
+
+    /// Regular work; the messages to send.
+    pub fn tick(&mut self, now: Millis, random: &mut impl Rng) -> Vec<Outgoing> {
+        let mut out = Vec::new();
+        self.bury(now);
+        self.check_probe(now, random, &mut out);
+        if now >= self.next_probe_at {
+            self.next_probe_at = now + self.settings.period_ms;
+            self.start_probe(now, random, &mut out);
+        }
+        if now >= self.next_sync_at {
+            self.start_sync(now, random, &mut out);
+        }
+        out
+    }
+
+    /// Takes a message; the messages to send.
+    pub fn receive(
+        &mut self,
+        from: SocketAddr,
+        message: SwimMessage,
+        now: Millis,
+        random: &mut impl Rng,
+    ) -> Vec<Outgoing> {
+        match message {
+            SwimMessage::Ping { sequence, updates } => {
+                self.merge_all(updates, now);
+                let updates = self.news();
+                vec![(from, SwimMessage::Ack { sequence, updates })]
+            }
+            SwimMessage::Ack { sequence, updates } => {
+                self.merge_all(updates, now);
+                self.acknowledged(sequence)
+            }
+            SwimMessage::PingRequest {
+                sequence,
+                target,
+                updates,
+            } => {
+                self.merge_all(updates, now);
+                self.run_errand(from, sequence, target, now)
+            }
+            SwimMessage::Sync { asks, updates } => {
+                self.merge_all(updates, now);
+                if asks {
+                    self.sync_answers(from, random)
+                } else {
+                    Vec::new()
+                }
+            }
+        }
+    }
+
+    /// The last message before this box stops: that it leaves, to some members.
+    pub fn farewell(&mut self, random: &mut impl Rng) -> Vec<Outgoing> {
+        let mut addresses: Vec<SocketAddr> = self.addresses(Liveness::Alive);
+        addresses.shuffle(random);
+        addresses.truncate(MOST_UPDATES);
+        let updates = vec![self.my_update()];
+        let message = |address| {
+            let updates = updates.clone();
+            let asks = false;
+            (address, SwimMessage::Sync { asks, updates })
+        };
+        addresses.into_iter().map(message).collect()
+    }
+
+    fn addresses(&self, liveness: Liveness) -> Vec<SocketAddr> {
+        self.members
+            .values()
+            .filter(|member| member.liveness == liveness)
+            .map(|member| member.record.peer_address)
+            .collect()
+    }
+
+    fn my_update(&self) -> Update {
+        Update {
+            record: self.me.clone(),
+            liveness: Liveness::Alive,
+        }
+    }
+
+    fn set_liveness(&mut self, id: &BoxId, liveness: Liveness, now: Millis) {
+        let spread_left = self.spread_times();
+        let Some(member) = self.members.get_mut(id) else {
+            return;
+        };
+        member.liveness = liveness;
+        member.changed_at = now;
+        member.spread_left = spread_left;
+        self.generation += 1;
+    }
+
+    fn bury(&mut self, now: Millis) {
+        let suspicion = self.settings.suspicion_ms;
+        let silent: Vec<BoxId> = self
+            .members
+            .iter()
+            .filter(|(_, member)| member.liveness == Liveness::Suspect)
+            .filter(|(_, member)| now.saturating_sub(member.changed_at) >= suspicion)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in silent {
+            self.set_liveness(&id, Liveness::Dead, now);
+        }
+        self.members.retain(|_, member| {
+            member.liveness != Liveness::Dead
+                || now.saturating_sub(member.changed_at) < KEEP_DEAD_MS
+        });
+        self.errands
+            .retain(|_, errand| now.saturating_sub(errand.taken_at) < suspicion);
+    }
+
+    fn new_sequence(&mut self) -> u32 {
+        self.next_sequence = self.next_sequence.wrapping_add(1);
+        self.next_sequence
+    }
+}
--- /dev/null
+++ b/crates/routing/src/swim/probing.rs
@@ -0,0 +1,150 @@
+//! Probes: one member at a time, with the help of others where it is silent.
+
+use super::{Liveness, Outgoing, Swim, SwimMessage};
+use brasswinch_types::{BoxId, Millis};
+use rand::Rng;
+use rand::seq::SliceRandom;
+use std::net::SocketAddr;
+
+/// Boxes that are asked to probe a silent one.
+const HELPERS: usize = 2;
+
+/// A probe that waits for its answer.
+#[derive(Clone, Debug)]
+pub(super) struct Probe {
+    pub(super) id: BoxId,
+    pub(super) sequence: u32,
+    pub(super) sent_at: Millis,
+    pub(super) asked_helpers: bool,
+}
+
+/// A probe that was made for another box.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Errand {
+    pub(super) asker: SocketAddr,
+    pub(super) asker_sequence: u32,
+    pub(super) taken_at: Millis,
+}
+
+impl Swim {
+    pub(super) fn check_probe(
+        &mut self,
+        now: Millis,
+        random: &mut impl Rng,
+        out: &mut Vec<Outgoing>,
+    ) {
+        let Some(mut probe) = self.probe.take() else {
+            return;
+        };
+        let age = now.saturating_sub(probe.sent_at);
+        if age >= self.settings.period_ms * 2 {
+            let is_alive = self
+                .members
+                .get(&probe.id)
+                .is_some_and(|member| member.liveness == Liveness::Alive);
+            if is_alive {
+                self.set_liveness(&probe.id, Liveness::Suspect, now);
+            }
+            return;
+        }
+        if age >= self.settings.ack_timeout_ms && !probe.asked_helpers {
+            probe.asked_helpers = true;
+            self.ask_helpers(&probe, random, out);
+        }
+        self.probe = Some(probe);
+    }
+
+    pub(super) fn ask_helpers(
+        &mut self,
+        probe: &Probe,
+        random: &mut impl Rng,
+        out: &mut Vec<Outgoing>,
+    ) {
+        let Some(target) = self.members.get(&probe.id) else {
+            return;
+        };
+        let target = target.record.peer_address;
+        let mut helpers = self.addresses(Liveness::Alive);
+        helpers.retain(|address| *address != target);
+        helpers.shuffle(random);
+        for helper in helpers.into_iter().take(HELPERS) {
+            let updates = self.news();
+            let sequence = probe.sequence;
+            let message = SwimMessage::PingRequest {
+                sequence,
+                target,
+                updates,
+            };
+            out.push((helper, message));
+        }
+    }
+
+    pub(super) fn start_probe(
+        &mut self,
+        now: Millis,
+        random: &mut impl Rng,
+        out: &mut Vec<Outgoing>,
+    ) {
+        if self.probe.is_some() {
+            return;
+        }
+        let Some(id) = self.next_in_round(random) else {
+            return;
+        };
+        let Some(member) = self.members.get(&id).cloned() else {
+            return;
+        };
+        let address = member.record.peer_address;
+        let sequence = self.new_sequence();
+        let updates = match member.liveness {
+            // A dead or suspect one has to hear what is said of it, to deny it.
+            Liveness::Alive => self.news(),
+            _ => vec![self.my_update(), member.update()],
+        };
+        out.push((address, SwimMessage::Ping { sequence, updates }));
+        self.probe = Some(Probe {
+            id,
+            sequence,
+            sent_at: now,
+            asked_helpers: false,
+        });
+    }
+
+    pub(super) fn next_in_round(&mut self, random: &mut impl Rng) -> Option<BoxId> {
+        if self.round.is_empty() {
+            self.round = self.members.keys().cloned().collect();
+            self.round.shuffle(random);
+        }
+        self.round.pop()
+    }
+
+    pub(super) fn acknowledged(&mut self, sequence: u32) -> Vec<Outgoing> {
+        if self.probe.as_ref().is_some_and(|p| p.sequence == sequence) {
+            self.probe = None;
+        }
+        let Some(errand) = self.errands.remove(&sequence) else {
+            return Vec::new();
+        };
+        let updates = self.news();
+        let sequence = errand.asker_sequence;
+        vec![(errand.asker, SwimMessage::Ack { sequence, updates })]
+    }
+
+    pub(super) fn run_errand(
+        &mut self,
+        asker: SocketAddr,
+        asker_sequence: u32,
+        target: SocketAddr,
+        now: Millis,
+    ) -> Vec<Outgoing> {
+        let sequence = self.new_sequence();
+        let errand = Errand {
+            asker,
+            asker_sequence,
+            taken_at: now,
+        };
+        self.errands.insert(sequence, errand);
+        let updates = self.news();
+        vec![(target, SwimMessage::Ping { sequence, updates })]
+    }
+}
