--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -1,10 +1,10 @@
-//! One try of a request at one target, and what is known of its end.
+//! One try of a request at one upstream, and what is known of its end.
 
 use crate::body::{AnyBody, BodyError, PassLimits, Passed, full, hold};
 use crate::connections::Connection;
 use crate::context::Context;
 use crate::request::end_to_end;
-use brasswinch_routing::{Choice, LoadReport, TargetOutcome};
+use brasswinch_routing::{Choice, LoadReport, UpstreamOutcome};
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Request, Response, header};
 use http_body_util::BodyExt;
@@ -20,10 +20,10 @@
 const MOST_ANSWER_BYTES: u64 = 1 << 32;
 
 /// Longest rest of a connection that may carry a request that must not run twice: if
-/// the target closes it at that moment, nobody knows whether the request ran.
+/// the upstream closes it at that moment, nobody knows whether the request ran.
 const FRESH_REST: Duration = Duration::from_secs(3);
 
-/// Longest rest of any other connection; the pool ends it sooner where the target says.
+/// Longest rest of any other connection; the pool ends it sooner where the upstream says.
 const ANY_REST: Duration = Duration::from_secs(3_600);
 
 /// What a request is sent with.
@@ -48,7 +48,7 @@
 pub(crate) enum AttemptEnd {
     /// A whole answer, or one that is on its way.
     Answer(Response<AnyBody>),
-    /// The target said that it did not run it.
+    /// The upstream said that it did not run it.
     Refused,
     /// Nothing was sent.
     NotSent(OutgoingBody),
@@ -58,13 +58,13 @@
     TimeOver,
 }
 
-/// Counts the request at its target until it ends, whatever the way.
+/// Counts the request at its upstream until it ends, whatever the way.
 pub(crate) struct Placed {
     context: Arc<Context>,
     choice: Choice,
     request_id: Option<HeaderValue>,
     sent_at: Instant,
-    outcome: TargetOutcome,
+    outcome: UpstreamOutcome,
 }
 
 impl Placed {
@@ -74,7 +74,7 @@
             context: Arc::clone(context),
             choice,
             sent_at: Instant::now(),
-            outcome: TargetOutcome::Abandoned,
+            outcome: UpstreamOutcome::Abandoned,
         }
     }
 
@@ -91,7 +91,7 @@
     }
 }
 
-/// Sends a request to the chosen target and reads its answer.
+/// Sends a request to the chosen upstream and reads its answer.
 pub(crate) async fn attempt(
     context: &Arc<Context>,
     choice: Choice,
@@ -103,13 +103,13 @@
     } else {
         FRESH_REST
     };
-    let target = placed.choice.target.clone();
+    let upstream = placed.choice.upstream.clone();
     let head = Head {
         parts: outgoing.parts,
         answer_by: outgoing.answer_by,
     };
     let mut body = outgoing.body;
-    let mut rested = context.pool.take(&target, longest_rest);
+    let mut rested = context.pool.take(&upstream, longest_rest);
     loop {
         let is_rested = rested.is_some();
         let connection = match rested.take() {
@@ -123,18 +123,18 @@
             Exchanged::Answer(answer, connection) => {
                 return finish(answer, connection, placed, outgoing.answer_by).await;
             }
-            // The target closed it while it rested; a new one tells whether it serves.
+            // The upstream closed it while it rested; a new one tells whether it serves.
             Exchanged::NotSent(unsent) if is_rested => body = unsent,
             Exchanged::NotSent(unsent) => {
-                placed.outcome = TargetOutcome::Unreachable;
+                placed.outcome = UpstreamOutcome::Unreachable;
                 return AttemptEnd::NotSent(unsent);
             }
             Exchanged::Lost => {
-                placed.outcome = TargetOutcome::Unanswered;
+                placed.outcome = UpstreamOutcome::Unanswered;
                 return AttemptEnd::Lost;
             }
             Exchanged::TimeOver => {
-                placed.outcome = TargetOutcome::Unanswered;
+                placed.outcome = UpstreamOutcome::Unanswered;
                 return AttemptEnd::TimeOver;
             }
         }
@@ -147,11 +147,11 @@
     answer_by: Instant,
 ) -> Option<Connection> {
     let choice = &placed.choice;
-    let connecting = context.pool.connect(&choice.target, choice.address);
+    let connecting = context.pool.connect(&choice.upstream, choice.address);
     let connection = timeout_at(answer_by, connecting).await.ok()?;
     if connection.is_err() {
-        placed.outcome = TargetOutcome::Unreachable;
-        context.pool.close(&placed.choice.target);
+        placed.outcome = UpstreamOutcome::Unreachable;
+        context.pool.close(&placed.choice.upstream);
     }
     placed.sent_at = Instant::now();
     connection.ok()
@@ -180,7 +180,7 @@
         OutgoingBody::Whole(bytes) => Some(bytes.clone()),
         OutgoingBody::Passed(_) => None,
     };
-    let request = target_request(head, body, placed);
+    let request = upstream_request(head, body, placed);
     let sending = connection.sender().try_send_request(request);
     match timeout_at(head.answer_by, sending).await {
         Ok(Ok(answer)) => Exchanged::Answer(answer, connection),
@@ -193,15 +193,15 @@
     }
 }
 
-/// The request as the target gets it: the client's, with the time that is left and the
+/// The request as the upstream gets it: the client's, with the time that is left and the
 /// incarnation that it is meant for.
-fn target_request(head: &Head<'_>, body: OutgoingBody, placed: &Placed) -> Request<AnyBody> {
+fn upstream_request(head: &Head<'_>, body: OutgoingBody, placed: &Placed) -> Request<AnyBody> {
     let dialect = &placed.context.dialect;
     let mut headers = end_to_end(&head.parts.headers);
     let left = crate::body::time_left(head.answer_by).as_millis() as u64;
     headers.insert(&dialect.deadline_ms, HeaderValue::from(left));
-    if let Ok(id) = HeaderValue::from_str(placed.choice.target.as_str()) {
-        headers.insert(&dialect.intended_target, id);
+    if let Ok(id) = HeaderValue::from_str(placed.choice.upstream.as_str()) {
+        headers.insert(&dialect.intended_upstream, id);
     }
     let body = match body {
         OutgoingBody::Whole(bytes) => {
@@ -215,9 +215,9 @@
     };
     let mut request = Request::new(body);
     *request.method_mut() = head.parts.method.clone();
-    let target = head.parts.uri.path_and_query();
-    if let Some(target) = target {
-        *request.uri_mut() = http::Uri::from(target.clone());
+    let place = head.parts.uri.path_and_query();
+    if let Some(place) = place {
+        *request.uri_mut() = http::Uri::from(place.clone());
     }
     *request.headers_mut() = headers;
     request
@@ -230,7 +230,7 @@
     mut placed: Placed,
     answer_by: Instant,
 ) -> AttemptEnd {
-    placed.outcome = TargetOutcome::Unanswered;
+    placed.outcome = UpstreamOutcome::Unanswered;
     let context = Arc::clone(&placed.context);
     let (parts, body) = answer.into_parts();
     if !placed.belongs(&parts.headers) {
@@ -251,12 +251,12 @@
         Ok(Err(_)) => return AttemptEnd::Lost,
         Err(_) => return AttemptEnd::TimeOver,
     };
-    placed.outcome = TargetOutcome::Answered(placed.elapsed_ms());
+    placed.outcome = UpstreamOutcome::Answered(placed.elapsed_ms());
     if refused {
         placed.outcome = if replaced {
-            TargetOutcome::Replaced
+            UpstreamOutcome::Replaced
         } else {
-            TargetOutcome::Shed
+            UpstreamOutcome::Shed
         };
         if held.is_whole() {
             connection.reuse();
--- a/crates/edge/src/body.rs
+++ b/crates/edge/src/body.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 use tokio::time::{Instant, Sleep};
 
-/// The body of an answer to a client, or of a request to a target.
+/// The body of an answer to a client, or of a request to an upstream.
 pub(crate) type AnyBody = BoxBody<Bytes, BodyError>;
 
 /// Why a body was cut.
--- a/crates/edge/src/catch_up.rs
+++ b/crates/edge/src/catch_up.rs
@@ -28,7 +28,7 @@
     loop {
         context.heard.notified().await;
         avoided.retain(|_, until| *until > Instant::now());
-        for scope in [Scope::Operator, Scope::Targets] {
+        for scope in [Scope::Operator, Scope::Upstreams] {
             if ahead(&context, scope, &avoided).is_none() {
                 continue;
             }
--- a/crates/edge/src/connections.rs
+++ b/crates/edge/src/connections.rs
@@ -1,8 +1,8 @@
-//! Connections to targets. Each carries one request at a time and is kept only after a
+//! Connections to upstreams. Each carries one request at a time and is kept only after a
 //! whole exchange, so that bytes of one answer can never reach another request.
 
 use crate::body::AnyBody;
-use brasswinch_routing::TargetId;
+use brasswinch_types::UpstreamId;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
@@ -27,13 +27,13 @@
 /// Probes without a receipt after which a connection is given up.
 const MOST_PROBES: u32 = 2;
 
-/// Idle connections that are kept to one target.
+/// Idle connections that are kept to one upstream.
 const MOST_IDLE: usize = 24;
 
-/// Rest after which a connection is closed, unless the target tells less.
+/// Rest after which a connection is closed, unless the upstream tells less.
 const LONGEST_IDLE: Duration = Duration::from_secs(8);
 
-/// Taken off the rest that a target tells, for the way there.
+/// Taken off the rest that an upstream tells, for the way there.
 const IDLE_MARGIN: Duration = Duration::from_millis(1_500);
 
 /// The two halves of a connection. Dropping it closes it.
@@ -52,7 +52,7 @@
 /// A connection that carries or may carry a request. Dropping it closes it.
 pub(crate) struct Connection {
     link: Link,
-    target: TargetId,
+    upstream: UpstreamId,
     pool: Arc<ConnectionPool>,
     idle_limit: Duration,
 }
@@ -64,10 +64,10 @@
     limit: Duration,
 }
 
-/// Idle connections by target.
+/// Idle connections by upstream.
 #[derive(Debug)]
 pub(crate) struct ConnectionPool {
-    idle: Mutex<HashMap<TargetId, Vec<Idle>>>,
+    idle: Mutex<HashMap<UpstreamId, Vec<Idle>>>,
     local: IpAddr,
 }
 
@@ -83,11 +83,11 @@
     /// The connection that rested least, if it rested at most `longest_rest`.
     pub(crate) fn take(
         self: &Arc<Self>,
-        target: &TargetId,
+        upstream: &UpstreamId,
         longest_rest: Duration,
     ) -> Option<Connection> {
         let mut idle = self.lock();
-        let rested = idle.get_mut(target)?;
+        let rested = idle.get_mut(upstream)?;
         while let Some(last) = rested.pop() {
             let rest = last.since.elapsed();
             if rest > longest_rest.min(last.limit) || !last.link.sender.is_ready() {
@@ -95,7 +95,7 @@
             }
             return Some(Connection {
                 link: last.link,
-                target: target.clone(),
+                upstream: upstream.clone(),
                 pool: Arc::clone(self),
                 idle_limit: last.limit,
             });
@@ -106,7 +106,7 @@
     /// A new connection.
     pub(crate) async fn connect(
         self: &Arc<Self>,
-        target: &TargetId,
+        upstream: &UpstreamId,
         address: SocketAddr,
     ) -> std::io::Result<Connection> {
         let connecting = self.connect_stream(address);
@@ -126,7 +126,7 @@
                 sender,
                 task: task.abort_handle(),
             },
-            target: target.clone(),
+            upstream: upstream.clone(),
             pool: Arc::clone(self),
             idle_limit: LONGEST_IDLE,
         })
@@ -151,30 +151,30 @@
         Ok(stream)
     }
 
-    /// Closes connections that rested too long, and all to targets that are gone.
-    pub(crate) fn sweep(&self, is_known: impl Fn(&TargetId) -> bool) {
+    /// Closes connections that rested too long, and all to upstreams that are gone.
+    pub(crate) fn sweep(&self, is_known: impl Fn(&UpstreamId) -> bool) {
         let mut idle = self.lock();
-        idle.retain(|target, rested| {
+        idle.retain(|upstream, rested| {
             rested.retain(|idle| idle.since.elapsed() < idle.limit);
-            !rested.is_empty() && is_known(target)
+            !rested.is_empty() && is_known(upstream)
         });
     }
 
-    /// Closes all idle connections to `target`.
-    pub(crate) fn close(&self, target: &TargetId) {
-        self.lock().remove(target);
+    /// Closes all idle connections to `upstream`.
+    pub(crate) fn close(&self, upstream: &UpstreamId) {
+        self.lock().remove(upstream);
     }
 
-    fn keep(&self, target: &TargetId, idle: Idle) {
+    fn keep(&self, upstream: &UpstreamId, idle: Idle) {
         let mut all = self.lock();
-        let rested = all.entry(target.clone()).or_default();
+        let rested = all.entry(upstream.clone()).or_default();
         if rested.len() >= MOST_IDLE {
             rested.remove(0);
         }
         rested.push(idle);
     }
 
-    fn lock(&self) -> MutexGuard<'_, HashMap<TargetId, Vec<Idle>>> {
+    fn lock(&self) -> MutexGuard<'_, HashMap<UpstreamId, Vec<Idle>>> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
@@ -185,7 +185,7 @@
         &mut self.link.sender
     }
 
-    /// Takes the rest that the target allows, in seconds.
+    /// Takes the rest that the upstream allows, in seconds.
     pub(crate) fn set_idle_limit(&mut self, seconds: u64) {
         let told = Duration::from_secs(seconds).saturating_sub(IDLE_MARGIN);
         self.idle_limit = told.min(LONGEST_IDLE);
@@ -201,6 +201,6 @@
             since: Instant::now(),
             limit: self.idle_limit,
         };
-        self.pool.keep(&self.target, idle);
+        self.pool.keep(&self.upstream, idle);
     }
 }
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -29,7 +29,7 @@
 /// Boxes that each zone is taken to have before they are known, where budgets are shared.
 const LEAST_BOXES_PER_ZONE: usize = 2;
 
-/// Added to the time between a target's entries when news of a cold start is awaited.
+/// Added to the time between an upstream's entries when news of a cold start is awaited.
 const ENTRY_LAG_MS: Millis = 1_500;
 
 /// A configuration with its routes ready for look-up.
@@ -93,7 +93,7 @@
 
 impl Context {
     pub(crate) fn new(settings: EdgeSettings, dialect: Dialect, swim: Swim) -> Self {
-        let heartbeat_ms = (settings.bounds.target_heartbeat_s * 1_000.0) as Millis;
+        let heartbeat_ms = (settings.bounds.upstream_heartbeat_s * 1_000.0) as Millis;
         let placement = Placement::new(PlacementSettings {
             me: settings.id.clone(),
             region: settings.region(),
@@ -168,7 +168,7 @@
         self.lifecycle() == Lifecycle::Serving
     }
 
-    /// Publishes what was learned of configuration and targets.
+    /// Publishes what was learned of configuration and upstreams.
     pub(crate) fn publish(&self) {
         let fleet = self.fleet();
         let Some(config) = fleet.config() else {
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -1,4 +1,4 @@
-//! A client's request from its head to its answer: route, service, targets, tries.
+//! A client's request from its head to its answer: route, service, upstreams, tries.
 //!
 //! What is known of a request is one of three things: it has not run, it may have run,
 //! or it has an answer. The error that a client is told follows from that alone.
@@ -9,8 +9,8 @@
 use crate::context::{Context, InForce};
 use crate::request::{RequestFacts, request_id};
 use brasswinch_observe::{Event, emit};
-use brasswinch_routing::{Choice, Refusal, Route, TargetId, Wanted};
-use brasswinch_types::{ErrorKind, Ran, Service};
+use brasswinch_routing::{Choice, Refusal, Route, Wanted};
+use brasswinch_types::{ErrorKind, Ran, Service, UpstreamId};
 use bytes::Bytes;
 use http::request::Parts;
 use http::{Request, Response};
@@ -20,14 +20,14 @@
 use std::sync::atomic::Ordering;
 use tokio::time::{Instant, timeout_at};
 
-/// Bodies up to this length are held whole before a target is chosen, so that they can
+/// Bodies up to this length are held whole before an upstream is chosen, so that they can
 /// go to another one if the first doesn't take them.
 const MOST_HELD_BODY: usize = 1024 * 1024;
 
 /// Part of the memory allowed that held bodies may take.
 const HELD_PART_OF_MEMORY: usize = 4;
 
-/// Targets that are tried without anything being sent to them.
+/// Upstreams that are tried without anything being sent to them.
 const MOST_UNREACHABLE: u32 = 4;
 
 /// Answers one request.
@@ -44,7 +44,7 @@
         Err(failure) => {
             report_failure(context, &parts, &failure, arrived);
             match failure {
-                Failure::Kind(kind) | Failure::AtTarget { kind, .. } => error_answer(kind),
+                Failure::Kind(kind) | Failure::AtUpstream { kind, .. } => error_answer(kind),
                 Failure::Refused { retry_after_ms } => {
                     refusal(ErrorKind::AtCapacity, retry_after_ms)
                 }
@@ -61,13 +61,13 @@
     };
     let id = request_id(parts, &context.dialect);
     let (path, took) = (parts.uri.path(), arrived.elapsed().as_millis());
-    let target = match failure {
-        Failure::AtTarget { target, .. } => target.as_str(),
+    let upstream = match failure {
+        Failure::AtUpstream { upstream, .. } => upstream.as_str(),
         Failure::Kind(_) | Failure::Refused { .. } => "-",
     };
     emit(
         event,
-        format_args!("id={id} path={path} target={target} cause={kind} ms={took}"),
+        format_args!("id={id} path={path} upstream={upstream} cause={kind} ms={took}"),
     );
 }
 
@@ -75,8 +75,11 @@
 enum Failure {
     /// For a reason that has a fixed answer.
     Kind(ErrorKind),
-    /// The same, after it was sent to a target.
-    AtTarget { kind: ErrorKind, target: TargetId },
+    /// The same, after it was sent to an upstream.
+    AtUpstream {
+        kind: ErrorKind,
+        upstream: UpstreamId,
+    },
     /// For lack of room, with a time to come back.
     Refused { retry_after_ms: u64 },
 }
@@ -84,7 +87,7 @@
 impl Failure {
     fn kind(&self) -> ErrorKind {
         match self {
-            Self::Kind(kind) | Self::AtTarget { kind, .. } => *kind,
+            Self::Kind(kind) | Self::AtUpstream { kind, .. } => *kind,
             Self::Refused { .. } => ErrorKind::AtCapacity,
         }
     }
@@ -137,7 +140,7 @@
 
 /// What is known of a request's tries.
 struct Tries {
-    targets: Vec<TargetId>,
+    upstreams: Vec<UpstreamId>,
     /// The body, where it is held whole.
     whole: Bytes,
     can_repeat: bool,
@@ -151,7 +154,7 @@
 impl Tries {
     fn new(held: &Held) -> Self {
         Self {
-            targets: Vec::new(),
+            upstreams: Vec::new(),
             whole: held.bytes.clone(),
             can_repeat: held.is_whole(),
             sent: 0,
@@ -169,10 +172,10 @@
     /// Once a try may have run, no later one makes the answer "not run".
     fn truth(&self, failure: Failure) -> Failure {
         let claims_not_run = failure.kind().answer().ran == Ran::NotRun;
-        match self.targets.last() {
-            Some(target) if self.may_have_run && claims_not_run => Failure::AtTarget {
+        match self.upstreams.last() {
+            Some(upstream) if self.may_have_run && claims_not_run => Failure::AtUpstream {
                 kind: ErrorKind::UpstreamBroken,
-                target: target.clone(),
+                upstream: upstream.clone(),
             },
             _ => failure,
         }
@@ -205,7 +208,7 @@
         return Err(ErrorKind::BodyTooLarge.into());
     }
     let service = context.pick_service(&route.name, &route.backends);
-    let service = service.ok_or(ErrorKind::NoTarget)?;
+    let service = service.ok_or(ErrorKind::NoUpstream)?;
     context.count_request(&service);
     let routed = Routed {
         answer_by: facts.answer_by(arrived, route.timeout_s),
@@ -255,16 +258,16 @@
         }
     }
 
-    /// Sends the request to targets until one answers or it has to be given up.
+    /// Sends the request to upstreams until one answers or it has to be given up.
     async fn send(&self, held: Held, in_force: &InForce) -> Result<Response<AnyBody>, Failure> {
         let mut tries = Tries::new(&held);
         let mut body = Some(self.outgoing_body(held, in_force));
         loop {
             let choice = self
-                .next_target(&tries)
+                .next_upstream(&tries)
                 .map_err(|failure| tries.truth(failure))?;
-            let target = choice.target.clone();
-            tries.targets.push(target.clone());
+            let upstream = choice.upstream.clone();
+            tries.upstreams.push(upstream.clone());
             let outgoing = Outgoing {
                 parts: self.parts,
                 body: match body.take() {
@@ -276,8 +279,8 @@
             };
             let kind = match attempt(self.context, choice, outgoing).await {
                 AttemptEnd::Answer(answer) => {
-                    let count = tries.targets.len();
-                    self.report_served(&target, answer.status().as_u16(), count);
+                    let count = tries.upstreams.len();
+                    self.report_served(&upstream, answer.status().as_u16(), count);
                     return Ok(answer);
                 }
                 AttemptEnd::NotSent(unsent) => {
@@ -291,21 +294,21 @@
             };
             tries.sent(kind);
             if !self.may_retry(&tries, kind) {
-                return Err(tries.truth(Failure::AtTarget { kind, target }));
+                return Err(tries.truth(Failure::AtUpstream { kind, upstream }));
             }
-            self.report_retry(&target, kind);
+            self.report_retry(&upstream, kind);
         }
     }
 
-    /// The target of the next try, while there is time for one.
-    fn next_target(&self, tries: &Tries) -> Result<Choice, Failure> {
+    /// The upstream of the next try, while there is time for one.
+    fn next_upstream(&self, tries: &Tries) -> Result<Choice, Failure> {
         if Instant::now() >= self.answer_by {
             return Err(ErrorKind::TimeoutBeforeSend.into());
         }
         if tries.unreachable >= MOST_UNREACHABLE {
-            return Err(ErrorKind::NoTarget.into());
+            return Err(ErrorKind::NoUpstream.into());
         }
-        self.choose(&tries.targets)
+        self.choose(&tries.upstreams)
     }
 
     /// Whether the request may be sent once more after a try that ended with `kind`.
@@ -322,29 +325,31 @@
             && self.context.spend_retry(&self.service)
     }
 
-    fn report_served(&self, target: &TargetId, status: u16, tries: usize) {
+    fn report_served(&self, upstream: &UpstreamId, status: u16, tries: usize) {
         let id = request_id(self.parts, &self.context.dialect);
         let (route, service) = (&self.route.name, &self.service);
         let left = crate::body::time_left(self.answer_by).as_millis();
         emit(
             Event::RequestServed,
             format_args!(
-                "id={id} route={route} service={service} target={target} status={status} \
+                "id={id} route={route} service={service} upstream={upstream} status={status} \
                  tries={tries} left_ms={left}"
             ),
         );
     }
 
-    fn report_retry(&self, target: &TargetId, cause: ErrorKind) {
+    fn report_retry(&self, upstream: &UpstreamId, cause: ErrorKind) {
         let id = request_id(self.parts, &self.context.dialect);
         let (route, service) = (&self.route.name, &self.service);
         emit(
             Event::RequestRetried,
-            format_args!("id={id} route={route} service={service} target={target} cause={cause}"),
+            format_args!(
+                "id={id} route={route} service={service} upstream={upstream} cause={cause}"
+            ),
         );
     }
 
-    fn choose(&self, tried: &[TargetId]) -> Result<Choice, Failure> {
+    fn choose(&self, tried: &[UpstreamId]) -> Result<Choice, Failure> {
         let wanted = Wanted {
             service: &self.service,
             object: self.facts.object,
@@ -355,7 +360,7 @@
         let mut placement = self.context.placement();
         let chosen = placement.choose(&wanted, rand::random(), now);
         chosen.map_err(|refusal| match refusal {
-            Refusal::NoTarget => ErrorKind::NoTarget.into(),
+            Refusal::NoUpstream => ErrorKind::NoUpstream.into(),
             Refusal::Busy { retry_after_ms } => Failure::Refused { retry_after_ms },
         })
     }
--- a/crates/edge/src/figures.rs
+++ b/crates/edge/src/figures.rs
@@ -86,7 +86,10 @@
         let alive = swim.members().filter(|m| m.liveness == Liveness::Alive);
         line(&mut text, "members_alive", "", alive.count() as f64);
         drop(swim);
-        for (scope, name) in [(Scope::Operator, "operator"), (Scope::Targets, "targets")] {
+        for (scope, name) in [
+            (Scope::Operator, "operator"),
+            (Scope::Upstreams, "upstreams"),
+        ] {
             if let Some(revision) = self.fleet().newest(scope) {
                 let labels = format!("scope=\"{name}\"");
                 line(&mut text, "store_revision", &labels, revision.0 as f64);
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -1,5 +1,5 @@
 //! The traffic side of a box for routed requests: it accepts clients, finds route and
-//! target, carries the request both ways and answers truthfully.
+//! upstream, carries the request both ways and answers truthfully.
 //!
 //! Everything that depends on where it runs comes in from outside: the settings, the
 //! names of headers ([`Dialect`]) and the store ([`FleetStore`]).
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -18,7 +18,7 @@
 pub struct FleetBounds {
     /// Longest time from the request to stop to the end of the process.
     pub grace_s: f64,
-    /// Longest time in which requests may still reach a target that said it leaves.
+    /// Longest time in which requests may still reach an upstream that said it leaves.
     pub drain_s: f64,
     /// Repeats for each request of a service.
     pub retry_ratio: f64,
@@ -31,8 +31,8 @@
     pub most_shift: f64,
     /// Longest time that a look-up's answer may be kept.
     pub longest_lookup_ttl_s: f64,
-    /// Time between two entries of a target.
-    pub target_heartbeat_s: f64,
+    /// Time between two entries of an upstream.
+    pub upstream_heartbeat_s: f64,
 }
 
 impl Default for FleetBounds {
@@ -45,7 +45,7 @@
             retry_window_s: 10.0,
             most_shift: 0.15,
             longest_lookup_ttl_s: 5.0,
-            target_heartbeat_s: 1.5,
+            upstream_heartbeat_s: 1.5,
         }
     }
 }
--- a/crates/edge/src/start.rs
+++ b/crates/edge/src/start.rs
@@ -76,7 +76,7 @@
     let context = Arc::new(Context::new(settings, dialect, swim));
     emit(Event::Started, format_args!("{}", addresses.clients));
     let store = Arc::new(store);
-    for scope in [Scope::Operator, Scope::Targets] {
+    for scope in [Scope::Operator, Scope::Upstreams] {
         let following = follow::follow(Arc::clone(&context), Arc::clone(&store), scope);
         tokio::spawn(following);
     }
@@ -136,7 +136,7 @@
         state: MemberState::Starting,
         requests_per_s: None,
         operator_revision: Revision::default(),
-        target_revision: Revision::default(),
+        upstream_revision: Revision::default(),
         reaches_store: true,
     }
 }
@@ -187,12 +187,12 @@
     UdpSocket::from_std(socket)
 }
 
-/// Serves as soon as configuration and targets are known and other boxes were met.
+/// Serves as soon as configuration and upstreams are known and other boxes were met.
 async fn serve_when_known(context: Arc<Context>) {
     let began = Instant::now();
     loop {
         let is_known =
-            context.in_force.load().is_some() && context.fleet().newest(Scope::Targets).is_some();
+            context.in_force.load().is_some() && context.fleet().newest(Scope::Upstreams).is_some();
         let has_met = context.swim().members().next().is_some();
         if is_known && (has_met || began.elapsed() >= MEET_OTHERS) {
             break;
@@ -208,9 +208,9 @@
         sleep(SWEEP).await;
         let known: std::collections::HashSet<_> = context
             .fleet()
-            .targets()
+            .upstreams()
             .map(|(record, _)| record.id.clone())
             .collect();
-        context.pool.sweep(|target| known.contains(target));
+        context.pool.sweep(|upstream| known.contains(upstream));
     }
 }
--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -1,4 +1,4 @@
-//! What the product needs from the store that holds configuration and targets.
+//! What the product needs from the store that holds configuration and upstreams.
 
 use brasswinch_routing::{Revised, Revision, Scope, Snapshot};
 use std::future::Future;
--- a/crates/edge/tests/answers.rs
+++ b/crates/edge/tests/answers.rs
@@ -4,20 +4,21 @@
 mod common;
 
 use brasswinch_edge::Dialect;
-use brasswinch_lab::target::Behaviour;
+use brasswinch_lab::routed_upstream::Behaviour;
+use brasswinch_types::UpstreamId;
 use common::{Kept, Site, call, request};
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 
-/// A target that does wrong, beside one that doesn't.
+/// An upstream that does wrong, beside one that doesn't.
 async fn one_wrong(behaviour: Behaviour) -> Site {
     let site = Site::start(2).await;
-    site.targets[0].always(behaviour.clone());
+    site.upstreams[0].always(behaviour.clone());
     // Whichever is the object's home: the first request meets the wrong one.
     let home = site.get("/safe/home").await;
-    if home.body == "target-1" && site.targets[0].seen().is_empty() {
-        site.targets[0].always(Behaviour::Answer(200));
-        site.targets[1].always(behaviour);
+    if home.body == "upstream-1" && site.upstreams[0].seen().is_empty() {
+        site.upstreams[0].always(Behaviour::Answer(200));
+        site.upstreams[1].always(behaviour);
     }
     site
 }
@@ -27,25 +28,25 @@
 }
 
 #[tokio::test]
-async fn a_request_reaches_a_target_unchanged_and_its_answer_comes_back_unchanged() {
+async fn a_request_reaches_an_upstream_unchanged_and_its_answer_comes_back_unchanged() {
     let site = Site::start(1).await;
     let answer = site.post("/upload/a?b=%20c", "the body").await;
     assert_eq!(answer.status, 200);
     assert!(is_signed(&answer));
-    assert_eq!(answer.body, "target-0");
-    let seen = site.targets[0].seen();
+    assert_eq!(answer.body, "upstream-0");
+    let seen = site.upstreams[0].seen();
     assert_eq!(seen[0].line, "POST /upload/a?b=%20c HTTP/1.1");
     assert_eq!(seen[0].body, b"the body");
-    assert_eq!(seen[0].intended.as_deref(), Some("target-0"));
+    assert_eq!(seen[0].intended.as_deref(), Some("upstream-0"));
     let left = seen[0].deadline_ms.unwrap();
     assert!((1..=5_000).contains(&left), "{left}");
 }
 
 #[tokio::test]
-async fn a_failure_of_a_target_goes_back_as_it_is() {
+async fn a_failure_of_an_upstream_goes_back_as_it_is() {
     let site = Site::start(2).await;
-    for target in &site.targets {
-        target.always(Behaviour::Answer(500));
+    for upstream in &site.upstreams {
+        upstream.always(Behaviour::Answer(500));
     }
     let answer = site.get("/safe/1").await;
     assert_eq!(answer.status, 500);
@@ -54,7 +55,7 @@
 }
 
 #[tokio::test]
-async fn a_refused_request_goes_to_another_target() {
+async fn a_refused_request_goes_to_another_upstream() {
     for behaviour in [Behaviour::Refuse, Behaviour::Misdirected] {
         let site = one_wrong(behaviour).await;
         let answer = site.post("/once/1", "x").await;
@@ -65,8 +66,8 @@
 #[tokio::test]
 async fn a_request_that_all_refuse_has_not_run_and_is_told_when_to_come_back() {
     let site = Site::start(3).await;
-    for target in &site.targets {
-        target.always(Behaviour::Refuse);
+    for upstream in &site.upstreams {
+        upstream.always(Behaviour::Refuse);
     }
     let answer = site.post("/once/1", "x").await;
     assert_eq!(answer.status, 503);
@@ -78,11 +79,11 @@
         .unwrap();
     assert!(after > 0.0);
     assert_eq!(site.runs(), 0);
-    assert_eq!(site.seen(), 2, "the route allows two targets");
+    assert_eq!(site.seen(), 2, "the route allows two upstreams");
 }
 
 #[tokio::test]
-async fn a_target_that_has_another_s_address_gets_nothing_more() {
+async fn an_upstream_that_has_another_s_address_gets_nothing_more() {
     let site = one_wrong(Behaviour::Misdirected).await;
     for number in 0..5 {
         let answer = site.post("/once/1", "x").await;
@@ -92,7 +93,7 @@
     assert_eq!(misdirected, 1);
 }
 
-/// What a target may do so that nobody knows whether the request ran.
+/// What an upstream may do so that nobody knows whether the request ran.
 const UNKNOWN: [Behaviour; 6] = [
     Behaviour::AnswerForAnother,
     Behaviour::AnswerUnsigned,
@@ -106,8 +107,8 @@
 async fn what_may_not_repeat_runs_once_and_its_failure_promises_nothing() {
     for behaviour in UNKNOWN {
         let site = Site::start(2).await;
-        for target in &site.targets {
-            target.always(behaviour.clone());
+        for upstream in &site.upstreams {
+            upstream.always(behaviour.clone());
         }
         for number in 0..3 {
             let before = site.seen();
@@ -123,7 +124,7 @@
 }
 
 #[tokio::test]
-async fn what_may_repeat_is_served_by_another_target() {
+async fn what_may_repeat_is_served_by_another_upstream() {
     for behaviour in UNKNOWN {
         let site = one_wrong(behaviour.clone()).await;
         for number in 0..3 {
@@ -142,8 +143,8 @@
         [Behaviour::Refuse, Behaviour::Close],
     ] {
         let site = Site::start(2).await;
-        for (target, behaviour) in site.targets.iter().zip(order) {
-            target.always(behaviour);
+        for (upstream, behaviour) in site.upstreams.iter().zip(order) {
+            upstream.always(behaviour);
         }
         let answer = site.get("/safe/1").await;
         assert_eq!(site.seen(), 2, "both were tried");
@@ -155,7 +156,7 @@
 #[tokio::test]
 async fn a_second_answer_never_reaches_the_next_request() {
     let site = Site::start(1).await;
-    site.targets[0].always(Behaviour::AnswerTwice);
+    site.upstreams[0].always(Behaviour::AnswerTwice);
     let mut kept = Kept::open(site.clients).await;
     for _ in 0..20 {
         let request = request("GET", "/safe/1", "");
@@ -170,22 +171,22 @@
 #[tokio::test]
 async fn an_answer_without_a_length_comes_whole() {
     let site = Site::start(1).await;
-    site.targets[0].always(Behaviour::AnswerUnframed);
+    site.upstreams[0].always(Behaviour::AnswerUnframed);
     let answer = site.get("/safe/1").await;
     assert_eq!(answer.status, 200);
-    assert_eq!(answer.body, "target-0");
+    assert_eq!(answer.body, "upstream-0");
 }
 
 #[tokio::test]
 async fn an_answer_before_the_body_is_in_harms_no_other_request() {
     let site = Site::start(1).await;
     let body = "x".repeat(600_000);
-    site.targets[0].always(Behaviour::AnswerEarly);
+    site.upstreams[0].always(Behaviour::AnswerEarly);
     for _ in 0..4 {
         let answer = site.post("/upload/1", &body).await;
         assert_eq!(answer.status, 200);
     }
-    for seen in site.targets[0].seen() {
+    for seen in site.upstreams[0].seen() {
         assert_eq!(seen.line, "POST /upload/1 HTTP/1.1");
         assert!(seen.body.iter().all(|byte| *byte == b'x'));
     }
@@ -197,7 +198,7 @@
     let body = "y".repeat(3_000_000);
     let answer = site.post("/upload/1", &body).await;
     assert_eq!(answer.status, 200);
-    assert_eq!(site.targets[0].seen()[0].body.len(), body.len());
+    assert_eq!(site.upstreams[0].seen()[0].body.len(), body.len());
 }
 
 #[tokio::test]
@@ -221,24 +222,24 @@
         .await
         .unwrap();
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
-    assert_eq!(site.targets[0].seen()[0].body, b"abcde");
+    assert_eq!(site.upstreams[0].seen()[0].body, b"abcde");
 }
 
 #[tokio::test]
 async fn the_final_answer_comes_when_the_route_s_time_is_over() {
     let site = Site::start(2).await;
-    for target in &site.targets {
-        target.always(Behaviour::Hang);
+    for upstream in &site.upstreams {
+        upstream.always(Behaviour::Hang);
     }
     let answer = site.get("/short/1").await;
     assert_eq!(answer.status, 504);
     assert_eq!(site.seen(), 1);
-    // The target's work is cancelled with its connection.
-    let targets = site.targets.clone();
-    common::eventually("the target is left", || {
-        targets
+    // The upstream's work is cancelled with its connection.
+    let upstreams = site.upstreams.clone();
+    common::eventually("the upstream is left", || {
+        upstreams
             .iter()
-            .map(|target| target.closed_early())
+            .map(|upstream| upstream.closed_early())
             .sum::<usize>()
             == 1
     })
@@ -248,26 +249,27 @@
 #[tokio::test]
 async fn a_client_that_leaves_cancels_the_work() {
     let site = Site::start(1).await;
-    site.targets[0].always(Behaviour::Hang);
+    site.upstreams[0].always(Behaviour::Hang);
     let calling = call(site.clients, request("GET", "/safe/1", ""));
     let left = tokio::time::timeout(Duration::from_millis(300), calling).await;
     assert!(left.is_err());
-    let target = site.targets[0].clone();
-    common::eventually("the target is left", || target.closed_early() == 1).await;
+    let upstream = site.upstreams[0].clone();
+    common::eventually("the upstream is left", || upstream.closed_early() == 1).await;
 }
 
 #[tokio::test]
-async fn a_target_that_is_gone_costs_nobody_an_answer() {
+async fn an_upstream_that_is_gone_costs_nobody_an_answer() {
     let site = one_wrong(Behaviour::Answer(200)).await;
     let gone = Dialect::default();
     // An address that nobody listens on.
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     drop(listener);
-    let mut ghost = common::record(&site.targets[0]);
-    ghost.id = brasswinch_routing::TargetId::new("ghost");
+    let mut ghost = common::record(&site.upstreams[0]);
+    ghost.id = UpstreamId::new("ghost");
     ghost.address = address;
-    site.store.write(brasswinch_routing::Change::Target(ghost));
+    site.store
+        .write(brasswinch_routing::Change::Upstream(ghost));
     for number in 0..40 {
         let mut request = request("POST", "/once/1", "x");
         let cookie = format!("{}={number}", gone.object_cookie);
@@ -280,17 +282,17 @@
 }
 
 #[tokio::test]
-async fn kept_connections_to_targets_are_used_again() {
+async fn kept_connections_to_upstreams_are_used_again() {
     let site = Site::start(1).await;
     for _ in 0..10 {
         assert_eq!(site.get("/safe/1").await.status, 200);
     }
     assert!(
-        site.targets[0].connections() <= 2,
+        site.upstreams[0].connections() <= 2,
         "{}",
-        site.targets[0].connections()
+        site.upstreams[0].connections()
     );
-    site.targets[0].always(Behaviour::AnswerAndLeave);
+    site.upstreams[0].always(Behaviour::AnswerAndLeave);
     for _ in 0..3 {
         assert_eq!(site.post("/once/1", "x").await.status, 200);
     }
--- a/crates/edge/tests/bad_input.rs
+++ b/crates/edge/tests/bad_input.rs
@@ -49,7 +49,7 @@
     }
     assert_eq!(site.get("/safe/1").await.status, 200);
     let runs = site.runs();
-    assert_eq!(runs, 1, "nonsense ran on a target");
+    assert_eq!(runs, 1, "nonsense ran on an upstream");
 }
 
 #[tokio::test]
@@ -66,7 +66,7 @@
 }
 
 #[tokio::test]
-async fn a_deadline_that_has_passed_reaches_no_target() {
+async fn a_deadline_that_has_passed_reaches_no_upstream() {
     let site = Site::start(1).await;
     for passed in ["0", "-5"] {
         let mut request = request("POST", "/once/1", "x");
--- a/crates/edge/tests/boxes.rs
+++ b/crates/edge/tests/boxes.rs
@@ -5,12 +5,12 @@
 
 use brasswinch_edge::{Dialect, EdgeHandle, start};
 use brasswinch_lab::memory_store::{MemoryStore, StoreFault};
-use brasswinch_lab::target::{Behaviour, Target};
+use brasswinch_lab::routed_upstream::{Behaviour, Upstream};
 use brasswinch_routing::{
     Change, ChangeKey, MemberRecord, MemberState, Revision, RouteKind, Swim, SwimSettings,
-    TargetId, TargetState,
+    UpstreamState,
 };
-use brasswinch_types::{BoxId, Region, Zone};
+use brasswinch_types::{BoxId, Region, UpstreamId, Zone};
 use common::{Kept, Site, call, config, eventually, record, request, route, settings};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -91,17 +91,17 @@
 }
 
 #[tokio::test]
-async fn a_target_that_says_it_leaves_gets_nothing_more() {
+async fn an_upstream_that_says_it_leaves_gets_nothing_more() {
     let site = Site::start(2).await;
     let home = site.get("/safe/1").await.body;
     let leaving = site
-        .targets
+        .upstreams
         .iter()
         .find(|t| home == t.id.as_bytes())
         .unwrap();
     let mut entry = record(leaving);
-    entry.state = TargetState::Draining;
-    site.store.write(Change::Target(entry));
+    entry.state = UpstreamState::Draining;
+    site.store.write(Change::Upstream(entry));
     let mut tries = 0;
     while site.get("/safe/1").await.body == home {
         tries += 1;
@@ -118,11 +118,11 @@
 #[tokio::test]
 async fn a_box_that_the_store_turns_away_hears_from_others() {
     let store = MemoryStore::default();
-    let target = Target::start("target-0", &Dialect::default())
+    let upstream = Upstream::start("upstream-0", &Dialect::default())
         .await
         .unwrap();
     store.write(Change::Config(Arc::new(config(1))));
-    store.write(Change::Target(record(&target)));
+    store.write(Change::Upstream(record(&upstream)));
     for fault in [StoreFault::TurnedAway, StoreFault::Silent] {
         let boxes = boxes(3, &store).await;
         boxes[2].1.set_fault(fault);
@@ -153,11 +153,11 @@
 #[tokio::test]
 async fn a_box_that_starts_while_the_store_is_down_serves_by_what_others_know() {
     let store = MemoryStore::default();
-    let target = Target::start("target-0", &Dialect::default())
+    let upstream = Upstream::start("upstream-0", &Dialect::default())
         .await
         .unwrap();
     store.write(Change::Config(Arc::new(config(1))));
-    store.write(Change::Target(record(&target)));
+    store.write(Change::Upstream(record(&upstream)));
     let boxes = boxes(2, &store).await;
     let turned_away = store.handle();
     turned_away.set_fault(StoreFault::TurnedAway);
@@ -176,7 +176,7 @@
     tokio::time::sleep(Duration::from_millis(500)).await;
     let before = store.calls();
     for revision in 0..5 {
-        store.write(Change::Gone(ChangeKey::Target(TargetId::new(format!(
+        store.write(Change::Gone(ChangeKey::Upstream(UpstreamId::new(format!(
             "t{revision}"
         )))));
         tokio::time::sleep(Duration::from_millis(400)).await;
@@ -207,7 +207,7 @@
 #[tokio::test]
 async fn a_planned_stop_answers_what_has_arrived() {
     let site = Site::start(1).await;
-    site.targets[0].always(Behaviour::AnswerAfter(Duration::from_millis(300)));
+    site.upstreams[0].always(Behaviour::AnswerAfter(Duration::from_millis(300)));
     let mut site = site;
     let handle = site.handle.take().unwrap();
     let context = Arc::clone(handle.context());
@@ -294,7 +294,7 @@
         state: MemberState::Serving,
         requests_per_s: None,
         operator_revision: Revision(1_000_000),
-        target_revision: Revision(1_000_000),
+        upstream_revision: Revision(1_000_000),
         reaches_store: true,
     };
     let settings = SwimSettings::default();
@@ -326,11 +326,11 @@
 #[tokio::test]
 async fn a_box_that_never_answers_keeps_nobody_from_hearing_from_others() {
     let store = MemoryStore::default();
-    let target = Target::start("target-0", &Dialect::default())
+    let upstream = Upstream::start("upstream-0", &Dialect::default())
         .await
         .unwrap();
     store.write(Change::Config(Arc::new(config(1))));
-    store.write(Change::Target(record(&target)));
+    store.write(Change::Upstream(record(&upstream)));
     let boxes = boxes(2, &store).await;
     let asked = silent_know_all(boxes[0].0.addresses().peers).await;
     let (turned_away, fault) = &boxes[1];
--- a/crates/edge/tests/common/mod.rs
+++ b/crates/edge/tests/common/mod.rs
@@ -1,14 +1,14 @@
-//! A box between stand-ins of clients, targets and the store.
+//! A box between stand-ins of clients, upstreams and the store.
 #![allow(dead_code, clippy::unwrap_used, clippy::expect_used)]
 
 use brasswinch_edge::{Dialect, EdgeAddresses, EdgeHandle, EdgeSettings, FleetBounds, start};
 use brasswinch_lab::memory_store::MemoryStore;
-use brasswinch_lab::target::Target;
+use brasswinch_lab::routed_upstream::Upstream;
 use brasswinch_routing::{
     Backend, Change, ClientLimits, ConfigVersion, Route, RouteKind, ServiceConfig, SteeringConfig,
-    TargetId, TargetRecord, TargetState,
+    UpstreamRecord, UpstreamState,
 };
-use brasswinch_types::{BoxId, Region, Service, Zone};
+use brasswinch_types::{BoxId, Region, Service, UpstreamId, Zone};
 use bytes::Bytes;
 use http::{HeaderMap, Request};
 use http_body_util::{BodyExt, Full};
@@ -100,38 +100,38 @@
     }
 }
 
-pub fn record(target: &Target) -> TargetRecord {
-    TargetRecord {
-        id: TargetId::new(&target.id),
+pub fn record(upstream: &Upstream) -> UpstreamRecord {
+    UpstreamRecord {
+        id: UpstreamId::new(&upstream.id),
         service: Service::new("desk"),
-        address: target.address,
+        address: upstream.address,
         zone: Zone::new("west-a"),
         slots: 4,
-        state: TargetState::Ready,
+        state: UpstreamState::Ready,
         cold_remaining_s: 0.0,
     }
 }
 
-/// A box, its store and its targets.
+/// A box, its store and its upstreams.
 pub struct Site {
     pub store: MemoryStore,
-    pub targets: Vec<Target>,
+    pub upstreams: Vec<Upstream>,
     pub handle: Option<EdgeHandle>,
     pub clients: SocketAddr,
 }
 
 impl Site {
-    /// A serving box in front of `targets` targets.
-    pub async fn start(targets: usize) -> Self {
+    /// A serving box in front of `upstreams` upstreams.
+    pub async fn start(upstreams: usize) -> Self {
         let dialect = Dialect::default();
         let store = MemoryStore::default();
         store.write(Change::Config(Arc::new(config(1))));
         let mut started = Vec::new();
-        for number in 0..targets {
-            let id = format!("target-{number}");
-            let target = Target::start(&id, &dialect).await.unwrap();
-            store.write(Change::Target(record(&target)));
-            started.push(target);
+        for number in 0..upstreams {
+            let id = format!("upstream-{number}");
+            let upstream = Upstream::start(&id, &dialect).await.unwrap();
+            store.write(Change::Upstream(record(&upstream)));
+            started.push(upstream);
         }
         let settings = settings("box-1", Vec::new());
         let handle = start(settings, dialect, store.handle()).await.unwrap();
@@ -139,7 +139,7 @@
         eventually("the box is ready", || context.is_ready()).await;
         Self {
             store,
-            targets: started,
+            upstreams: started,
             clients: handle.addresses().clients,
             handle: Some(handle),
         }
@@ -155,14 +155,17 @@
             .unwrap()
     }
 
-    /// What all targets saw.
+    /// What all upstreams saw.
     pub fn seen(&self) -> usize {
-        self.targets.iter().map(|target| target.seen().len()).sum()
+        self.upstreams
+            .iter()
+            .map(|upstream| upstream.seen().len())
+            .sum()
     }
 
-    /// Runs on all targets.
+    /// Runs on all upstreams.
     pub fn runs(&self) -> usize {
-        let seen = self.targets.iter().flat_map(Target::seen);
+        let seen = self.upstreams.iter().flat_map(Upstream::seen);
         seen.filter(|seen| seen.ran).count()
     }
 }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -13,6 +13,6 @@
 pub mod measure;
 pub mod memory_store;
 pub mod platform;
+pub mod routed_upstream;
 pub mod slopes;
-pub mod target;
 pub mod upstream;
--- a/crates/lab/src/memory_store.rs
+++ b/crates/lab/src/memory_store.rs
@@ -1,4 +1,4 @@
-//! Stand-in of the store that holds configuration and targets, in memory.
+//! Stand-in of the store that holds configuration and upstreams, in memory.
 //!
 //! It keeps revisions and a history, and does wrong what the real one may: it turns a box
 //! away, forgets its history, and loses the answers of watches.
--- a/crates/lab/src/target.rs
+++ b/crates/lab/src/routed_upstream.rs
@@ -1,4 +1,4 @@
-//! Stand-in of a target of a service: it answers as told, rightly or wrongly, and keeps
+//! Stand-in of an upstream of a service: it answers as told, rightly or wrongly, and keeps
 //! account of what reached it.
 //!
 //! It writes bytes itself, since most of what it does wrong no library would write.
@@ -11,7 +11,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
-/// What the target does with a request.
+/// What the upstream does with a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Behaviour {
     /// Runs it and answers with this status and its own name as body.
@@ -20,7 +20,7 @@
     AnswerAfter(Duration),
     /// Says that it did not run it.
     Refuse,
-    /// Says that it is another target.
+    /// Says that it is another upstream.
     Misdirected,
     /// Runs it, answers, and sends a second answer with the same id behind it.
     AnswerTwice,
@@ -46,7 +46,7 @@
     AnswerAndLeave,
 }
 
-/// A request that reached the target.
+/// A request that reached the upstream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Seen {
     /// The request line's method and path with its query.
@@ -55,11 +55,11 @@
     pub id: String,
     /// The time that it was told is left, in milliseconds.
     pub deadline_ms: Option<u64>,
-    /// The target that it was meant for.
+    /// The upstream that it was meant for.
     pub intended: Option<String>,
     /// Its body.
     pub body: Vec<u8>,
-    /// Whether the target ran it.
+    /// Whether the upstream ran it.
     pub ran: bool,
 }
 
@@ -72,9 +72,9 @@
     closed_early: usize,
 }
 
-/// The target. Clones share their account.
+/// The upstream. Clones share their account.
 #[derive(Clone)]
-pub struct Target {
+pub struct Upstream {
     /// Its identifier.
     pub id: String,
     /// Where it listens.
@@ -83,28 +83,28 @@
     state: Arc<Mutex<State>>,
 }
 
-impl Target {
-    /// Starts a target on a port that the system chooses.
+impl Upstream {
+    /// Starts an upstream on a port that the system chooses.
     pub async fn start(id: &str, dialect: &Dialect) -> std::io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
-        let target = Self {
+        let upstream = Self {
             id: id.to_owned(),
             address: listener.local_addr()?,
             dialect: Arc::new(dialect.clone()),
             state: Arc::default(),
         };
-        let serving = target.clone();
+        let serving = upstream.clone();
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                let target = serving.clone();
-                target.lock().connections += 1;
+                let upstream = serving.clone();
+                upstream.lock().connections += 1;
                 tokio::spawn(async move {
                     // A caller that breaks off is counted where it matters.
-                    let _ = target.serve(stream).await;
+                    let _ = upstream.serve(stream).await;
                 });
             }
         });
-        Ok(target)
+        Ok(upstream)
     }
 
     /// What it does with the next requests; after them it answers 200.
@@ -181,7 +181,7 @@
             line: head.lines().next().unwrap_or_default().to_owned(),
             id: id.clone(),
             deadline_ms: deadline.and_then(|text| text.parse().ok()),
-            intended: header(head, self.dialect.intended_target.as_str()),
+            intended: header(head, self.dialect.intended_upstream.as_str()),
             body,
             ran,
         });
--- a/crates/observe/src/events.rs
+++ b/crates/observe/src/events.rs
@@ -64,7 +64,7 @@
     210 Info ConfigInForce "A newer configuration entry is in force here." "None.";
     211 Error PolicyRefused "A stored policy could not be evaluated; the one before stays in force." "Submit a corrected policy.";
     212 Warn ConfigMalformed "A stored configuration value can't be read." "Submit the entry again.";
-    220 Info NewsLearned "Changes of configuration or targets were learned, from the store or another box." "None.";
+    220 Info NewsLearned "Changes of configuration or upstreams were learned, from the store or another box." "None.";
     300 Info PeerUp "A link to another box is up." "None.";
     301 Warn PeerDown "A link to another box went down." "Check the box and the network between the zones.";
     302 Warn PeerMalformed "A peer sent a message that can't be read; its link was closed." "Check that all boxes run versions that speak the same protocol.";
@@ -78,10 +78,10 @@
     501 Info UpstreamLeaving "An upstream said that it is leaving." "None.";
     310 Info MemberHeard "Another box is heard again, or for the first time." "None.";
     311 Warn MemberSilent "Another box is no longer heard." "Check the box and the network between the zones.";
-    510 Info RequestServed "A routed request got a target's answer." "None.";
-    511 Warn RequestRetried "A routed request goes to another target." "Check the target, if one stands out.";
-    512 Warn RequestRefused "A routed request was refused; it has not run." "Compare the service's load with its targets.";
-    513 Warn RequestFailed "A routed request failed after it may have run." "Check the target.";
+    510 Info RequestServed "A routed request got an upstream's answer." "None.";
+    511 Warn RequestRetried "A routed request goes to another upstream." "Check the upstream, if one stands out.";
+    512 Warn RequestRefused "A routed request was refused; it has not run." "Compare the service's load with its upstreams.";
+    513 Warn RequestFailed "A routed request failed after it may have run." "Check the upstream.";
     600 Warn CallerCut "An answer or an upload was cut short." "Check the upstream and the caller's network.";
     601 Warn ClaimLost "A claim's outcome is not known; the request was not run." "Check the platform's store.";
     700 Warn MetricsFailed "Metrics could not be sent." "Check the metrics address.";
--- a/crates/observe/tests/explain.rs
+++ b/crates/observe/tests/explain.rs
@@ -5,13 +5,13 @@
 
 const WEST: &str = "\
 2026-01-30T14:49:02.000001+00:00   INFO brasswinch: logging.rs:70 BW210 A newer configuration entry is in force here.: version=7 event=210 suppressed=0
-2026-01-30T14:49:03.500000+00:00   WARN brasswinch: logging.rs:70 BW511 A routed request goes to another target.: id=abc route=r service=s target=t1 cause=upstream_refused event=511
-2026-01-30T14:49:03.900000+00:00   INFO brasswinch: logging.rs:70 BW510 A routed request got a target's answer.: id=abcd route=r
+2026-01-30T14:49:03.500000+00:00   WARN brasswinch: logging.rs:70 BW511 A routed request goes to another upstream.: id=abc route=r service=s upstream=t1 cause=upstream_refused event=511
+2026-01-30T14:49:03.900000+00:00   INFO brasswinch: logging.rs:70 BW510 A routed request got an upstream's answer.: id=abcd route=r
 not an event
 2026-01-30T14:49:04.000000+00:00   WARN brasswinch: logging.rs:70 BW512 A routed request was refused; it has not run.: id=abc path=/x cause=upstream_refused ms=600";
 
 const NORTH: &str = r#"{"timestamp":"2026-01-30T14:49:01.000000+00:00","level":"INFO","message":"BW100 The daemon has started and listens.: 10.0.0.1:80"}
-{"timestamp":"2026-01-30T14:49:03.700000+00:00","level":"INFO","message":"BW510 A routed request got a target's answer.: id=abc route=r target=t2"}"#;
+{"timestamp":"2026-01-30T14:49:03.700000+00:00","level":"INFO","message":"BW510 A routed request got an upstream's answer.: id=abc route=r upstream=t2"}"#;
 
 fn lines() -> Vec<LogLine> {
     let read = |source: &'static str, text: &'static str| {
--- a/crates/routing/src/change.rs
+++ b/crates/routing/src/change.rs
@@ -1,8 +1,8 @@
 //! Changes of what is known, each with the store's revision that made it.
 
 use crate::config::SteeringConfig;
-use crate::target::{TargetId, TargetRecord};
-use brasswinch_types::Zone;
+use crate::upstream::UpstreamRecord;
+use brasswinch_types::{UpstreamId, Zone};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
@@ -17,8 +17,8 @@
 pub enum Scope {
     /// The configuration and evacuations.
     Operator,
-    /// The targets.
-    Targets,
+    /// The upstreams.
+    Upstreams,
 }
 
 /// What a change is about. The last change of a key counts.
@@ -28,8 +28,8 @@
     Config,
     /// The evacuation of a zone.
     Evacuation(Zone),
-    /// A target.
-    Target(TargetId),
+    /// An upstream.
+    Upstream(UpstreamId),
 }
 
 impl ChangeKey {
@@ -37,7 +37,7 @@
     pub fn scope(&self) -> Scope {
         match self {
             Self::Config | Self::Evacuation(_) => Scope::Operator,
-            Self::Target(_) => Scope::Targets,
+            Self::Upstream(_) => Scope::Upstreams,
         }
     }
 }
@@ -49,8 +49,8 @@
     Config(Arc<SteeringConfig>),
     /// A zone is to get nothing more.
     Evacuated(Zone),
-    /// A target wrote its entry.
-    Target(TargetRecord),
+    /// An upstream wrote its entry.
+    Upstream(UpstreamRecord),
     /// The key is no longer there.
     Gone(ChangeKey),
 }
@@ -61,7 +61,7 @@
         match self {
             Self::Config(_) => ChangeKey::Config,
             Self::Evacuated(zone) => ChangeKey::Evacuation(zone.clone()),
-            Self::Target(record) => ChangeKey::Target(record.id.clone()),
+            Self::Upstream(record) => ChangeKey::Upstream(record.id.clone()),
             Self::Gone(key) => key.clone(),
         }
     }
--- a/crates/routing/src/cold_pacing.rs
+++ b/crates/routing/src/cold_pacing.rs
@@ -1,4 +1,4 @@
-//! Paces what a cold target gets from all boxes together.
+//! Paces what a cold upstream gets from all boxes together.
 //!
 //! A few boxes, chosen by rendezvous among the members, each send at most one request
 //! in a fixed gap. Two groups of boxes that can't see each other choose twice as many,
@@ -6,28 +6,28 @@
 
 use brasswinch_types::Millis;
 
-/// Most boxes that warm one target at a time.
+/// Most boxes that warm one upstream at a time.
 const MOST_WARMERS: usize = 4;
 
 /// Part of the bearable rate that is sent. Two groups that are cut off from each
 /// other together stay under the bound with it.
 const RATE_PART: f64 = 0.7;
 
-/// The pacing of one cold target on one box.
+/// The pacing of one cold upstream on one box.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ColdPacing {
     next_at: Option<Millis>,
 }
 
 impl ColdPacing {
-    /// How many boxes warm a target in a fleet of `boxes`.
+    /// How many boxes warm an upstream in a fleet of `boxes`.
     pub fn warmers(boxes: usize) -> usize {
         boxes.clamp(1, MOST_WARMERS)
     }
 
-    /// Whether a request may go to the cold target now, and if so counts it. The first
+    /// Whether a request may go to the cold upstream now, and if so counts it. The first
     /// one waits a random part of the gap (`random` from 0 to 1), since all boxes learn
-    /// of a cold target at the same moment.
+    /// of a cold upstream at the same moment.
     pub fn admit(&mut self, cold_per_s: f64, boxes: usize, random: f64, now: Millis) -> bool {
         if cold_per_s <= 0.0 {
             return false;
--- a/crates/routing/src/config.rs
+++ b/crates/routing/src/config.rs
@@ -56,9 +56,9 @@
     pub priority: u32,
     /// Where its requests go.
     pub backends: Vec<Backend>,
-    /// Most targets that a request may be sent to.
+    /// Most upstreams that a request may be sent to.
     pub max_attempts: u32,
-    /// Whether a target works faster on objects that it has seen.
+    /// Whether an upstream works faster on objects that it has seen.
     pub sticky: bool,
     /// The only regions where its requests may go; empty allows all.
     pub allowed_regions: BTreeSet<Region>,
@@ -67,11 +67,11 @@
 /// What operators say of a service.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ServiceConfig {
-    /// Connections that a target takes from all callers together.
+    /// Connections that an upstream takes from all callers together.
     pub max_connections: u32,
-    /// How long a target stays cold after its start, in seconds.
+    /// How long an upstream stays cold after its start, in seconds.
     pub cold_period_s: f64,
-    /// Requests a second that a cold target bears.
+    /// Requests a second that a cold upstream bears.
     pub cold_per_s: f64,
 }
 
--- a/crates/routing/src/fleet_state.rs
+++ b/crates/routing/src/fleet_state.rs
@@ -1,12 +1,12 @@
-//! What a box knows of configuration, evacuations and targets.
+//! What a box knows of configuration, evacuations and upstreams.
 //!
 //! Entries merge by revision, so that a watch, a listing and a peer's copy can be
 //! applied in any order. The configuration never goes back to an older version.
 
 use crate::change::{Change, ChangeKey, Revised, Revision, Scope, Snapshot};
 use crate::config::SteeringConfig;
-use crate::target::{TargetId, TargetRecord};
-use brasswinch_types::{Millis, Zone};
+use crate::upstream::UpstreamRecord;
+use brasswinch_types::{Millis, UpstreamId, Zone};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -14,10 +14,10 @@
 /// How long the revision of a key that went away is kept, against late news of it.
 const KEEP_GONE_MS: Millis = 120_000;
 
-/// A target and when its last entry was learned.
+/// An upstream and when its last entry was learned.
 #[derive(Clone, Debug)]
-struct HeldTarget {
-    record: TargetRecord,
+struct HeldUpstream {
+    record: UpstreamRecord,
     revision: Revision,
     learned_at: Millis,
 }
@@ -34,9 +34,9 @@
 pub struct FleetState {
     config: Option<Arc<SteeringConfig>>,
     config_revision: Revision,
-    targets: BTreeMap<TargetId, HeldTarget>,
+    upstreams: BTreeMap<UpstreamId, HeldUpstream>,
     evacuations: BTreeMap<Zone, Evacuation>,
-    gone_targets: BTreeMap<TargetId, (Revision, Millis)>,
+    gone_upstreams: BTreeMap<UpstreamId, (Revision, Millis)>,
     scopes: BTreeMap<Scope, Followed>,
 }
 
@@ -72,7 +72,7 @@
         match revised.change {
             Change::Config(config) => self.apply_config(config, revision),
             Change::Evacuated(zone) => self.apply_evacuation(zone, revision),
-            Change::Target(record) => self.apply_target(record, revision, now),
+            Change::Upstream(record) => self.apply_upstream(record, revision, now),
             Change::Gone(key) => self.apply_gone(&key, revision, now),
         }
     }
@@ -141,14 +141,14 @@
         let at = followed.newest;
         let entries = match scope {
             Scope::Operator => self.operator_entries(),
-            Scope::Targets => self.target_entries(),
+            Scope::Upstreams => self.upstream_entries(),
         };
         let Some(after) = after.filter(|after| *after >= followed.kept_since) else {
             return Some(CatchUp::Whole(Snapshot { scope, at, entries }));
         };
         let gone = match scope {
             Scope::Operator => self.ended_evacuations(),
-            Scope::Targets => self.gone_entries(),
+            Scope::Upstreams => self.gone_entries(),
         };
         let changes = entries.into_iter().chain(gone);
         let changes = changes.filter(|change| change.revision > after).collect();
@@ -160,9 +160,9 @@
         self.config.as_ref()
     }
 
-    /// All targets that have an entry, with when it was learned.
-    pub fn targets(&self) -> impl Iterator<Item = (&TargetRecord, Millis)> {
-        self.targets
+    /// All upstreams that have an entry, with when it was learned.
+    pub fn upstreams(&self) -> impl Iterator<Item = (&UpstreamRecord, Millis)> {
+        self.upstreams
             .values()
             .map(|held| (&held.record, held.learned_at))
     }
@@ -189,9 +189,9 @@
                 open.map(|(zone, _)| ChangeKey::Evacuation(zone.clone()))
                     .collect()
             }
-            Scope::Targets => {
-                let ids = self.targets.keys();
-                ids.map(|id| ChangeKey::Target(id.clone())).collect()
+            Scope::Upstreams => {
+                let ids = self.upstreams.keys();
+                ids.map(|id| ChangeKey::Upstream(id.clone())).collect()
             }
         }
     }
@@ -222,23 +222,23 @@
         !was_open
     }
 
-    fn apply_target(&mut self, record: TargetRecord, revision: Revision, now: Millis) -> bool {
-        if let Some(held) = self.targets.get(&record.id)
+    fn apply_upstream(&mut self, record: UpstreamRecord, revision: Revision, now: Millis) -> bool {
+        if let Some(held) = self.upstreams.get(&record.id)
             && held.revision >= revision
         {
             return false;
         }
-        if let Some((gone, _)) = self.gone_targets.get(&record.id)
+        if let Some((gone, _)) = self.gone_upstreams.get(&record.id)
             && *gone >= revision
         {
             return false;
         }
-        let held = HeldTarget {
+        let held = HeldUpstream {
             revision,
             learned_at: now,
             record,
         };
-        self.targets.insert(held.record.id.clone(), held);
+        self.upstreams.insert(held.record.id.clone(), held);
         true
     }
 
@@ -247,7 +247,7 @@
             // A configuration stays in force until a newer one replaces it.
             ChangeKey::Config => false,
             ChangeKey::Evacuation(zone) => self.end_evacuation(zone, revision, now),
-            ChangeKey::Target(id) => self.remove_target(id, revision, now),
+            ChangeKey::Upstream(id) => self.remove_upstream(id, revision, now),
         }
     }
 
@@ -263,9 +263,9 @@
         true
     }
 
-    fn remove_target(&mut self, id: &TargetId, revision: Revision, now: Millis) -> bool {
+    fn remove_upstream(&mut self, id: &UpstreamId, revision: Revision, now: Millis) -> bool {
         if self
-            .targets
+            .upstreams
             .get(id)
             .is_some_and(|held| held.revision > revision)
         {
@@ -273,24 +273,24 @@
         }
         self.forget_gone(now);
         let gone = self
-            .gone_targets
+            .gone_upstreams
             .entry(id.clone())
             .or_insert((revision, now));
         gone.0 = gone.0.max(revision);
-        self.targets.remove(id).is_some()
+        self.upstreams.remove(id).is_some()
     }
 
     /// Forgets what went away long ago; peers that lack it get everything.
     fn forget_gone(&mut self, now: Millis) {
         let mut forgotten = Revision(0);
-        self.gone_targets.retain(|_, (revision, gone_at)| {
+        self.gone_upstreams.retain(|_, (revision, gone_at)| {
             let is_kept = now.saturating_sub(*gone_at) < KEEP_GONE_MS;
             if !is_kept {
                 forgotten = forgotten.max(*revision);
             }
             is_kept
         });
-        if let Some(followed) = self.scopes.get_mut(&Scope::Targets) {
+        if let Some(followed) = self.scopes.get_mut(&Scope::Upstreams) {
             followed.kept_since = followed.kept_since.max(forgotten);
         }
     }
@@ -309,10 +309,10 @@
     }
 
     fn gone_entries(&self) -> Vec<Revised> {
-        let gone = self.gone_targets.iter();
+        let gone = self.gone_upstreams.iter();
         gone.map(|(id, (revision, _))| Revised {
             revision: *revision,
-            change: Change::Gone(ChangeKey::Target(id.clone())),
+            change: Change::Gone(ChangeKey::Upstream(id.clone())),
         })
         .collect()
     }
@@ -333,11 +333,11 @@
         config.chain(evacuated).collect()
     }
 
-    fn target_entries(&self) -> Vec<Revised> {
-        let entry = |held: &HeldTarget| Revised {
+    fn upstream_entries(&self) -> Vec<Revised> {
+        let entry = |held: &HeldUpstream| Revised {
             revision: held.revision,
-            change: Change::Target(held.record.clone()),
+            change: Change::Upstream(held.record.clone()),
         };
-        self.targets.values().map(entry).collect()
+        self.upstreams.values().map(entry).collect()
     }
 }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -1,7 +1,7 @@
 //! Every decision about a routed request, pure: time is an argument.
 //!
 //! A routed request names a host and a path. Its route names services, a service has
-//! targets, and targets stand in zones of regions. What is known of them comes as
+//! upstreams, and upstreams stand in zones of regions. What is known of them comes as
 //! [`Change`]s with revisions, in any order and from any source.
 
 mod change;
@@ -16,8 +16,8 @@
 mod route_table;
 mod split;
 mod swim;
-mod target;
-mod target_load;
+mod upstream;
+mod upstream_load;
 mod watchers;
 
 pub use change::{Change, ChangeKey, Revised, Revision, Scope, Snapshot};
@@ -28,13 +28,13 @@
 };
 pub use demand::DemandSample;
 pub use fleet_state::{CatchUp, FleetState};
-pub use placement::{Choice, Placement, PlacementSettings, Refusal, TargetOutcome, Wanted};
+pub use placement::{Choice, Placement, PlacementSettings, Refusal, UpstreamOutcome, Wanted};
 pub use region_plan::{RegionPlan, RegionRoom};
 pub use rendezvous::{object_hash, weighted_score};
 pub use retry_budget::{RetryBudget, RetryBudgetSettings};
 pub use route_table::RouteTable;
 pub use split::WeightedSplit;
 pub use swim::{Liveness, Member, MemberRecord, MemberState, Swim, SwimMessage, SwimSettings};
-pub use target::{TargetId, TargetRecord, TargetState};
-pub use target_load::{LoadReport, TargetLoad};
+pub use upstream::{UpstreamRecord, UpstreamState};
+pub use upstream_load::{LoadReport, UpstreamLoad};
 pub use watchers::watches_store;
--- a/crates/routing/src/placement/entry.rs
+++ b/crates/routing/src/placement/entry.rs
@@ -1,27 +1,27 @@
-//! One target as placement holds it.
+//! One upstream as placement holds it.
 
 use crate::cold_pacing::ColdPacing;
-use crate::target::{TargetRecord, TargetState};
-use crate::target_load::TargetLoad;
+use crate::upstream::{UpstreamRecord, UpstreamState};
+use crate::upstream_load::UpstreamLoad;
 use brasswinch_types::{Millis, Region};
 use std::collections::VecDeque;
 
-/// Objects that are remembered as served by a target.
+/// Objects that are remembered as served by an upstream.
 const MOST_SERVED: usize = 32;
 
-/// A target and what this box knows of it.
+/// An upstream and what this box knows of it.
 #[derive(Clone, Debug)]
 pub(super) struct Entry {
-    pub(super) record: TargetRecord,
+    pub(super) record: UpstreamRecord,
     pub(super) region: Region,
     pub(super) hash: u64,
     pub(super) cold_until: Millis,
     pub(super) vanished_at: Option<Millis>,
     pub(super) is_evacuated: bool,
-    /// Another target answered at its address.
+    /// Another upstream answered at its address.
     pub(super) is_replaced: bool,
     pub(super) is_slow: bool,
-    pub(super) load: TargetLoad,
+    pub(super) load: UpstreamLoad,
     pub(super) pacing: ColdPacing,
     /// Objects that it served lately for this box, newest last.
     pub(super) served: VecDeque<u64>,
@@ -41,10 +41,10 @@
     }
 
     pub(super) fn takes_requests(&self) -> bool {
-        self.record.state == TargetState::Ready && !self.is_evacuated && !self.is_replaced
+        self.record.state == UpstreamState::Ready && !self.is_evacuated && !self.is_replaced
     }
 
-    /// Whether something has befallen it that other targets have to make up for.
+    /// Whether something has befallen it that other upstreams have to make up for.
     pub(super) fn is_disturbed(&self, now: Millis) -> bool {
         self.is_evacuated || self.is_cold(now) || self.load.is_unreachable()
     }
--- a/crates/routing/src/placement/mod.rs
+++ b/crates/routing/src/placement/mod.rs
@@ -1,27 +1,27 @@
-//! Chooses the target of a request.
+//! Chooses the upstream of a request.
 //!
-//! An object has a home: a region, by the region plan, and a few targets there, by
-//! rendezvous, so that targets see the same objects again. The first of them with a free
+//! An object has a home: a region, by the region plan, and a few upstreams there, by
+//! rendezvous, so that upstreams see the same objects again. The first of them with a free
 //! slot gets the request. Only where none has one does it wait at the least loaded of
 //! them, or go to another region, and where all are full it is refused at once.
 
 mod entry;
-mod service_targets;
+mod service_upstreams;
 mod spill;
 
 use crate::region_plan::RegionRoom;
 use crate::rendezvous::object_hash;
-use crate::target::{TargetId, TargetRecord};
-use crate::target_load::LoadReport;
+use crate::upstream::UpstreamRecord;
+use crate::upstream_load::LoadReport;
 use crate::{FleetState, SteeringConfig};
-use brasswinch_types::{BoxId, Millis, Region, Service, Zone};
+use brasswinch_types::{BoxId, Millis, Region, Service, UpstreamId, Zone};
 use entry::Entry;
-use service_targets::{ServiceTargets, Warming};
+use service_upstreams::{ServiceUpstreams, Warming};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 
-/// Where more than this part of a service's targets lose their entries at once, the
-/// store is taken to have lost the entries rather than the service its targets.
+/// Where more than this part of a service's upstreams lose their entries at once, the
+/// store is taken to have lost the entries rather than the service its upstreams.
 const MASS_LOSS_PART: f64 = 0.34;
 
 /// Between two looks at latencies and room.
@@ -41,15 +41,15 @@
     pub zones: BTreeMap<Zone, Region>,
     /// Most of a region's requests that may change region of execution in a window.
     pub most_shift: f64,
-    /// How long targets that lost their entries together may still be used: time to
+    /// How long upstreams that lost their entries together may still be used: time to
     /// write them again.
     pub keep_vanished_ms: Millis,
-    /// How long targets of a zone whose evacuation ended are taken for cold unless
+    /// How long upstreams of a zone whose evacuation ended are taken for cold unless
     /// their entries say more.
     pub after_evacuation_ms: Millis,
 }
 
-/// A request for a target.
+/// A request for an upstream.
 #[derive(Clone, Copy, Debug)]
 pub struct Wanted<'a> {
     /// The service.
@@ -58,28 +58,28 @@
     pub object: Option<&'a [u8]>,
     /// The only regions allowed; empty allows all.
     pub allowed_regions: &'a BTreeSet<Region>,
-    /// Targets that it was already sent to.
-    pub tried: &'a [TargetId],
+    /// Upstreams that it was already sent to.
+    pub tried: &'a [UpstreamId],
 }
 
-/// The chosen target.
+/// The chosen upstream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Choice {
     /// The object that the request is about, as a hash.
     pub object: u64,
-    /// The target.
-    pub target: TargetId,
+    /// The upstream.
+    pub upstream: UpstreamId,
     /// Its service.
     pub service: Service,
     /// Where it listens.
     pub address: SocketAddr,
 }
 
-/// Why no target was chosen.
+/// Why no upstream was chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Refusal {
-    /// The service has no target that may be used.
-    NoTarget,
+    /// The service has no upstream that may be used.
+    NoUpstream,
     /// All are full.
     Busy {
         /// When to come back, in milliseconds.
@@ -87,14 +87,14 @@
     },
 }
 
-/// How a request at a target ended.
+/// How a request at an upstream ended.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum TargetOutcome {
+pub enum UpstreamOutcome {
     /// It answered after so many milliseconds.
     Answered(f64),
     /// It said that it did not run the request.
     Shed,
-    /// Another target has its address now.
+    /// Another upstream has its address now.
     Replaced,
     /// No connection could be made.
     Unreachable,
@@ -104,11 +104,11 @@
     Abandoned,
 }
 
-/// All services' targets as one box sees them.
+/// All services' upstreams as one box sees them.
 #[derive(Debug)]
 pub struct Placement {
     settings: PlacementSettings,
-    services: HashMap<Service, ServiceTargets>,
+    services: HashMap<Service, ServiceUpstreams>,
     /// Hashes of the boxes that serve, this one included.
     boxes: Vec<u64>,
     most_boxes: usize,
@@ -117,7 +117,7 @@
 }
 
 impl Placement {
-    /// Knows no targets yet.
+    /// Knows no upstreams yet.
     pub fn new(settings: PlacementSettings) -> Self {
         let me = object_hash("box", settings.me.as_str().as_bytes());
         Self {
@@ -149,15 +149,15 @@
         self.most_boxes
     }
 
-    /// Takes what is known of targets.
+    /// Takes what is known of upstreams.
     pub fn update(&mut self, fleet: &FleetState, config: &SteeringConfig, now: Millis) {
-        let mut held: HashMap<TargetId, Entry> = HashMap::new();
+        let mut held: HashMap<UpstreamId, Entry> = HashMap::new();
         for service in self.services.values_mut() {
             let entries = std::mem::take(&mut service.entries);
             held.extend(entries.into_iter().map(|e| (e.record.id.clone(), e)));
         }
         let mut addresses = BTreeSet::new();
-        for (record, learned_at) in fleet.targets() {
+        for (record, learned_at) in fleet.upstreams() {
             addresses.insert(record.address);
             let entry = self.entry(record, learned_at, held.remove(&record.id), fleet);
             self.service(&record.service).entries.push(entry);
@@ -176,8 +176,8 @@
         self.review(now);
     }
 
-    /// Keeps targets whose entries vanished together, for as long as writing them again
-    /// takes. Targets that vanish one by one have left.
+    /// Keeps upstreams whose entries vanished together, for as long as writing them again
+    /// takes. Upstreams that vanish one by one have left.
     fn keep_lost_entries(&mut self, vanished: Vec<Entry>, fleet: &FleetState, now: Millis) {
         let mut losses: HashMap<Service, Vec<Entry>> = HashMap::new();
         for entry in vanished {
@@ -201,13 +201,13 @@
         }
     }
 
-    fn service(&mut self, name: &Service) -> &mut ServiceTargets {
+    fn service(&mut self, name: &Service) -> &mut ServiceUpstreams {
         self.services.entry(name.clone()).or_default()
     }
 
     fn entry(
         &self,
-        record: &TargetRecord,
+        record: &UpstreamRecord,
         learned_at: Millis,
         held: Option<Entry>,
         fleet: &FleetState,
@@ -221,7 +221,7 @@
         let cold_until = (learned_at + cold_ms + margin).max(after_evacuation);
         Entry {
             region: region.cloned().unwrap_or_else(|| Region::new("")),
-            hash: object_hash("target", record.id.as_str().as_bytes()),
+            hash: object_hash("upstream", record.id.as_str().as_bytes()),
             cold_until,
             vanished_at: None,
             is_evacuated: fleet.is_evacuated(&record.zone),
@@ -266,7 +266,7 @@
         }
     }
 
-    /// Chooses a target and counts the request there. `random` is drawn from 0 to 1.
+    /// Chooses an upstream and counts the request there. `random` is drawn from 0 to 1.
     pub fn choose(
         &mut self,
         wanted: &Wanted<'_>,
@@ -282,33 +282,33 @@
         };
         let chosen = match self.services.get_mut(wanted.service) {
             Some(service) => service.choose(wanted, &warming, now),
-            None => Err(Refusal::NoTarget),
+            None => Err(Refusal::NoUpstream),
         };
         self.boxes = boxes;
         chosen
     }
 
     /// A request that was given to `choice` ended.
-    pub fn ended(&mut self, choice: &Choice, outcome: TargetOutcome, now: Millis) {
+    pub fn ended(&mut self, choice: &Choice, outcome: UpstreamOutcome, now: Millis) {
         let Some(entry) = self.held(choice) else {
             return;
         };
         let load = &mut entry.load;
         match outcome {
-            TargetOutcome::Answered(latency_ms) => {
+            UpstreamOutcome::Answered(latency_ms) => {
                 load.answered(latency_ms, now);
                 entry.note_served(choice.object);
             }
-            TargetOutcome::Shed => load.shed(),
-            TargetOutcome::Replaced => entry.is_replaced = true,
-            TargetOutcome::Unreachable => load.unreachable(now),
-            TargetOutcome::Unanswered => load.unanswered(now),
-            TargetOutcome::Abandoned => {}
+            UpstreamOutcome::Shed => load.shed(),
+            UpstreamOutcome::Replaced => entry.is_replaced = true,
+            UpstreamOutcome::Unreachable => load.unreachable(now),
+            UpstreamOutcome::Unanswered => load.unanswered(now),
+            UpstreamOutcome::Abandoned => {}
         }
         entry.load.ended();
     }
 
-    /// A target told its load.
+    /// An upstream told its load.
     pub fn reported(&mut self, choice: &Choice, report: LoadReport, now: Millis) {
         if let Some(entry) = self.held(choice) {
             entry.load.reported(report, now);
@@ -323,6 +323,6 @@
     fn held(&mut self, choice: &Choice) -> Option<&mut Entry> {
         let service = self.services.get_mut(&choice.service)?;
         let mut entries = service.entries.iter_mut();
-        entries.find(|entry| entry.record.id == choice.target)
+        entries.find(|entry| entry.record.id == choice.upstream)
     }
 }
--- a/crates/routing/src/placement/service_targets.rs
+++ b/crates/routing/src/placement/service_upstreams.rs
@@ -1,4 +1,4 @@
-//! The targets of one service, and the choice among them.
+//! The upstreams of one service, and the choice among them.
 
 use super::entry::Entry;
 use super::spill::SpillWindow;
@@ -8,13 +8,13 @@
 use crate::rendezvous::{object_hash, weighted_score};
 use brasswinch_types::{Millis, Region};
 
-/// Targets of a region that an object may use before it counts as without room there.
+/// Upstreams of a region that an object may use before it counts as without room there.
 const HOMES_IN_REGION: usize = 1;
 
-/// Requests at a target, in multiples of its slots, above which it gets no more.
+/// Requests at an upstream, in multiples of its slots, above which it gets no more.
 const MOST_QUEUE: f64 = 1.7;
 
-/// The same for a request about an object that the target has not served for this box:
+/// The same for a request about an object that the upstream has not served for this box:
 /// it takes longer, and a queue of such requests would leave no room to get faster.
 const MOST_QUEUE_UNSERVED: f64 = 1.35;
 
@@ -22,21 +22,21 @@
 /// refused, as long as it can still be served.
 const LONGEST_QUEUE: f64 = 1.9;
 
-/// How long a service counts as disturbed after its targets are all back.
+/// How long a service counts as disturbed after its upstreams are all back.
 const DISTURBED_MS: Millis = 3_000;
 
-/// A target counts as slow when its latency is this multiple of the service's median.
+/// An upstream counts as slow when its latency is this multiple of the service's median.
 const SLOW_MULTIPLE: f64 = 2.5;
 
-/// Part of requests that still try a slow target.
+/// Part of requests that still try a slow upstream.
 const SLOW_TRIAL_PART: f64 = 0.05;
 
 /// Retry times that a refused caller is told, in milliseconds.
 const REFUSED_RETRY_MS: Millis = 150;
 
-/// The targets of one service.
+/// The upstreams of one service.
 #[derive(Debug, Default)]
-pub(super) struct ServiceTargets {
+pub(super) struct ServiceUpstreams {
     pub(super) entries: Vec<Entry>,
     pub(super) plan: RegionPlan,
     pub(super) cold_per_s: f64,
@@ -44,7 +44,7 @@
     disturbed_until: Millis,
 }
 
-/// Which boxes warm cold targets, and this one's dice.
+/// Which boxes warm cold upstreams, and this one's dice.
 pub(super) struct Warming<'a> {
     pub(super) boxes: &'a [u64],
     pub(super) me: u64,
@@ -52,18 +52,18 @@
 }
 
 impl Warming<'_> {
-    fn is_mine(&self, target: u64) -> bool {
-        let mine = weighted_score(target, self.me, 1.0);
+    fn is_mine(&self, upstream: u64) -> bool {
+        let mine = weighted_score(upstream, self.me, 1.0);
         let better = self
             .boxes
             .iter()
-            .filter(|other| weighted_score(target, **other, 1.0) > mine)
+            .filter(|other| weighted_score(upstream, **other, 1.0) > mine)
             .count();
         better < ColdPacing::warmers(self.boxes.len())
     }
 }
 
-impl ServiceTargets {
+impl ServiceUpstreams {
     pub(super) fn choose(
         &mut self,
         wanted: &Wanted<'_>,
@@ -83,7 +83,7 @@
             .or_else(|| self.cold(wanted, warming, now));
         match chosen {
             Some(index) => Ok(self.start(index, object)),
-            None if regions.is_empty() && !self.has_any(wanted) => Err(Refusal::NoTarget),
+            None if regions.is_empty() && !self.has_any(wanted) => Err(Refusal::NoUpstream),
             None => Err(Refusal::Busy {
                 retry_after_ms: REFUSED_RETRY_MS + (warming.random * 100.0) as Millis,
             }),
@@ -95,7 +95,7 @@
         entry.load.started();
         Choice {
             object,
-            target: entry.record.id.clone(),
+            upstream: entry.record.id.clone(),
             service: entry.record.service.clone(),
             address: entry.record.address,
         }
@@ -107,7 +107,7 @@
             .any(|entry| entry.takes_requests() && is_allowed(entry, wanted))
     }
 
-    /// Regions with usable targets, the object's home first.
+    /// Regions with usable upstreams, the object's home first.
     fn ranked_regions(&self, object: u64, wanted: &Wanted<'_>) -> Vec<Region> {
         let mut ranked: Vec<(f64, f64, &Region)> = Vec::new();
         for entry in &self.entries {
@@ -127,7 +127,7 @@
             .collect()
     }
 
-    /// Usable warm targets of `region`, the object's homes first.
+    /// Usable warm upstreams of `region`, the object's homes first.
     fn homes(&self, object: u64, region: &Region, wanted: &Wanted<'_>, now: Millis) -> Vec<usize> {
         let mut ranked: Vec<(f64, usize)> = self
             .entries
@@ -239,7 +239,7 @@
             .min_by(|a, b| cost(a).total_cmp(&cost(b)))
     }
 
-    /// A cold target whose turn it is; this box must be one of those that warm it.
+    /// A cold upstream whose turn it is; this box must be one of those that warm it.
     fn cold(&mut self, wanted: &Wanted<'_>, warming: &Warming<'_>, now: Millis) -> Option<usize> {
         let cold_per_s = self.cold_per_s;
         let boxes = warming.boxes.len();
@@ -273,7 +273,7 @@
         Some(latencies[latencies.len() / 2])
     }
 
-    /// Notes whether targets are out for reasons of their own: the others have to make up
+    /// Notes whether upstreams are out for reasons of their own: the others have to make up
     /// for them then, wherever they stand.
     pub(super) fn review_disturbance(&mut self, now: Millis) {
         if self.entries.iter().any(|entry| entry.is_disturbed(now)) {
--- a/crates/routing/src/region_plan.rs
+++ b/crates/routing/src/region_plan.rs
@@ -1,6 +1,6 @@
 //! Which parts of a region's requests run in which region.
 //!
-//! A region keeps its own requests as far as its targets have room in proportion; the
+//! A region keeps its own requests as far as its upstreams have room in proportion; the
 //! rest goes where room is left over. The parts move slowly, so that the requests of a
 //! region never change their region of execution faster than the shift bound.
 
@@ -22,7 +22,7 @@
 pub struct RegionRoom {
     /// The region.
     pub region: Region,
-    /// Slots of its usable targets.
+    /// Slots of its usable upstreams.
     pub slots: f64,
     /// Requests a second that its callers send, in any unit.
     pub demand: f64,
--- a/crates/routing/src/swim/member.rs
+++ b/crates/routing/src/swim/member.rs
@@ -44,9 +44,9 @@
     /// Up to where it knows what operators wrote.
     #[serde(rename = "o")]
     pub operator_revision: Revision,
-    /// Up to where it knows what targets wrote.
+    /// Up to where it knows what upstreams wrote.
     #[serde(rename = "t")]
-    pub target_revision: Revision,
+    pub upstream_revision: Revision,
     /// Whether the store answered it when it last asked.
     #[serde(rename = "k")]
     pub reaches_store: bool,
@@ -57,7 +57,7 @@
     pub fn revision(&self, scope: Scope) -> Revision {
         match scope {
             Scope::Operator => self.operator_revision,
-            Scope::Targets => self.target_revision,
+            Scope::Upstreams => self.upstream_revision,
         }
     }
 }
--- a/crates/routing/src/swim/mod.rs
+++ b/crates/routing/src/swim/mod.rs
@@ -132,7 +132,7 @@
     pub fn set_revision(&mut self, scope: Scope, revision: Revision) -> bool {
         let held = match scope {
             Scope::Operator => &mut self.me.operator_revision,
-            Scope::Targets => &mut self.me.target_revision,
+            Scope::Upstreams => &mut self.me.upstream_revision,
         };
         if *held >= revision {
             return false;
@@ -206,11 +206,11 @@
             }
             SwimMessage::PingRequest {
                 sequence,
-                target,
+                upstream,
                 updates,
             } => {
                 self.merge_all(updates, now);
-                self.run_errand(from, sequence, target, now)
+                self.run_errand(from, sequence, upstream, now)
             }
             SwimMessage::Sync { asks, updates } => {
                 self.merge_all(updates, now);
--- a/crates/routing/src/swim/spreading.rs
+++ b/crates/routing/src/swim/spreading.rs
@@ -93,7 +93,7 @@
     }
 
     fn hear_revisions(&mut self, update: &Update) {
-        for scope in [Scope::Operator, Scope::Targets] {
+        for scope in [Scope::Operator, Scope::Upstreams] {
             let heard = self.heard.entry(scope).or_default();
             *heard = (*heard).max(update.record.revision(scope));
         }
--- a/crates/routing/src/target_load.rs
+++ b/crates/routing/src/upstream_load.rs
@@ -1,7 +1,7 @@
-//! What a box knows of one target's load and health.
+//! What a box knows of one upstream's load and health.
 //!
-//! Load is the own requests in flight plus what the target last reported of others',
-//! which counts for less as it ages. Health is passive: failures eject a target for a
+//! Load is the own requests in flight plus what the upstream last reported of others',
+//! which counts for less as it ages. Health is passive: failures eject an upstream for a
 //! time that doubles, after which one request at a time tries it.
 
 use brasswinch_types::Millis;
@@ -9,13 +9,13 @@
 /// A report of others' requests loses half of its weight in this time.
 const REPORT_HALF_LIFE_MS: f64 = 1_000.0;
 
-/// First time that a failing target is left out.
+/// First time that a failing upstream is left out.
 const FIRST_EJECTION_MS: Millis = 500;
 
-/// Longest time that a failing target is left out.
+/// Longest time that a failing upstream is left out.
 const LONGEST_EJECTION_MS: Millis = 4_000;
 
-/// Unanswered requests in a row that eject a target.
+/// Unanswered requests in a row that eject an upstream.
 const FAILURES_TO_EJECT: u32 = 2;
 
 /// Weight of the newest latency in the average.
@@ -24,7 +24,7 @@
 /// A latency average without new answers counts this long.
 const LATENCY_KEPT_MS: Millis = 4_000;
 
-/// What a target says of its load in an answer.
+/// What an upstream says of its load in an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LoadReport {
     /// Requests that it works on.
@@ -35,9 +35,9 @@
     pub slots: u32,
 }
 
-/// Load and health of one target, as one box sees them.
+/// Load and health of one upstream, as one box sees them.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct TargetLoad {
+pub struct UpstreamLoad {
     in_flight: u32,
     others: f64,
     reported_at: Millis,
@@ -49,7 +49,7 @@
     answered_at: Millis,
 }
 
-impl TargetLoad {
+impl UpstreamLoad {
     /// A request is about to be sent.
     pub fn started(&mut self) {
         self.in_flight += 1;
@@ -60,7 +60,7 @@
         self.in_flight = self.in_flight.saturating_sub(1);
     }
 
-    /// The target answered after `latency_ms`.
+    /// The upstream answered after `latency_ms`.
     pub fn answered(&mut self, latency_ms: f64, now: Millis) {
         self.is_unreachable = false;
         self.failures = 0;
@@ -75,7 +75,7 @@
         self.answered_at = now;
     }
 
-    /// The target answered without running the request; it is alive.
+    /// The upstream answered without running the request; it is alive.
     pub fn shed(&mut self) {
         self.is_unreachable = false;
         self.failures = 0;
@@ -83,7 +83,7 @@
         self.ejected_until = 0;
     }
 
-    /// The target reported its load in an answer to a request that still counts as in
+    /// The upstream reported its load in an answer to a request that still counts as in
     /// flight here, although the report no longer holds it.
     pub fn reported(&mut self, report: LoadReport, now: Millis) {
         let total = f64::from(report.running + report.waiting);
@@ -119,7 +119,7 @@
         self.is_unreachable
     }
 
-    /// Requests at the target, as far as known: running and waiting.
+    /// Requests at the upstream, as far as known: running and waiting.
     pub fn estimate(&self, now: Millis) -> f64 {
         let age = now.saturating_sub(self.reported_at) as f64;
         let kept = 0.5_f64.powf(age / REPORT_HALF_LIFE_MS);
--- a/crates/routing/tests/common/mod.rs
+++ b/crates/routing/tests/common/mod.rs
@@ -3,10 +3,10 @@
 
 use brasswinch_routing::{
     Backend, Change, ClientLimits, ConfigVersion, FleetState, Placement, PlacementSettings,
-    Revised, Revision, Route, RouteKind, ServiceConfig, SteeringConfig, TargetId, TargetRecord,
-    TargetState, Wanted,
+    Revised, Revision, Route, RouteKind, ServiceConfig, SteeringConfig, UpstreamRecord,
+    UpstreamState, Wanted,
 };
-use brasswinch_types::{BoxId, Region, Service, Zone};
+use brasswinch_types::{BoxId, Region, Service, UpstreamId, Zone};
 use std::collections::{BTreeMap, BTreeSet};
 
 pub const SLOTS: u32 = 4;
@@ -25,14 +25,14 @@
         .collect()
 }
 
-pub fn target(id: &str, zone: &str, port: u16) -> TargetRecord {
-    TargetRecord {
-        id: TargetId::new(id),
+pub fn upstream(id: &str, zone: &str, port: u16) -> UpstreamRecord {
+    UpstreamRecord {
+        id: UpstreamId::new(id),
         service: service(),
         address: ([127, 0, 0, 1], port).into(),
         zone: Zone::new(zone),
         slots: SLOTS,
-        state: TargetState::Ready,
+        state: UpstreamState::Ready,
         cold_remaining_s: 0.0,
     }
 }
@@ -77,15 +77,15 @@
     }
 }
 
-/// `per_zone` targets in each zone, with ids by zone and number.
+/// `per_zone` upstreams in each zone, with ids by zone and number.
 pub fn fleet(per_zone: usize) -> FleetState {
     let mut fleet = FleetState::default();
     let mut port = 1_000;
     for zone in zones().keys() {
         for number in 0..per_zone {
             port += 1;
-            let record = target(&format!("{zone}-{number}"), zone.as_str(), port);
-            fleet.apply(revised(u64::from(port), Change::Target(record)), 1);
+            let record = upstream(&format!("{zone}-{number}"), zone.as_str(), port);
+            fleet.apply(revised(u64::from(port), Change::Upstream(record)), 1);
         }
     }
     fleet
@@ -106,7 +106,7 @@
     service: &'a Service,
     object: &'a [u8],
     anywhere: &'a BTreeSet<Region>,
-    tried: &'a [TargetId],
+    tried: &'a [UpstreamId],
 ) -> Wanted<'a> {
     Wanted {
         service,
--- a/crates/routing/tests/fleet_state.rs
+++ b/crates/routing/tests/fleet_state.rs
@@ -4,11 +4,10 @@
 mod common;
 
 use brasswinch_routing::{
-    CatchUp, Change, ChangeKey, FleetState, Revised, Revision, Scope, Snapshot, TargetId,
-    TargetState,
+    CatchUp, Change, ChangeKey, FleetState, Revised, Revision, Scope, Snapshot, UpstreamState,
 };
-use brasswinch_types::Zone;
-use common::{config, revised, target};
+use brasswinch_types::{UpstreamId, Zone};
+use common::{config, revised, upstream};
 use proptest::prelude::*;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -17,7 +16,7 @@
 #[derive(Default)]
 struct Store {
     revision: u64,
-    targets: BTreeMap<String, (u64, TargetState)>,
+    upstreams: BTreeMap<String, (u64, UpstreamState)>,
     history: Vec<Revised>,
 }
 
@@ -27,39 +26,39 @@
         let name = format!("t{id}");
         let change = match action {
             0 => {
-                self.targets.remove(&name);
-                Change::Gone(ChangeKey::Target(TargetId::new(&name)))
+                self.upstreams.remove(&name);
+                Change::Gone(ChangeKey::Upstream(UpstreamId::new(&name)))
             }
             action => {
-                let mut record = target(&name, "west-a", 1_000 + u16::from(id));
+                let mut record = upstream(&name, "west-a", 1_000 + u16::from(id));
                 if action == 1 {
-                    record.state = TargetState::Draining;
+                    record.state = UpstreamState::Draining;
                 }
                 let entry = (self.revision, record.state);
-                self.targets.insert(name, entry);
-                Change::Target(record)
+                self.upstreams.insert(name, entry);
+                Change::Upstream(record)
             }
         };
         self.history.push(revised(self.revision, change));
     }
 
     fn listing(&self) -> Snapshot {
-        let entries = self.targets.iter().map(|(name, (revision, state))| {
-            let mut record = target(name, "west-a", 1_000);
+        let entries = self.upstreams.iter().map(|(name, (revision, state))| {
+            let mut record = upstream(name, "west-a", 1_000);
             record.state = *state;
-            revised(*revision, Change::Target(record))
+            revised(*revision, Change::Upstream(record))
         });
         Snapshot {
-            scope: Scope::Targets,
+            scope: Scope::Upstreams,
             at: Revision(self.revision),
             entries: entries.collect(),
         }
     }
 }
 
-fn known(fleet: &FleetState) -> BTreeMap<String, TargetState> {
+fn known(fleet: &FleetState) -> BTreeMap<String, UpstreamState> {
     fleet
-        .targets()
+        .upstreams()
         .map(|(record, _)| (record.id.to_string(), record.state))
         .collect()
 }
@@ -84,21 +83,21 @@
                 1 => {
                     // A watch that brings old changes again.
                     let again = store.history.iter().rev().take(5).rev().cloned().collect();
-                    watcher.apply_changes(Scope::Targets, again, now);
+                    watcher.apply_changes(Scope::Upstreams, again, now);
                 }
-                _ => { watcher.apply_changes(Scope::Targets, vec![last], now); }
+                _ => { watcher.apply_changes(Scope::Upstreams, vec![last], now); }
             }
             if sync >= 6 {
-                let after = listener.newest(Scope::Targets);
-                let news = watcher.missing(Scope::Targets, after).unwrap();
+                let after = listener.newest(Scope::Upstreams);
+                let news = watcher.missing(Scope::Upstreams, after).unwrap();
                 listener.catch_up(news, now);
             }
         }
-        let after = listener.newest(Scope::Targets);
-        let news = watcher.missing(Scope::Targets, after).unwrap();
+        let after = listener.newest(Scope::Upstreams);
+        let news = watcher.missing(Scope::Upstreams, after).unwrap();
         listener.catch_up(news, 1_000);
-        let in_store: BTreeMap<String, TargetState> =
-            store.targets.iter().map(|(name, (_, state))| (name.clone(), *state)).collect();
+        let in_store: BTreeMap<String, UpstreamState> =
+            store.upstreams.iter().map(|(name, (_, state))| (name.clone(), *state)).collect();
         prop_assert_eq!(known(&watcher), in_store.clone());
         prop_assert_eq!(known(&listener), in_store);
     }
@@ -126,16 +125,16 @@
 }
 
 #[test]
-fn a_late_entry_of_a_target_that_went_is_not_believed() {
+fn a_late_entry_of_an_upstream_that_went_is_not_believed() {
     let mut fleet = FleetState::default();
-    let entry = |revision| revised(revision, Change::Target(target("t", "west-a", 1)));
+    let entry = |revision| revised(revision, Change::Upstream(upstream("t", "west-a", 1)));
     fleet.apply(entry(1), 1);
     fleet.apply(
-        revised(3, Change::Gone(ChangeKey::Target(TargetId::new("t")))),
+        revised(3, Change::Gone(ChangeKey::Upstream(UpstreamId::new("t")))),
         2,
     );
     assert!(!fleet.apply(entry(2), 3));
-    assert_eq!(fleet.targets().count(), 0);
+    assert_eq!(fleet.upstreams().count(), 0);
     assert!(fleet.apply(entry(4), 4), "written anew");
 }
 
@@ -167,7 +166,7 @@
 fn a_peer_that_asks_for_more_than_is_kept_gets_everything() {
     let mut fleet = FleetState::default();
     let at = Revision(100);
-    let scope = Scope::Targets;
+    let scope = Scope::Upstreams;
     let entries = Vec::new();
     fleet.apply_snapshot(Snapshot { scope, at, entries }, 1);
     let older = fleet.missing(scope, Some(Revision(99))).unwrap();
@@ -176,7 +175,7 @@
     assert!(matches!(same, CatchUp::Changes { .. }), "{same:?}");
     // What went away long ago is forgotten; a peer that lacks it gets everything.
     let gone = |revision, id| {
-        let key = ChangeKey::Target(TargetId::new(id));
+        let key = ChangeKey::Upstream(UpstreamId::new(id));
         vec![revised(revision, Change::Gone(key))]
     };
     fleet.apply_changes(scope, gone(110, "a"), 10);
--- a/crates/routing/tests/membership.rs
+++ b/crates/routing/tests/membership.rs
@@ -28,7 +28,7 @@
         state: MemberState::Serving,
         requests_per_s: Some(1.0),
         operator_revision: Revision(0),
-        target_revision: Revision(0),
+        upstream_revision: Revision(0),
         reaches_store: true,
     }
 }
@@ -232,9 +232,9 @@
     let mut network = Network::new(12);
     network.run(3_000);
     let teller = network.boxes[2].as_mut().unwrap();
-    assert!(teller.set_revision(Scope::Targets, Revision(9)));
+    assert!(teller.set_revision(Scope::Upstreams, Revision(9)));
     assert!(
-        !teller.set_revision(Scope::Targets, Revision(8)),
+        !teller.set_revision(Scope::Upstreams, Revision(8)),
         "never back"
     );
     let out = teller.hints(&mut StdRng::seed_from_u64(1));
@@ -243,7 +243,7 @@
     let heard = (0..12).filter(|number| {
         let swim = network.boxes[*number].as_ref().unwrap();
         swim.members()
-            .any(|member| member.record.revision(Scope::Targets) == Revision(9))
+            .any(|member| member.record.revision(Scope::Upstreams) == Revision(9))
     });
     assert!(heard.count() >= 3);
 }
--- a/crates/routing/tests/placement.rs
+++ b/crates/routing/tests/placement.rs
@@ -1,17 +1,17 @@
-//! Which target a request gets.
+//! Which upstream a request gets.
 #![allow(clippy::unwrap_used, clippy::expect_used)]
 
 mod common;
 
 use brasswinch_routing::{
-    Change, ChangeKey, Choice, FleetState, LoadReport, Placement, Refusal, TargetId, TargetOutcome,
-    TargetState,
+    Change, ChangeKey, Choice, FleetState, LoadReport, Placement, Refusal, UpstreamOutcome,
+    UpstreamState,
 };
-use brasswinch_types::{BoxId, Region, Zone};
-use common::{SLOTS, config, fleet, placement_in, revised, service, target, wanted, zones};
+use brasswinch_types::{BoxId, Region, UpstreamId, Zone};
+use common::{SLOTS, config, fleet, placement_in, revised, service, upstream, wanted, zones};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// A random number that makes no slow target tried.
+/// A random number that makes no slow upstream tried.
 const DICE: f64 = 0.5;
 
 struct Test {
@@ -34,7 +34,7 @@
     fn try_choose(
         &mut self,
         object: &str,
-        tried: &[TargetId],
+        tried: &[UpstreamId],
         now: u64,
     ) -> Result<Choice, Refusal> {
         let (service, anywhere) = (service(), BTreeSet::new());
@@ -47,16 +47,16 @@
     }
 
     /// Chooses and ends at once.
-    fn visit(&mut self, object: &str, now: u64) -> TargetId {
+    fn visit(&mut self, object: &str, now: u64) -> UpstreamId {
         let choice = self.choose(object, now);
-        let outcome = TargetOutcome::Answered(100.0);
+        let outcome = UpstreamOutcome::Answered(100.0);
         self.placement.ended(&choice, outcome, now);
-        choice.target
+        choice.upstream
     }
 
-    fn zone_of(&self, id: &TargetId) -> Zone {
-        let mut targets = self.fleet.targets();
-        let found = targets.find(|(record, _)| &record.id == id);
+    fn zone_of(&self, id: &UpstreamId) -> Zone {
+        let mut upstreams = self.fleet.upstreams();
+        let found = upstreams.find(|(record, _)| &record.id == id);
         found.unwrap().0.zone.clone()
     }
 }
@@ -66,30 +66,33 @@
 }
 
 #[test]
-fn an_object_keeps_its_target_and_one_that_goes_moves_only_its_own() {
+fn an_object_keeps_its_upstream_and_one_that_goes_moves_only_its_own() {
     let mut test = Test::new(fleet(3));
-    let before: BTreeMap<String, TargetId> = objects()
+    let before: BTreeMap<String, UpstreamId> = objects()
         .map(|object| (object.clone(), test.visit(&object, 2)))
         .collect();
-    for (object, target) in &before {
-        assert_eq!(&test.visit(object, 3), target);
+    for (object, upstream) in &before {
+        assert_eq!(&test.visit(object, 3), upstream);
     }
     let gone = before["7"].clone();
-    test.apply(9_000, Change::Gone(ChangeKey::Target(gone.clone())), 4);
+    test.apply(9_000, Change::Gone(ChangeKey::Upstream(gone.clone())), 4);
     let moved: Vec<&String> = before
         .iter()
-        .filter(|(object, target)| test.visit(object, 5) != **target)
+        .filter(|(object, upstream)| test.visit(object, 5) != **upstream)
         .map(|(object, _)| object)
         .collect();
-    let own = before.iter().filter(|(_, target)| **target == gone).count();
+    let own = before
+        .iter()
+        .filter(|(_, upstream)| **upstream == gone)
+        .count();
     // Its region has a little less room now, so a few more may leave the region.
     assert!(
         moved.len() <= own + 10,
         "{} moved, {own} were its own",
         moved.len()
     );
-    // The region has room for its own requests, and all of its targets share them.
-    let used: BTreeSet<&TargetId> = before.values().collect();
+    // The region has room for its own requests, and all of its upstreams share them.
+    let used: BTreeSet<&UpstreamId> = before.values().collect();
     assert_eq!(used.len(), 6, "{used:?}");
     assert!(used.iter().all(|id| id.as_str().starts_with("west")));
 }
@@ -104,12 +107,12 @@
 }
 
 #[test]
-fn nothing_goes_to_targets_that_leave_or_stand_in_an_evacuated_zone() {
+fn nothing_goes_to_upstreams_that_leave_or_stand_in_an_evacuated_zone() {
     let mut test = Test::new(fleet(2));
     let leaving = test.visit("1", 2);
-    let mut record = target(leaving.as_str(), test.zone_of(&leaving).as_str(), 9);
-    record.state = TargetState::Draining;
-    test.apply(9_000, Change::Target(record), 3);
+    let mut record = upstream(leaving.as_str(), test.zone_of(&leaving).as_str(), 9);
+    record.state = UpstreamState::Draining;
+    test.apply(9_000, Change::Upstream(record), 3);
     test.apply(9_001, Change::Evacuated(Zone::new("north-a")), 3);
     for object in objects() {
         let chosen = test.visit(&object, 4);
@@ -119,13 +122,13 @@
 }
 
 #[test]
-fn a_zone_taken_back_is_cold_until_its_targets_could_say_so() {
+fn a_zone_taken_back_is_cold_until_its_upstreams_could_say_so() {
     let mut test = Test::new(fleet(1));
     let zone = Zone::new("west-a");
     test.apply(9_000, Change::Evacuated(zone.clone()), 10);
     test.apply(9_001, Change::Gone(ChangeKey::Evacuation(zone.clone())), 20);
     let visits = |test: &mut Test, now| -> BTreeSet<Zone> {
-        let ids: Vec<TargetId> = objects().map(|object| test.visit(&object, now)).collect();
+        let ids: Vec<UpstreamId> = objects().map(|object| test.visit(&object, now)).collect();
         ids.iter().map(|id| test.zone_of(id)).collect()
     };
     assert!(!visits(&mut test, 2_900).contains(&zone));
@@ -133,25 +136,25 @@
 }
 
 #[test]
-fn a_cold_target_gets_nothing_while_others_have_room() {
-    let mut cold = target("cold", "west-a", 1);
+fn a_cold_upstream_gets_nothing_while_others_have_room() {
+    let mut cold = upstream("cold", "west-a", 1);
     cold.cold_remaining_s = 3.0;
     let mut fleet = fleet(1);
-    fleet.apply(revised(9_000, Change::Target(cold)), 1);
+    fleet.apply(revised(9_000, Change::Upstream(cold)), 1);
     let mut test = Test::new(fleet);
     for object in objects() {
         assert_ne!(test.visit(&object, 2_000).as_str(), "cold");
     }
-    let later: BTreeSet<TargetId> = objects().map(|object| test.visit(&object, 4_000)).collect();
-    assert!(later.contains(&TargetId::new("cold")));
+    let later: BTreeSet<UpstreamId> = objects().map(|object| test.visit(&object, 4_000)).collect();
+    assert!(later.contains(&UpstreamId::new("cold")));
 }
 
 #[test]
 fn where_all_are_cold_a_few_boxes_pace_what_they_send() {
     let mut fleet = FleetState::default();
-    let mut cold = target("cold", "west-a", 1);
+    let mut cold = upstream("cold", "west-a", 1);
     cold.cold_remaining_s = 60.0;
-    fleet.apply(revised(1, Change::Target(cold)), 1);
+    fleet.apply(revised(1, Change::Upstream(cold)), 1);
     let mut arrivals = 0;
     for number in 0..12 {
         let me = BoxId::new(format!("box-{number}"));
@@ -170,7 +173,7 @@
         for now in 2_000..12_000 {
             let wanted = wanted(&service, b"1", &anywhere, &[]);
             if let Ok(choice) = placement.choose(&wanted, DICE, now) {
-                placement.ended(&choice, TargetOutcome::Answered(100.0), now);
+                placement.ended(&choice, UpstreamOutcome::Answered(100.0), now);
                 arrivals += 1;
             }
         }
@@ -182,12 +185,12 @@
 #[test]
 fn entries_lost_together_are_kept_for_a_while_and_one_lost_alone_is_not() {
     let mut test = Test::new(fleet(2));
-    let alone = TargetId::new("north-a-0");
-    test.apply(9_000, Change::Gone(ChangeKey::Target(alone.clone())), 10);
+    let alone = UpstreamId::new("north-a-0");
+    test.apply(9_000, Change::Gone(ChangeKey::Upstream(alone.clone())), 10);
     for object in objects() {
         assert_ne!(test.visit(&object, 11), alone);
     }
-    let scope = brasswinch_routing::Scope::Targets;
+    let scope = brasswinch_routing::Scope::Upstreams;
     let at = brasswinch_routing::Revision(9_100);
     let entries = Vec::new();
     let empty = brasswinch_routing::Snapshot { scope, at, entries };
@@ -196,28 +199,28 @@
     assert!(test.try_choose("1", &[], 1_000).is_ok(), "kept");
     assert_eq!(
         test.try_choose("1", &[], 2_100),
-        Err(Refusal::NoTarget),
+        Err(Refusal::NoUpstream),
         "none wrote its entry again"
     );
 }
 
 #[test]
-fn a_target_that_can_t_be_reached_is_left_out_and_tried_again() {
+fn an_upstream_that_can_t_be_reached_is_left_out_and_tried_again() {
     let mut test = Test::new(fleet(2));
     let choice = test.choose("1", 10);
     test.placement
-        .ended(&choice, TargetOutcome::Unreachable, 10);
-    assert_ne!(test.visit("1", 20), choice.target);
+        .ended(&choice, UpstreamOutcome::Unreachable, 10);
+    assert_ne!(test.visit("1", 20), choice.upstream);
     let again = test.choose("1", 600);
-    assert_eq!(again.target, choice.target, "tried again after a while");
+    assert_eq!(again.upstream, choice.upstream, "tried again after a while");
     assert_ne!(
         test.visit("1", 601),
-        choice.target,
+        choice.upstream,
         "by one request at a time"
     );
     test.placement
-        .ended(&again, TargetOutcome::Answered(100.0), 700);
-    assert_eq!(test.visit("1", 701), choice.target);
+        .ended(&again, UpstreamOutcome::Answered(100.0), 700);
+    assert_eq!(test.visit("1", 701), choice.upstream);
 }
 
 #[test]
@@ -230,21 +233,21 @@
         slots: SLOTS,
     };
     test.placement.reported(&home, full, 10);
-    let home_region = zones()[&test.zone_of(&home.target)].clone();
+    let home_region = zones()[&test.zone_of(&home.upstream)].clone();
     let mut away = 0;
     let mut refused = 0;
     for _ in 0..100 {
         match test.try_choose("1", &[], 20) {
             Ok(choice) => {
-                assert_ne!(choice.target, home.target, "it is full");
-                let region = zones()[&test.zone_of(&choice.target)].clone();
+                assert_ne!(choice.upstream, home.upstream, "it is full");
+                let region = zones()[&test.zone_of(&choice.upstream)].clone();
                 away += u32::from(region != home_region);
             }
             Err(Refusal::Busy { retry_after_ms }) => {
                 assert!(retry_after_ms > 0);
                 refused += 1;
             }
-            Err(Refusal::NoTarget) => panic!("there are targets"),
+            Err(Refusal::NoUpstream) => panic!("there are upstreams"),
         }
     }
     assert!(away > 0 && refused > 0, "{away} away, {refused} refused");
@@ -259,20 +262,20 @@
         let wanted = wanted(&service, object.as_bytes(), &allowed, &[]);
         let choice = test.placement.choose(&wanted, DICE, 5).unwrap();
         test.placement
-            .ended(&choice, TargetOutcome::Answered(1.0), 5);
-        let zone = test.zone_of(&choice.target);
+            .ended(&choice, UpstreamOutcome::Answered(1.0), 5);
+        let zone = test.zone_of(&choice.upstream);
         assert_eq!(zones()[&zone], Region::new("south"));
     }
 }
 
 #[test]
-fn a_request_is_never_sent_to_the_same_target_twice() {
+fn a_request_is_never_sent_to_the_same_upstream_twice() {
     let mut test = Test::new(fleet(1));
     let mut tried = Vec::new();
     for _ in 0..6 {
         let choice = test.try_choose("1", &tried, 5).unwrap();
-        assert!(!tried.contains(&choice.target));
-        tried.push(choice.target);
+        assert!(!tried.contains(&choice.upstream));
+        tried.push(choice.upstream);
     }
     assert!(test.try_choose("1", &tried, 5).is_err());
 }
@@ -286,12 +289,12 @@
     for now in (10..4_010).step_by(5) {
         while held.first().is_some_and(|(until, _)| *until <= now) {
             let (_, choice) = held.remove(0);
-            let outcome = TargetOutcome::Answered(2_000.0);
+            let outcome = UpstreamOutcome::Answered(2_000.0);
             test.placement.ended(&choice, outcome, now);
         }
         all += 1;
         if let Ok(choice) = test.try_choose(&(now % 97).to_string(), &[], now) {
-            away += u32::from(!choice.target.as_str().starts_with("west"));
+            away += u32::from(!choice.upstream.as_str().starts_with("west"));
             held.push((now + 2_000, choice));
         }
     }
--- a/crates/routing/tests/shared_bounds.rs
+++ b/crates/routing/tests/shared_bounds.rs
@@ -52,9 +52,9 @@
     }
 
     /// Two groups that can't see each other, both warming as fast as they may, stay under
-    /// one and a half times what the target bears and a little.
+    /// one and a half times what the upstream bears and a little.
     #[test]
-    fn two_cut_off_groups_together_spare_a_cold_target(
+    fn two_cut_off_groups_together_spare_a_cold_upstream(
         first in 1_usize..40,
         second in 1_usize..40,
         cold_per_s in 4.0_f64..30.0,
--- a/crates/types/src/errors.rs
+++ b/crates/types/src/errors.rs
@@ -109,11 +109,11 @@
     NoRoute,
     /// The body is longer than the configuration allows.
     BodyTooLarge,
-    /// No target of the service can take it now.
-    NoTarget,
-    /// The time allowed was over before it was sent to a target.
+    /// No upstream of the service can take it now.
+    NoUpstream,
+    /// The time allowed was over before it was sent to an upstream.
     TimeoutBeforeSend,
-    /// The time allowed was over after it may have arrived at a target.
+    /// The time allowed was over after it may have arrived at an upstream.
     TimeoutAfterSend,
 }
 
@@ -148,7 +148,7 @@
         E::NotConfigured,
         E::NoRoute,
         E::BodyTooLarge,
-        E::NoTarget,
+        E::NoUpstream,
         E::TimeoutBeforeSend,
         E::TimeoutAfterSend,
     ];
@@ -182,7 +182,7 @@
             E::NotConfigured => "not_configured",
             E::NoRoute => "no_route",
             E::BodyTooLarge => "body_too_large",
-            E::NoTarget => "no_target",
+            E::NoUpstream => "no_upstream",
             E::TimeoutBeforeSend => "timeout_before_send",
             E::TimeoutAfterSend => "timeout_after_send",
         }
@@ -317,7 +317,7 @@
             ),
             E::NoRoute => row(404, NotRun, Never, "No route takes this host and path."),
             E::BodyTooLarge => row(413, NotRun, Never, "The body is too long."),
-            E::NoTarget => row(503, NotRun, After(150), "No target can take it now."),
+            E::NoUpstream => row(503, NotRun, After(150), "No upstream can take it now."),
             E::TimeoutBeforeSend => row(
                 503,
                 NotRun,
--- a/crates/types/src/ids.rs
+++ b/crates/types/src/ids.rs
@@ -63,7 +63,7 @@
     BoxId
 }
 name_type! {
-    /// An upstream target of one zone.
+    /// One incarnation of an upstream; a restart may bring a new one.
     UpstreamId
 }
 
