Routes' priority decides who waits; upstreams that joined get a first request

Change: less urgent requests use 0.8 of each queue; after four seconds without a request one box sends an upstream that joined one.

--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -353,6 +353,7 @@
         let wanted = Wanted {
             service: &self.service,
             object: self.facts.object,
+            priority: self.route.priority,
             allowed_regions: &self.route.allowed_regions,
             tried,
         };
--- a/crates/routing/src/config.rs
+++ b/crates/routing/src/config.rs
@@ -164,6 +164,16 @@
         Ok(())
     }
 
+    /// The rank of the most urgent route that goes to `service`.
+    pub fn most_urgent(&self, service: &Service) -> u32 {
+        let goes_there = |route: &&Route| {
+            let mut backends = route.backends.iter();
+            backends.any(|backend| &backend.service == service && backend.weight > 0.0)
+        };
+        let ranks = self.routes.iter().filter(goes_there);
+        ranks.map(|route| route.priority).min().unwrap_or(0)
+    }
+
     fn check_route(&self, route: &Route) -> Result<(), ConfigError> {
         if route.host.is_empty() {
             return Err(ConfigError::NoHost(route.name.clone()));
--- a/crates/routing/src/placement/entry.rs
+++ b/crates/routing/src/placement/entry.rs
@@ -18,6 +18,10 @@
     pub(super) cold_until: Millis,
     /// Its entry was lost; it stays in use until then, unless it comes back.
     pub(super) kept_until: Option<Millis>,
+    /// When this box learned of it.
+    pub(super) joined_at: Millis,
+    /// This box has sent it a request.
+    pub(super) is_used: bool,
     pub(super) is_evacuated: bool,
     /// Another upstream answered at its address.
     pub(super) is_replaced: bool,
--- a/crates/routing/src/placement/mod.rs
+++ b/crates/routing/src/placement/mod.rs
@@ -54,6 +54,8 @@
     pub service: &'a Service,
     /// The object it is about, if it names one.
     pub object: Option<&'a [u8]>,
+    /// Rank of the request's route; 0 is the most urgent.
+    pub priority: u32,
     /// The only regions allowed; empty allows all.
     pub allowed_regions: &'a BTreeSet<Region>,
     /// Upstreams that it was already sent to.
@@ -112,6 +114,8 @@
     most_boxes: usize,
     demand: BTreeMap<Region, f64>,
     reviewed_at: Millis,
+    /// No upstream was learned yet.
+    knows_none: bool,
 }
 
 impl Placement {
@@ -125,6 +129,7 @@
             most_boxes: 1,
             demand: BTreeMap::new(),
             reviewed_at: 0,
+            knows_none: true,
         }
     }
 
@@ -157,9 +162,10 @@
         let mut addresses = BTreeSet::new();
         for (record, learned_at) in fleet.upstreams() {
             addresses.insert(record.address);
-            let entry = self.entry(record, learned_at, held.remove(&record.id), fleet);
+            let entry = self.entry(record, learned_at, held.remove(&record.id), fleet, now);
             self.service(&record.service).entries.push(entry);
         }
+        self.knows_none = addresses.is_empty();
         let vanished = held
             .into_values()
             .filter(|entry| entry.takes_requests(now) && !addresses.contains(&entry.record.address))
@@ -168,6 +174,7 @@
         for (name, service) in &mut self.services {
             let configured = config.services.get(name);
             service.cold_per_s = configured.map_or(0.0, |service| service.cold_per_s);
+            service.most_urgent = config.most_urgent(name);
         }
         self.services
             .retain(|_, service| !service.entries.is_empty());
@@ -197,6 +204,7 @@
         learned_at: Millis,
         held: Option<Entry>,
         fleet: &FleetState,
+        now: Millis,
     ) -> Entry {
         let region = self.settings.zones.get(&record.zone);
         let cold_ms = (record.cold_remaining_s * 1_000.0).ceil() as Millis;
@@ -210,6 +218,9 @@
             hash: object_hash("upstream", record.id.as_str().as_bytes()),
             cold_until,
             kept_until: None,
+            joined_at: held.as_ref().map_or(now, |held| held.joined_at),
+            // Those that were there before this box are known to others.
+            is_used: held.as_ref().map_or(self.knows_none, |held| held.is_used),
             is_evacuated: fleet.is_evacuated(&record.zone),
             is_replaced: held.as_ref().is_some_and(|held| held.is_replaced),
             is_slow: held.as_ref().is_some_and(|held| held.is_slow),
--- a/crates/routing/src/placement/service_upstreams.rs
+++ b/crates/routing/src/placement/service_upstreams.rs
@@ -22,6 +22,14 @@
 /// refused, as long as it can still be served.
 const LONGEST_QUEUE: f64 = 1.9;
 
+/// Part of each queue that requests may use which are less urgent than others of their
+/// service: the rest is kept for those.
+const LESS_URGENT_PART: f64 = 0.8;
+
+/// An upstream that got no request for this long after it joined gets one, whether it is
+/// needed or not: nothing else shows that it serves.
+const FIRST_USE_MS: Millis = 4_000;
+
 /// How long a service counts as disturbed after its upstreams are all back.
 const DISTURBED_MS: Millis = 3_000;
 
@@ -40,6 +48,8 @@
     pub(super) entries: Vec<Entry>,
     pub(super) plan: RegionPlan,
     pub(super) cold_per_s: f64,
+    /// Rank of the most urgent route that goes here.
+    pub(super) most_urgent: u32,
     spills: SpillWindow,
     disturbed_until: Millis,
 }
@@ -52,14 +62,23 @@
 }
 
 impl Warming<'_> {
+    /// Whether this box is one of those that warm the upstream.
     fn is_mine(&self, upstream: u64) -> bool {
+        self.rank(upstream) < ColdPacing::warmers(self.boxes.len())
+    }
+
+    /// Whether this box is the first of them.
+    fn is_first(&self, upstream: u64) -> bool {
+        self.rank(upstream) == 0
+    }
+
+    /// Boxes that come before this one for the upstream.
+    fn rank(&self, upstream: u64) -> usize {
         let mine = weighted_score(upstream, self.me, 1.0);
-        let better = self
-            .boxes
-            .iter()
+        let boxes = self.boxes.iter();
+        boxes
             .filter(|other| weighted_score(upstream, **other, 1.0) > mine)
-            .count();
-        better < ColdPacing::warmers(self.boxes.len())
+            .count()
     }
 }
 
@@ -78,7 +97,8 @@
         };
         let regions = self.ranked_regions(object, wanted, now);
         let chosen = self
-            .with_room(object, &regions, wanted, warming.random, now)
+            .never_used(wanted, warming, now)
+            .or_else(|| self.with_room(object, &regions, wanted, warming.random, now))
             .or_else(|| self.shortest_queue(object, &regions, wanted, now))
             .or_else(|| self.cold(wanted, warming, now));
         match chosen {
@@ -93,6 +113,7 @@
     fn start(&mut self, index: usize, object: u64) -> Choice {
         let entry = &mut self.entries[index];
         entry.load.started();
+        entry.is_used = true;
         Choice {
             object,
             upstream: entry.record.id.clone(),
@@ -190,6 +211,7 @@
         now: Millis,
     ) -> Option<usize> {
         let mut nearest: Option<Vec<usize>> = None;
+        let urgency = self.queue_part(wanted);
         for region in regions {
             let homes = self.homes(object, region, wanted, now);
             if homes.is_empty() {
@@ -200,11 +222,12 @@
                 break;
             }
             let most = |entry: &Entry| {
-                if entry.has_served(object) {
+                let queue = if entry.has_served(object) {
                     MOST_QUEUE
                 } else {
                     MOST_QUEUE_UNSERVED
-                }
+                };
+                queue * urgency
             };
             if let Some(index) = self.least_queued(&homes, most, now) {
                 if !is_home {
@@ -214,7 +237,16 @@
             }
             nearest.get_or_insert(homes);
         }
-        self.least_queued(&nearest?, |_| LONGEST_QUEUE, now)
+        self.least_queued(&nearest?, |_| LONGEST_QUEUE * urgency, now)
+    }
+
+    /// The part of each queue that the request may use. A free slot is for everybody.
+    fn queue_part(&self, wanted: &Wanted<'_>) -> f64 {
+        if wanted.priority > self.most_urgent {
+            LESS_URGENT_PART
+        } else {
+            1.0
+        }
     }
 
     /// The least loaded of `homes` whose queue is under what `most` allows.
@@ -239,6 +271,18 @@
             .min_by(|a, b| cost(a).total_cmp(&cost(b)))
     }
 
+    /// An upstream that joined a while ago and never got a request, where this box is the
+    /// one to send it the first.
+    fn never_used(&self, wanted: &Wanted<'_>, warming: &Warming<'_>, now: Millis) -> Option<usize> {
+        self.entries.iter().position(|entry| {
+            !entry.is_used
+                && now.saturating_sub(entry.joined_at) >= FIRST_USE_MS
+                && is_usable(entry, wanted, now)
+                && entry.fullness(now) < 1.0
+                && warming.is_first(entry.hash)
+        })
+    }
+
     /// A cold upstream whose turn it is; this box must be one of those that warm it.
     fn cold(&mut self, wanted: &Wanted<'_>, warming: &Warming<'_>, now: Millis) -> Option<usize> {
         let cold_per_s = self.cold_per_s;
--- a/crates/routing/src/swim/message.rs
+++ b/crates/routing/src/swim/message.rs
@@ -35,7 +35,7 @@
         /// Comes back in the answer.
         sequence: u32,
         /// Whom to probe.
-        upstream: SocketAddr,
+        peer: SocketAddr,
         /// News.
         updates: Vec<Update>,
     },
--- a/crates/routing/src/swim/mod.rs
+++ b/crates/routing/src/swim/mod.rs
@@ -206,11 +206,11 @@
             }
             SwimMessage::PingRequest {
                 sequence,
-                upstream,
+                peer,
                 updates,
             } => {
                 self.merge_all(updates, now);
-                self.run_errand(from, sequence, upstream, now)
+                self.run_errand(from, sequence, peer, now)
             }
             SwimMessage::Sync { asks, updates } => {
                 self.merge_all(updates, now);
--- a/crates/routing/src/swim/probing.rs
+++ b/crates/routing/src/swim/probing.rs
@@ -60,19 +60,19 @@
         random: &mut impl Rng,
         out: &mut Vec<Outgoing>,
     ) {
-        let Some(upstream) = self.members.get(&probe.id) else {
+        let Some(peer) = self.members.get(&probe.id) else {
             return;
         };
-        let upstream = upstream.record.peer_address;
+        let peer = peer.record.peer_address;
         let mut helpers = self.addresses(Liveness::Alive);
-        helpers.retain(|address| *address != upstream);
+        helpers.retain(|address| *address != peer);
         helpers.shuffle(random);
         for helper in helpers.into_iter().take(HELPERS) {
             let updates = self.news();
             let sequence = probe.sequence;
             let message = SwimMessage::PingRequest {
                 sequence,
-                upstream,
+                peer,
                 updates,
             };
             out.push((helper, message));
@@ -134,7 +134,7 @@
         &mut self,
         asker: SocketAddr,
         asker_sequence: u32,
-        upstream: SocketAddr,
+        peer: SocketAddr,
         now: Millis,
     ) -> Vec<Outgoing> {
         let sequence = self.new_sequence();
@@ -145,6 +145,6 @@
         };
         self.errands.insert(sequence, errand);
         let updates = self.news();
-        vec![(upstream, SwimMessage::Ping { sequence, updates })]
+        vec![(peer, SwimMessage::Ping { sequence, updates })]
     }
 }
--- a/crates/routing/tests/common/mod.rs
+++ b/crates/routing/tests/common/mod.rs
@@ -115,6 +115,7 @@
     Wanted {
         service,
         object: Some(object),
+        priority: 1,
         allowed_regions: anywhere,
         tried,
     }
--- a/crates/routing/tests/placement.rs
+++ b/crates/routing/tests/placement.rs
@@ -300,6 +300,58 @@
     assert!(away > 0 && refused > 0, "{away} away, {refused} refused");
 }
 
+/// An upstream that the objects happen to leave out, or that stays cold for long, would
+/// wait for its first request for ever.
+#[test]
+fn an_upstream_that_joined_gets_a_first_request_within_seconds() {
+    let mut test = Test::new(fleet(2));
+    let id = UpstreamId::new("joined");
+    let mut joined = upstream("joined", "north-a", 1);
+    joined.cold_remaining_s = 60.0;
+    test.apply(9_000, Change::Upstream(joined), 1_000);
+    assert_ne!(test.visit("1", 4_900), id);
+    assert_eq!(test.visit("1", 5_000), id);
+    assert_ne!(test.visit("1", 5_001), id, "one is enough");
+}
+
+#[test]
+fn only_one_box_sends_an_upstream_its_first_request() {
+    let boxes: Vec<BoxId> = (0..5).map(|n| BoxId::new(format!("box-{n}"))).collect();
+    let mut firsts = 0;
+    for me in &boxes {
+        let mut fleet = fleet(2);
+        let mut placement = Placement::new(PlacementSettings {
+            me: me.clone(),
+            ..settings_in("west")
+        });
+        placement.set_boxes(boxes.iter(), BTreeMap::new());
+        placement.update(&fleet, &config(1), 1);
+        let mut joined = upstream("joined", "north-a", 1);
+        joined.cold_remaining_s = 60.0;
+        fleet.apply(revised(9_000, Change::Upstream(joined)), 1_000);
+        placement.update(&fleet, &config(1), 1_000);
+        let mut test = Test { placement, fleet };
+        firsts += u32::from(test.visit("1", 6_000).as_str() == "joined");
+    }
+    assert_eq!(firsts, 1);
+}
+
+#[test]
+fn less_urgent_requests_leave_a_part_of_the_queue_to_urgent_ones() {
+    let mut test = Test::new(fleet(1));
+    let service = service();
+    let home = BTreeSet::from([Region::new("west")]);
+    let mut ask = |priority: u32| {
+        let mut wanted = wanted(&service, b"1", &home, &[]);
+        wanted.priority = priority;
+        test.placement.choose(&wanted, DICE, 10)
+    };
+    while ask(2).is_ok() {}
+    assert!(ask(1).is_ok(), "the urgent one still finds room");
+    while ask(1).is_ok() {}
+    assert!(ask(2).is_err());
+}
+
 #[test]
 fn only_allowed_regions_are_used() {
     let mut test = Test::new(fleet(2));
