--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -29,6 +29,10 @@
     #[argh(switch)]
     platform: bool,
 
+    /// on the users' platform: tell figures on this port, under /metrics
+    #[argh(option)]
+    figures_port: Option<u16>,
+
     /// write the log as JSON, an object a line
     #[argh(switch)]
     json_log: bool,
@@ -42,7 +46,7 @@
         LogFormat::Text
     };
     match arguments.settings {
-        None if arguments.platform => run_on_platform(log_format),
+        None if arguments.platform => run_on_platform(log_format, arguments.figures_port),
         Some(settings) if !arguments.platform => run_box(&settings, log_format),
         _ => {
             eprintln!("give either --settings FILE or --platform");
@@ -51,9 +55,9 @@
     }
 }
 
-fn run_on_platform(log_format: LogFormat) -> ExitCode {
+fn run_on_platform(log_format: LogFormat, figures_port: Option<u16>) -> ExitCode {
     init_logging(log_format);
-    match brasswinch_platform::run() {
+    match brasswinch_platform::run(figures_port) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("{error}");
--- a/crates/edge/src/start.rs
+++ b/crates/edge/src/start.rs
@@ -3,8 +3,8 @@
 use crate::context::{Context, Lifecycle};
 use crate::dialect::Dialect;
 use crate::settings::{EdgeAddresses, EdgeSettings};
-use crate::store::FleetStore;
-use crate::{catch_up, follow, gossip, relay, server};
+use crate::store::{BoxRegistry, FleetStore};
+use crate::{catch_up, follow, gossip, registry, relay, server};
 use brasswinch_observe::{Event, emit};
 use brasswinch_routing::{MemberRecord, MemberState, Revision, Scope, Swim, SwimSettings};
 use std::net::SocketAddr;
@@ -55,7 +55,7 @@
 }
 
 /// Starts a box on the current runtime.
-pub async fn start<S: FleetStore>(
+pub async fn start<S: FleetStore + BoxRegistry>(
     settings: EdgeSettings,
     dialect: Dialect,
     store: S,
@@ -80,6 +80,11 @@
         let following = follow::follow(Arc::clone(&context), Arc::clone(&store), scope);
         tokio::spawn(following);
     }
+    tokio::spawn(registry::stay_registered(
+        Arc::clone(&context),
+        Arc::clone(&store),
+    ));
+    tokio::spawn(registry::find_strangers(Arc::clone(&context), store));
     tokio::spawn(gossip::take_part(Arc::clone(&context), Arc::clone(&socket)));
     tokio::spawn(relay::serve(Arc::clone(&context), relay_listener));
     tokio::spawn(catch_up::catch_up(Arc::clone(&context)));
--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -1,7 +1,10 @@
 //! What the product needs from the store that holds configuration and upstreams.
 
 use brasswinch_routing::{Revised, Revision, Scope, Snapshot};
+use brasswinch_types::BoxId;
+use serde::{Deserialize, Serialize};
 use std::future::Future;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Why the store gave no answer that can be used.
@@ -10,6 +13,9 @@
     /// The changes since the revision asked for are no longer kept.
     #[error("the history is gone")]
     HistoryGone,
+    /// The lease has run out or was ended.
+    #[error("the lease is over")]
+    LeaseOver,
     /// Too many calls.
     #[error("the store is busy")]
     Busy,
@@ -43,3 +49,37 @@
         wait: Duration,
     ) -> impl Future<Output = Result<Watched, StoreFailure>> + Send;
 }
+
+/// What a box says of itself in the store.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Registration {
+    /// The box.
+    pub id: BoxId,
+    /// Its run: one that starts again doesn't meddle with what is left of the last.
+    pub incarnation: u64,
+    /// Where other boxes reach it.
+    pub peer_address: SocketAddr,
+}
+
+/// Names a lease at the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct LeaseId(pub u64);
+
+/// The store's list of boxes. A registration goes when its lease does.
+pub trait BoxRegistry: Send + Sync + 'static {
+    /// Lists the box under a new lease that runs for `ttl` unless it is renewed.
+    fn register(
+        &self,
+        registration: &Registration,
+        ttl: Duration,
+    ) -> impl Future<Output = Result<LeaseId, StoreFailure>> + Send;
+
+    /// Lets the lease run for its whole time again.
+    fn renew(&self, lease: LeaseId) -> impl Future<Output = Result<(), StoreFailure>> + Send;
+
+    /// Ends the lease.
+    fn withdraw(&self, lease: LeaseId) -> impl Future<Output = Result<(), StoreFailure>> + Send;
+
+    /// All boxes that are listed; may be some seconds old.
+    fn registered(&self) -> impl Future<Output = Result<Vec<Registration>, StoreFailure>> + Send;
+}
--- a/crates/lab/src/memory_store.rs
+++ b/crates/lab/src/memory_store.rs
@@ -3,7 +3,7 @@
 //! It keeps revisions and a history, and does wrong what the real one may: it turns a box
 //! away, forgets its history, and loses the answers of watches.
 
-use brasswinch_edge::{FleetStore, StoreFailure, Watched};
+use brasswinch_edge::{BoxRegistry, FleetStore, LeaseId, Registration, StoreFailure, Watched};
 use brasswinch_routing::{Change, ChangeKey, Revised, Revision, Scope, Snapshot};
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -17,6 +17,8 @@
     history: Vec<Revised>,
     forgotten: u64,
     calls: u64,
+    next_lease: u64,
+    registrations: BTreeMap<u64, Registration>,
 }
 
 #[derive(Default)]
@@ -93,6 +95,11 @@
         self.state().calls
     }
 
+    /// Ends all leases, as an outage of the store may.
+    pub fn end_leases(&self) {
+        self.state().registrations.clear();
+    }
+
     /// How long the watches of this box were to wait, oldest first.
     pub fn waits(&self) -> Vec<Duration> {
         self.lock_waits().clone()
@@ -169,3 +176,35 @@
         })
     }
 }
+
+impl BoxRegistry for MemoryStore {
+    async fn register(
+        &self,
+        registration: &Registration,
+        _ttl: Duration,
+    ) -> Result<LeaseId, StoreFailure> {
+        self.fail_if_told().await?;
+        let mut state = self.state();
+        state.next_lease += 1;
+        let lease = state.next_lease;
+        state.registrations.insert(lease, registration.clone());
+        Ok(LeaseId(lease))
+    }
+
+    async fn renew(&self, lease: LeaseId) -> Result<(), StoreFailure> {
+        self.fail_if_told().await?;
+        let is_held = self.state().registrations.contains_key(&lease.0);
+        is_held.then_some(()).ok_or(StoreFailure::LeaseOver)
+    }
+
+    async fn withdraw(&self, lease: LeaseId) -> Result<(), StoreFailure> {
+        self.fail_if_told().await?;
+        let removed = self.state().registrations.remove(&lease.0);
+        removed.map(|_| ()).ok_or(StoreFailure::LeaseOver)
+    }
+
+    async fn registered(&self) -> Result<Vec<Registration>, StoreFailure> {
+        self.fail_if_told().await?;
+        Ok(self.state().registrations.values().cloned().collect())
+    }
+}
--- a/crates/routing/src/swim/mod.rs
+++ b/crates/routing/src/swim/mod.rs
@@ -57,6 +57,8 @@
     settings: SwimSettings,
     me: MemberRecord,
     seeds: Vec<SocketAddr>,
+    /// Boxes that were told of and are no members yet.
+    strangers: Vec<SocketAddr>,
     members: BTreeMap<BoxId, Member>,
     round: Vec<BoxId>,
     probe: Option<Probe>,
@@ -80,6 +82,7 @@
             settings,
             me,
             seeds,
+            strangers: Vec::new(),
             members: BTreeMap::new(),
             round: Vec::new(),
             probe: None,
@@ -171,6 +174,19 @@
         self.seeds.retain(|seed| *seed != self.me.peer_address);
     }
 
+    /// Takes addresses of boxes from elsewhere; those that belong to no living member are
+    /// asked for what they know. Returns how many there are.
+    pub fn introduce(&mut self, addresses: impl Iterator<Item = SocketAddr>) -> usize {
+        let living = self.addresses(Liveness::Alive);
+        let is_stranger =
+            |address: &SocketAddr| *address != self.me.peer_address && !living.contains(address);
+        self.strangers = addresses.filter(is_stranger).collect();
+        if !self.strangers.is_empty() {
+            self.next_sync_at = 0;
+        }
+        self.strangers.len()
+    }
+
     /// Regular work; the messages to send.
     pub fn tick(&mut self, now: Millis, random: &mut impl Rng) -> Vec<Outgoing> {
         let mut out = Vec::new();
--- a/crates/routing/src/swim/spreading.rs
+++ b/crates/routing/src/swim/spreading.rs
@@ -8,6 +8,9 @@
 use rand::{Rng, RngExt};
 use std::net::SocketAddr;
 
+/// Boxes that aren't members yet that are asked at a time.
+const MOST_STRANGERS: usize = 4;
+
 /// Most updates on one message, so that it fits a datagram.
 pub(super) const MOST_UPDATES: usize = 7;
 
@@ -122,11 +125,15 @@
             SYNC_MS
         };
         self.next_sync_at = now + wait;
-        let receivers: Vec<SocketAddr> = if is_alone {
+        let mut receivers: Vec<SocketAddr> = if is_alone {
             self.seeds.clone()
         } else {
             vec![alive[random.random_range(0..alive.len())]]
         };
+        // One stranger that answers knows the others of its group.
+        let mut strangers = std::mem::take(&mut self.strangers);
+        strangers.shuffle(random);
+        receivers.extend(strangers.into_iter().take(MOST_STRANGERS));
         for receiver in receivers {
             let updates = vec![self.my_update()];
             let asks = true;
--- a/crates/routing/tests/membership.rs
+++ b/crates/routing/tests/membership.rs
@@ -247,3 +247,23 @@
     });
     assert!(heard.count() >= 3);
 }
+
+#[test]
+fn groups_that_never_heard_of_each_other_join_when_one_box_is_introduced() {
+    let mut network = Network::new(6);
+    for number in 0..6 {
+        let first_of_group = number / 3 * 3;
+        let seeds = vec![address(first_of_group)];
+        let swim = Swim::new(record(number, 1_000), seeds, SwimSettings::default());
+        network.boxes[number] = Some(swim);
+    }
+    network.run(5_000);
+    assert_eq!(network.alive(0).len(), 2);
+    let swim = network.boxes[0].as_mut().unwrap();
+    let listed = [address(0), address(1), address(4)];
+    assert_eq!(swim.introduce(listed.into_iter()), 1, "only one is strange");
+    network.run(5_000);
+    for number in 0..6 {
+        assert_eq!(network.alive(number).len(), 5, "box {number}");
+    }
+}
