Bound every number that is read; urgent requests come first only while they are refused; smaller files

Cause 1 (found by reading and 4,000 generated documents each): a client's deadline of 1.5e22 ms panicked in the clock's arithmetic and closed its connection without an answer; a configuration with a negative or endless number was taken. Change: only while urgent requests are refused, and for 2 s after. Tried and not taken: reports of load that keep their weight for longer (2.5 s and 6 s), to see others' load better in overload; and longer queues with it. Also: exchange.rs without tries and counts, service_upstreams.rs without warming.

--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -7,11 +7,12 @@
 use crate::attempt::{AttemptEnd, Outgoing, OutgoingBody, attempt};
 use crate::body::{AnyBody, BodyError, Held, PassLimits, Passed, hold};
 use crate::context::{Context, InForce};
+use crate::counted::{HeldBytes, InFlight};
+use crate::failure::{Failure, Tries};
 use crate::request::{RequestFacts, request_id};
 use brasswinch_observe::{Event, emit};
 use brasswinch_routing::{Choice, Refusal, Route, Wanted};
 use brasswinch_types::{ErrorKind, Ran, Service, UpstreamId};
-use bytes::Bytes;
 use http::request::Parts;
 use http::{Request, Response};
 use http_body_util::BodyExt;
@@ -24,9 +25,6 @@
 /// go to another one if the first doesn't take them.
 const MOST_HELD_BODY: usize = 1024 * 1024;
 
-/// Part of the memory allowed that held bodies may take.
-const HELD_PART_OF_MEMORY: usize = 4;
-
 /// Upstreams that are tried without anything being sent to them.
 const MOST_UNREACHABLE: u32 = 4;
 
@@ -71,117 +69,6 @@
     );
 }
 
-/// Why a request failed.
-enum Failure {
-    /// For a reason that has a fixed answer.
-    Kind(ErrorKind),
-    /// The same, after it was sent to an upstream.
-    AtUpstream {
-        kind: ErrorKind,
-        upstream: UpstreamId,
-    },
-    /// For lack of room, with a time to come back.
-    Refused { retry_after_ms: u64 },
-}
-
-impl Failure {
-    fn kind(&self) -> ErrorKind {
-        match self {
-            Self::Kind(kind) | Self::AtUpstream { kind, .. } => *kind,
-            Self::Refused { .. } => ErrorKind::AtCapacity,
-        }
-    }
-}
-
-impl From<ErrorKind> for Failure {
-    fn from(kind: ErrorKind) -> Self {
-        Self::Kind(kind)
-    }
-}
-
-/// Counts a request while it is being answered.
-struct InFlight<'a>(&'a Context);
-
-impl<'a> InFlight<'a> {
-    fn new(context: &'a Context) -> Self {
-        context.in_flight.fetch_add(1, Ordering::Relaxed);
-        Self(context)
-    }
-}
-
-impl Drop for InFlight<'_> {
-    fn drop(&mut self) {
-        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
-/// Counts the bytes of a held body while it is held.
-struct HeldBytes<'a> {
-    context: &'a Context,
-    bytes: usize,
-}
-
-impl<'a> HeldBytes<'a> {
-    fn reserve(context: &'a Context, bytes: usize) -> Option<Self> {
-        let most = context.settings.memory_bytes / HELD_PART_OF_MEMORY;
-        let before = context.held_bytes.fetch_add(bytes, Ordering::Relaxed);
-        let held = Self { context, bytes };
-        (before + bytes <= most).then_some(held)
-    }
-}
-
-impl Drop for HeldBytes<'_> {
-    fn drop(&mut self) {
-        self.context
-            .held_bytes
-            .fetch_sub(self.bytes, Ordering::Relaxed);
-    }
-}
-
-/// What is known of a request's tries.
-struct Tries {
-    upstreams: Vec<UpstreamId>,
-    /// The body, where it is held whole.
-    whole: Bytes,
-    can_repeat: bool,
-    /// Tries in which it was sent.
-    sent: u32,
-    /// Tries in which nothing was sent.
-    unreachable: u32,
-    may_have_run: bool,
-}
-
-impl Tries {
-    fn new(held: &Held) -> Self {
-        Self {
-            upstreams: Vec::new(),
-            whole: held.bytes.clone(),
-            can_repeat: held.is_whole(),
-            sent: 0,
-            unreachable: 0,
-            may_have_run: false,
-        }
-    }
-
-    /// Counts a try in which the request was sent and that failed.
-    fn sent(&mut self, kind: ErrorKind) {
-        self.sent += 1;
-        self.may_have_run |= kind.answer().ran == Ran::Unknown;
-    }
-
-    /// Once a try may have run, no later one makes the answer "not run".
-    fn truth(&self, failure: Failure) -> Failure {
-        let claims_not_run = failure.kind().answer().ran == Ran::NotRun;
-        match self.upstreams.last() {
-            Some(upstream) if self.may_have_run && claims_not_run => Failure::AtUpstream {
-                kind: ErrorKind::UpstreamBroken,
-                upstream: upstream.clone(),
-            },
-            _ => failure,
-        }
-    }
-}
-
 /// A request whose route is known.
 struct Routed<'a> {
     context: &'a Arc<Context>,
@@ -292,7 +179,7 @@
                 AttemptEnd::Refused => ErrorKind::UpstreamRefused,
                 AttemptEnd::Lost => ErrorKind::UpstreamBroken,
             };
-            tries.sent(kind);
+            tries.count_sent(kind);
             if !self.may_retry(&tries, kind) {
                 return Err(tries.truth(Failure::AtUpstream { kind, upstream }));
             }
--- /dev/null
+++ b/crates/edge/src/failure.rs
@@ -0,0 +1,77 @@
+//! What is known of a request's tries, and the failure that follows from it.
+
+use crate::body::Held;
+use brasswinch_types::{ErrorKind, Ran, UpstreamId};
+use bytes::Bytes;
+
+/// Why a request failed.
+pub(crate) enum Failure {
+    /// For a reason that has a fixed answer.
+    Kind(ErrorKind),
+    /// The same, after it was sent to an upstream.
+    AtUpstream {
+        kind: ErrorKind,
+        upstream: UpstreamId,
+    },
+    /// For lack of room, with a time to come back.
+    Refused { retry_after_ms: u64 },
+}
+
+impl Failure {
+    pub(crate) fn kind(&self) -> ErrorKind {
+        match self {
+            Self::Kind(kind) | Self::AtUpstream { kind, .. } => *kind,
+            Self::Refused { .. } => ErrorKind::AtCapacity,
+        }
+    }
+}
+
+impl From<ErrorKind> for Failure {
+    fn from(kind: ErrorKind) -> Self {
+        Self::Kind(kind)
+    }
+}
+
+/// What is known of a request's tries.
+pub(crate) struct Tries {
+    pub(crate) upstreams: Vec<UpstreamId>,
+    /// The body, where it is held whole.
+    pub(crate) whole: Bytes,
+    pub(crate) can_repeat: bool,
+    /// Tries in which it was sent.
+    pub(crate) sent: u32,
+    /// Tries in which nothing was sent.
+    pub(crate) unreachable: u32,
+    pub(crate) may_have_run: bool,
+}
+
+impl Tries {
+    pub(crate) fn new(held: &Held) -> Self {
+        Self {
+            upstreams: Vec::new(),
+            whole: held.bytes.clone(),
+            can_repeat: held.is_whole(),
+            sent: 0,
+            unreachable: 0,
+            may_have_run: false,
+        }
+    }
+
+    /// Counts a try in which the request was sent and that failed.
+    pub(crate) fn count_sent(&mut self, kind: ErrorKind) {
+        self.sent += 1;
+        self.may_have_run |= kind.answer().ran == Ran::Unknown;
+    }
+
+    /// Once a try may have run, no later one makes the answer "not run".
+    pub(crate) fn truth(&self, failure: Failure) -> Failure {
+        let claims_not_run = failure.kind().answer().ran == Ran::NotRun;
+        match self.upstreams.last() {
+            Some(upstream) if self.may_have_run && claims_not_run => Failure::AtUpstream {
+                kind: ErrorKind::UpstreamBroken,
+                upstream: upstream.clone(),
+            },
+            _ => failure,
+        }
+    }
+}
--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -1,6 +1,7 @@
 //! What a request's head says.
 
 use crate::dialect::Dialect;
+use brasswinch_routing::LONGEST_TIME_S;
 use brasswinch_types::ErrorKind;
 use http::request::Parts;
 use http::{HeaderMap, HeaderName, header};
@@ -77,8 +78,8 @@
     if !millis.is_finite() {
         return Err(ErrorKind::MalformedRequest);
     }
-    let left = Duration::try_from_secs_f64(millis.max(0.0) / 1_000.0);
-    left.map(Some).map_err(|_| ErrorKind::MalformedRequest)
+    let seconds = (millis / 1_000.0).clamp(0.0, LONGEST_TIME_S);
+    Ok(Some(Duration::from_secs_f64(seconds)))
 }
 
 fn body_length(headers: &HeaderMap) -> Result<Option<u64>, ErrorKind> {
--- a/crates/edge/tests/bad_input.rs
+++ b/crates/edge/tests/bad_input.rs
@@ -77,3 +77,15 @@
     }
     assert_eq!(site.seen(), 0);
 }
+
+#[tokio::test]
+async fn a_deadline_in_ages_is_served_like_any_other() {
+    let site = Site::start(1).await;
+    for ages in ["1e15", "1.5e22"] {
+        let mut request = request("GET", "/safe/1", "");
+        let name = Dialect::default().deadline_ms;
+        request.headers_mut().insert(name, ages.parse().unwrap());
+        let answer = call(site.clients, request).await.unwrap();
+        assert_eq!(answer.status, 200, "{ages}");
+    }
+}
--- a/crates/routing/src/config.rs
+++ b/crates/routing/src/config.rs
@@ -4,6 +4,15 @@
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
+/// Longest time that a setting may ask for, in seconds: a day. Longer ones mean it.
+pub const LONGEST_TIME_S: f64 = 86_400.0;
+
+/// Largest weight of a part of a division.
+const MOST_WEIGHT: f64 = 1e12;
+
+/// Highest rate that a service may be given, in requests a second.
+const MOST_RATE_PER_S: f64 = 1e9;
+
 /// Versions are compared as numbers; a higher one is newer.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
@@ -113,7 +122,7 @@
 }
 
 /// Why a configuration can't be used.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Debug, PartialEq, thiserror::Error)]
 pub enum ConfigError {
     /// A route has no host.
     #[error("route {0} has no host")]
@@ -137,6 +146,16 @@
     /// A route goes nowhere.
     #[error("route {0} has no service with a weight over 0")]
     NoBackend(String),
+    /// A number is negative, or too large to be meant.
+    #[error("{field} of {owner} is {value}")]
+    OddNumber {
+        /// The route or service, or `limits`.
+        owner: String,
+        /// Which number.
+        field: &'static str,
+        /// What it is.
+        value: f64,
+    },
     /// Two routes take the same requests.
     #[error("routes {first} and {second} have the same host and prefix")]
     SamePlace {
@@ -161,7 +180,30 @@
                 });
             }
         }
-        Ok(())
+        self.check_numbers()
+    }
+
+    fn check_numbers(&self) -> Result<(), ConfigError> {
+        for route in &self.routes {
+            for backend in &route.backends {
+                check_number(&route.name, "weight", backend.weight, MOST_WEIGHT)?;
+            }
+            let timeout_s = route.timeout_s.unwrap_or(0.0);
+            check_number(&route.name, "time-out", timeout_s, LONGEST_TIME_S)?;
+        }
+        for (name, service) in &self.services {
+            let owner = name.as_str();
+            check_number(owner, "cold rate", service.cold_per_s, MOST_RATE_PER_S)?;
+            check_number(owner, "cold period", service.cold_period_s, LONGEST_TIME_S)?;
+        }
+        let limits = &self.limits;
+        check_number(
+            "limits",
+            "head time",
+            limits.header_timeout_s,
+            LONGEST_TIME_S,
+        )?;
+        check_number("limits", "idle time", limits.idle_timeout_s, LONGEST_TIME_S)
     }
 
     /// The rank of the most urgent route that goes to `service`.
@@ -199,3 +241,19 @@
         Ok(())
     }
 }
+
+fn check_number(
+    owner: &str,
+    field: &'static str,
+    value: f64,
+    most: f64,
+) -> Result<(), ConfigError> {
+    if (0.0..=most).contains(&value) {
+        return Ok(());
+    }
+    Err(ConfigError::OddNumber {
+        owner: owner.to_owned(),
+        field,
+        value,
+    })
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -23,8 +23,8 @@
 pub use change::{Change, ChangeKey, Revised, Revision, Scope, Snapshot};
 pub use cold_pacing::ColdPacing;
 pub use config::{
-    Backend, ClientLimits, ConfigError, ConfigVersion, Route, RouteKind, ServiceConfig,
-    SteeringConfig,
+    Backend, ClientLimits, ConfigError, ConfigVersion, LONGEST_TIME_S, Route, RouteKind,
+    ServiceConfig, SteeringConfig,
 };
 pub use demand::DemandSample;
 pub use fleet_state::{CatchUp, FleetState};
--- a/crates/routing/src/placement/mod.rs
+++ b/crates/routing/src/placement/mod.rs
@@ -9,6 +9,7 @@
 mod lost_entries;
 mod service_upstreams;
 mod spill;
+mod warming;
 
 use crate::region_plan::RegionRoom;
 use crate::rendezvous::object_hash;
@@ -18,9 +19,10 @@
 use brasswinch_types::{BoxId, Millis, Region, Service, UpstreamId, Zone};
 use entry::Entry;
 use lost_entries::Losses;
-use service_upstreams::{ServiceUpstreams, Warming};
+use service_upstreams::ServiceUpstreams;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
+use warming::Warming;
 
 /// Between two looks at latencies and room.
 const REVIEW_MS: Millis = 500;
--- a/crates/routing/src/placement/service_upstreams.rs
+++ b/crates/routing/src/placement/service_upstreams.rs
@@ -2,8 +2,8 @@
 
 use super::entry::Entry;
 use super::spill::SpillWindow;
+use super::warming::Warming;
 use super::{Choice, Refusal, Wanted};
-use crate::cold_pacing::ColdPacing;
 use crate::region_plan::RegionPlan;
 use crate::rendezvous::{object_hash, weighted_score};
 use brasswinch_types::{Millis, Region};
@@ -22,13 +22,12 @@
 /// refused, as long as it can still be served.
 const LONGEST_QUEUE: f64 = 1.9;
 
-/// Part of each queue that requests may use which are less urgent than others of their
-/// service: the rest is kept for those.
+/// Part of each queue that less urgent requests may use while urgent ones of their
+/// service are refused: the rest is kept for those.
 const LESS_URGENT_PART: f64 = 0.8;
 
-/// An upstream that got no request for this long after it joined gets one, whether it is
-/// needed or not: nothing else shows that it serves.
-const FIRST_USE_MS: Millis = 4_000;
+/// How long that lasts after an urgent request was refused.
+const URGENT_FIRST_MS: Millis = 2_000;
 
 /// How long a service counts as disturbed after its upstreams are all back.
 const DISTURBED_MS: Millis = 3_000;
@@ -50,38 +49,11 @@
     pub(super) cold_per_s: f64,
     /// Rank of the most urgent route that goes here.
     pub(super) most_urgent: u32,
+    urgent_first_until: Millis,
     spills: SpillWindow,
     disturbed_until: Millis,
 }
 
-/// Which boxes warm cold upstreams, and this one's dice.
-pub(super) struct Warming<'a> {
-    pub(super) boxes: &'a [u64],
-    pub(super) me: u64,
-    pub(super) random: f64,
-}
-
-impl Warming<'_> {
-    /// Whether this box is one of those that warm the upstream.
-    fn is_mine(&self, upstream: u64) -> bool {
-        self.rank(upstream) < ColdPacing::warmers(self.boxes.len())
-    }
-
-    /// Whether this box is the first of them.
-    fn is_first(&self, upstream: u64) -> bool {
-        self.rank(upstream) == 0
-    }
-
-    /// Boxes that come before this one for the upstream.
-    fn rank(&self, upstream: u64) -> usize {
-        let mine = weighted_score(upstream, self.me, 1.0);
-        let boxes = self.boxes.iter();
-        boxes
-            .filter(|other| weighted_score(upstream, **other, 1.0) > mine)
-            .count()
-    }
-}
-
 impl ServiceUpstreams {
     pub(super) fn choose(
         &mut self,
@@ -101,6 +73,9 @@
             .or_else(|| self.with_room(object, &regions, wanted, warming.random, now))
             .or_else(|| self.shortest_queue(object, &regions, wanted, now))
             .or_else(|| self.cold(wanted, warming, now));
+        if chosen.is_none() && wanted.priority <= self.most_urgent {
+            self.urgent_first_until = now + URGENT_FIRST_MS;
+        }
         match chosen {
             Some(index) => Ok(self.start(index, object)),
             None if regions.is_empty() && !self.has_any(wanted, now) => Err(Refusal::NoUpstream),
@@ -211,7 +186,7 @@
         now: Millis,
     ) -> Option<usize> {
         let mut nearest: Option<Vec<usize>> = None;
-        let urgency = self.queue_part(wanted);
+        let urgency = self.queue_part(wanted, now);
         for region in regions {
             let homes = self.homes(object, region, wanted, now);
             if homes.is_empty() {
@@ -241,8 +216,8 @@
     }
 
     /// The part of each queue that the request may use. A free slot is for everybody.
-    fn queue_part(&self, wanted: &Wanted<'_>) -> f64 {
-        if wanted.priority > self.most_urgent {
+    fn queue_part(&self, wanted: &Wanted<'_>, now: Millis) -> f64 {
+        if wanted.priority > self.most_urgent && now < self.urgent_first_until {
             LESS_URGENT_PART
         } else {
             1.0
@@ -271,30 +246,6 @@
             .min_by(|a, b| cost(a).total_cmp(&cost(b)))
     }
 
-    /// An upstream that joined a while ago and never got a request, where this box is the
-    /// one to send it the first.
-    fn never_used(&self, wanted: &Wanted<'_>, warming: &Warming<'_>, now: Millis) -> Option<usize> {
-        self.entries.iter().position(|entry| {
-            !entry.is_used
-                && now.saturating_sub(entry.joined_at) >= FIRST_USE_MS
-                && is_usable(entry, wanted, now)
-                && entry.fullness(now) < 1.0
-                && warming.is_first(entry.hash)
-        })
-    }
-
-    /// A cold upstream whose turn it is; this box must be one of those that warm it.
-    fn cold(&mut self, wanted: &Wanted<'_>, warming: &Warming<'_>, now: Millis) -> Option<usize> {
-        let cold_per_s = self.cold_per_s;
-        let boxes = warming.boxes.len();
-        self.entries.iter_mut().position(|entry| {
-            is_usable(entry, wanted, now)
-                && entry.is_cold(now)
-                && warming.is_mine(entry.hash)
-                && entry.pacing.admit(cold_per_s, boxes, warming.random, now)
-        })
-    }
-
     pub(super) fn slots_in(&self, region: &Region, now: Millis) -> f64 {
         self.entries
             .iter()
@@ -344,7 +295,7 @@
     wanted.allowed_regions.is_empty() || wanted.allowed_regions.contains(&entry.region)
 }
 
-fn is_usable(entry: &Entry, wanted: &Wanted<'_>, now: Millis) -> bool {
+pub(super) fn is_usable(entry: &Entry, wanted: &Wanted<'_>, now: Millis) -> bool {
     entry.takes_requests(now)
         && is_allowed(entry, wanted)
         && entry.load.is_usable(now)
--- /dev/null
+++ b/crates/routing/src/placement/warming.rs
@@ -0,0 +1,76 @@
+//! Requests for upstreams that would get none by themselves: cold ones, paced by all boxes
+//! together, and those that joined and were never used.
+
+use super::Wanted;
+use super::service_upstreams::{ServiceUpstreams, is_usable};
+use crate::cold_pacing::ColdPacing;
+use crate::rendezvous::weighted_score;
+use brasswinch_types::Millis;
+
+/// An upstream that got no request for this long after it joined gets one, whether it is
+/// needed or not: nothing else shows that it serves.
+const FIRST_USE_MS: Millis = 4_000;
+
+/// Which boxes warm cold upstreams, and this one's dice.
+pub(super) struct Warming<'a> {
+    pub(super) boxes: &'a [u64],
+    pub(super) me: u64,
+    pub(super) random: f64,
+}
+
+impl Warming<'_> {
+    /// Whether this box is one of those that warm the upstream.
+    fn is_mine(&self, upstream: u64) -> bool {
+        self.rank(upstream) < ColdPacing::warmers(self.boxes.len())
+    }
+
+    /// Whether this box is the first of them.
+    fn is_first(&self, upstream: u64) -> bool {
+        self.rank(upstream) == 0
+    }
+
+    /// Boxes that come before this one for the upstream.
+    fn rank(&self, upstream: u64) -> usize {
+        let mine = weighted_score(upstream, self.me, 1.0);
+        let boxes = self.boxes.iter();
+        boxes
+            .filter(|other| weighted_score(upstream, **other, 1.0) > mine)
+            .count()
+    }
+}
+
+impl ServiceUpstreams {
+    /// An upstream that joined a while ago and never got a request, where this box is the
+    /// one to send it the first.
+    pub(super) fn never_used(
+        &self,
+        wanted: &Wanted<'_>,
+        warming: &Warming<'_>,
+        now: Millis,
+    ) -> Option<usize> {
+        self.entries.iter().position(|entry| {
+            !entry.is_used
+                && now.saturating_sub(entry.joined_at) >= FIRST_USE_MS
+                && is_usable(entry, wanted, now)
+                && entry.fullness(now) < 1.0
+                && warming.is_first(entry.hash)
+        })
+    }
+
+    /// A cold upstream whose turn it is; this box must be one of those that warm it.
+    pub(super) fn cold(
+        &mut self,
+        wanted: &Wanted<'_>,
+        warming: &Warming<'_>,
+        now: Millis,
+    ) -> Option<usize> {
+        let cold_per_s = self.cold_per_s;
+        let boxes = warming.boxes.len();
+        self.entries.iter_mut().position(|entry| {
+            is_usable(entry, wanted, now)
+                && entry.is_cold(now)
+                && warming.is_mine(entry.hash)
+                && entry.pacing.admit(cold_per_s, boxes, warming.random, now)
+        })
+    }
+}
