First requests only for upstreams that join a service in use

Change: an upstream counts as joined if requests for its service came to the box before. Test: upstreams_that_came_before_the_first_request_get_no_first_request failed first.

--- a/crates/routing/src/placement/entry.rs
+++ b/crates/routing/src/placement/entry.rs
@@ -20,7 +20,7 @@
     pub(super) kept_until: Option<Millis>,
     /// When this box learned of it.
     pub(super) joined_at: Millis,
-    /// This box has sent it a request.
+    /// This box has sent it a request, or it was there before the first.
     pub(super) is_used: bool,
     pub(super) is_evacuated: bool,
     /// Another upstream answered at its address.
--- a/crates/routing/src/placement/mod.rs
+++ b/crates/routing/src/placement/mod.rs
@@ -116,8 +116,6 @@
     most_boxes: usize,
     demand: BTreeMap<Region, f64>,
     reviewed_at: Millis,
-    /// No upstream was learned yet.
-    knows_none: bool,
 }
 
 impl Placement {
@@ -131,7 +129,6 @@
             most_boxes: 1,
             demand: BTreeMap::new(),
             reviewed_at: 0,
-            knows_none: true,
         }
     }
 
@@ -167,7 +164,6 @@
             let entry = self.entry(record, learned_at, held.remove(&record.id), fleet, now);
             self.service(&record.service).entries.push(entry);
         }
-        self.knows_none = addresses.is_empty();
         let vanished = held
             .into_values()
             .filter(|entry| entry.takes_requests(now) && !addresses.contains(&entry.record.address))
@@ -196,6 +192,11 @@
         }
     }
 
+    fn is_in_use(&self, name: &Service) -> bool {
+        let service = self.services.get(name);
+        service.is_some_and(|service| service.is_in_use)
+    }
+
     fn service(&mut self, name: &Service) -> &mut ServiceUpstreams {
         self.services.entry(name.clone()).or_default()
     }
@@ -221,8 +222,11 @@
             cold_until,
             kept_until: None,
             joined_at: held.as_ref().map_or(now, |held| held.joined_at),
-            // Those that were there before this box are known to others.
-            is_used: held.as_ref().map_or(self.knows_none, |held| held.is_used),
+            is_used: match &held {
+                Some(held) => held.is_used,
+                // One that is there before the first request will get its part of them.
+                None => !self.is_in_use(&record.service),
+            },
             is_evacuated: fleet.is_evacuated(&record.zone),
             is_replaced: held.as_ref().is_some_and(|held| held.is_replaced),
             is_slow: held.as_ref().is_some_and(|held| held.is_slow),
--- a/crates/routing/src/placement/service_upstreams.rs
+++ b/crates/routing/src/placement/service_upstreams.rs
@@ -49,6 +49,8 @@
     pub(super) cold_per_s: f64,
     /// Rank of the most urgent route that goes here.
     pub(super) most_urgent: u32,
+    /// A request for it has come to this box.
+    pub(super) is_in_use: bool,
     urgent_first_until: Millis,
     spills: SpillWindow,
     disturbed_until: Millis,
@@ -61,6 +63,7 @@
         warming: &Warming<'_>,
         now: Millis,
     ) -> Result<Choice, Refusal> {
+        self.is_in_use = true;
         self.spills.roll(now);
         self.spills.count_request();
         let object = match wanted.object {
