--- a/crates/observe/src/events.rs
+++ b/crates/observe/src/events.rs
@@ -60,13 +60,13 @@
     200 Warn StoreUnreachable "The platform's store did not answer." "Check the platform. Boxes serve on with the configuration they hold.";
     201 Info StoreReached "The platform's store answers again." "None.";
     202 Error StoreWentBack "The store holds an older version than the one in force." "The store was restored from a copy. Boxes keep the newer version and write it back.";
-    203 Info Registered "This box stands in the store's list of boxes." "None.";
-    204 Info StrangersFound "The store lists boxes that the membership does not know; they are asked." "If it repeats, check the links between boxes.";
     203 Warn ListUnreachable "The platform's list of boxes could not be read." "Check the platform. Units of failed boxes are not taken over meanwhile.";
     210 Info ConfigInForce "A newer configuration entry is in force here." "None.";
     211 Error PolicyRefused "A stored policy could not be evaluated; the one before stays in force." "Submit a corrected policy.";
     212 Warn ConfigMalformed "A stored configuration value can't be read." "Submit the entry again.";
     220 Info NewsLearned "Changes of configuration or upstreams were learned, from the store or another box." "None.";
+    221 Info Registered "This box stands in the store's list of boxes." "None.";
+    222 Info StrangersFound "The store lists boxes that the membership does not know; they are asked." "If it repeats, check the links between boxes.";
     300 Info PeerUp "A link to another box is up." "None.";
     301 Warn PeerDown "A link to another box went down." "Check the box and the network between the zones.";
     302 Warn PeerMalformed "A peer sent a message that can't be read; its link was closed." "Check that all boxes run versions that speak the same protocol.";
