After a question that failed, ask the box that knows most

Ruled out: the store (stable then), the box itself (not struck). Change: whom to ask is decided in routing::news_source: near ones first, after a failure the one with the latest revision, since only living boxes learn what is new. Test: after_a_failure_the_box_that_knows_most_is_asked_wherever_it_stands; the order before chose by distance alone, so ten dead neighbours came first.

--- a/crates/edge/src/catch_up.rs
+++ b/crates/edge/src/catch_up.rs
@@ -3,12 +3,10 @@
 use crate::context::Context;
 use crate::relay;
 use brasswinch_observe::{Event, emit};
-use brasswinch_routing::{Liveness, Member, Revision, Scope};
-use std::collections::HashMap;
-use std::net::SocketAddr;
+use brasswinch_routing::{Candidate, Distance, Liveness, Member, NewsSources, Scope};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::{Instant, sleep};
+use tokio::time::sleep;
 
 /// Time for which a box that follows the store itself leaves the news to its own watch.
 const OWN_WATCH_FIRST: Duration = Duration::from_millis(250);
@@ -16,39 +14,28 @@
 /// Pause after an answer that did not help.
 const PAUSE: Duration = Duration::from_millis(100);
 
-/// How long a box that did not help is asked only where nobody else knows more.
-const AVOID: Duration = Duration::from_secs(2);
-
-/// Boxes that did not help, and until when they are avoided.
-type Avoided = HashMap<SocketAddr, Instant>;
-
 /// Catches up whenever another box turns out to know more.
 pub(crate) async fn catch_up(context: Arc<Context>) {
-    let mut avoided = Avoided::new();
+    let mut sources = NewsSources::default();
     loop {
         context.heard.notified().await;
-        avoided.retain(|_, until| *until > Instant::now());
         for scope in [Scope::Operator, Scope::Upstreams] {
-            if ahead(&context, scope, &avoided).is_none() {
+            if ahead(&context, scope).is_empty() {
                 continue;
             }
             if context.watches_store() && context.fleet().newest(scope).is_some() {
                 sleep(OWN_WATCH_FIRST).await;
             }
-            if let Some((peer, revision)) = ahead(&context, scope, &avoided) {
-                ask(&context, scope, peer, revision, &mut avoided).await;
+            let (candidates, now) = (ahead(&context, scope), context.clock.now());
+            if let Some(source) = sources.choose(&candidates, rand::random(), now) {
+                ask(&context, scope, source, &mut sources).await;
             }
         }
     }
 }
 
-async fn ask(
-    context: &Context,
-    scope: Scope,
-    peer: SocketAddr,
-    revision: Revision,
-    avoided: &mut Avoided,
-) {
+async fn ask(context: &Context, scope: Scope, source: Candidate, sources: &mut NewsSources) {
+    let peer = source.peer;
     let after = context.fleet().newest(scope);
     match relay::ask(context, peer, scope, after).await {
         Ok(news) => {
@@ -61,54 +48,40 @@
         }
         Err(error) => emit(Event::PeerDown, format_args!("{peer}: {error}")),
     }
-    let is_caught_up = context.fleet().newest(scope) >= Some(revision);
-    if !is_caught_up {
-        avoided.insert(peer, Instant::now() + AVOID);
+    if context.fleet().newest(scope) >= Some(source.revision) {
+        sources.helped(peer);
+    } else {
+        sources.failed(peer, context.clock.now());
         sleep(PAUSE).await;
     }
 }
 
-/// A box that knows more of `scope` than this one: near ones first, and of those any.
-fn ahead(context: &Context, scope: Scope, avoided: &Avoided) -> Option<(SocketAddr, Revision)> {
+/// Boxes that know more of `scope` than this one.
+fn ahead(context: &Context, scope: Scope) -> Vec<Candidate> {
     let mine = context.fleet().newest(scope).unwrap_or_default();
     let swim = context.swim();
     if swim.newest_heard(scope) <= mine {
-        return None;
+        return Vec::new();
     }
-    let mut ahead: Vec<(u8, SocketAddr, Revision)> = swim
-        .members()
+    swim.members()
         .filter(|member| member.liveness == Liveness::Alive)
         .filter(|member| member.record.revision(scope) > mine)
-        .map(|member| {
-            let peer = member.record.peer_address;
-            let distance = if avoided.contains_key(&peer) {
-                FARTHEST
-            } else {
-                distance(context, member)
-            };
-            (distance, peer, member.record.revision(scope))
+        .map(|member| Candidate {
+            peer: member.record.peer_address,
+            distance: distance(context, member),
+            revision: member.record.revision(scope),
         })
-        .collect();
-    let nearest = ahead.iter().map(|(distance, ..)| *distance).min()?;
-    ahead.retain(|(distance, ..)| *distance == nearest);
-    let drawn = (rand::random::<f64>() * ahead.len() as f64) as usize;
-    let (_, peer, revision) = ahead.swap_remove(drawn.min(ahead.len() - 1));
-    Some((peer, revision))
+        .collect()
 }
 
-/// Distance of boxes that are asked last.
-const FARTHEST: u8 = 3;
-
-/// How far another box is: its zone, its region, or elsewhere.
-fn distance(context: &Context, member: &Member) -> u8 {
+fn distance(context: &Context, member: &Member) -> Distance {
     let (mine, other) = (&context.settings.zone, &member.record.zone);
-    if mine == other {
-        return 0;
-    }
     let zones = &context.settings.zones;
-    if zones.get(mine) == zones.get(other) {
-        1
+    if mine == other {
+        Distance::Zone
+    } else if zones.get(mine) == zones.get(other) {
+        Distance::Region
     } else {
-        2
+        Distance::Elsewhere
     }
 }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -9,6 +9,7 @@
 mod config;
 mod demand;
 mod fleet_state;
+mod news_source;
 mod placement;
 mod region_plan;
 mod rendezvous;
@@ -28,6 +29,7 @@
 };
 pub use demand::DemandSample;
 pub use fleet_state::{CatchUp, FleetState};
+pub use news_source::{Candidate, Distance, NewsSources};
 pub use placement::{Choice, Placement, PlacementSettings, Refusal, UpstreamOutcome, Wanted};
 pub use region_plan::{RegionPlan, RegionRoom};
 pub use rendezvous::{object_hash, weighted_score};
