--- a/crates/edge/tests/boxes.rs
+++ b/crates/edge/tests/boxes.rs
@@ -6,11 +6,9 @@
 use brasswinch_edge::{Dialect, EdgeHandle, start};
 use brasswinch_lab::memory_store::{MemoryStore, StoreFault};
 use brasswinch_lab::routed_upstream::{Behaviour, Upstream};
-use brasswinch_routing::{
-    Change, ChangeKey, MemberRecord, MemberState, Revision, RouteKind, Swim, SwimSettings,
-    UpstreamState,
-};
-use brasswinch_types::{BoxId, Region, UpstreamId, Zone};
+use brasswinch_routing::{Change, ChangeKey, RouteKind, UpstreamState};
+use brasswinch_types::{Region, UpstreamId, Zone};
+use common::know_all::know_all;
 use common::{Kept, Site, call, config, eventually, record, request, route, settings};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -298,8 +296,9 @@
 /// A member that says it knows more than anybody, and never answers a question.
 async fn silent_know_all(of: SocketAddr) -> Arc<AtomicUsize> {
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    let socket = tokio::net::UdpSocket::bind(address).await.unwrap();
+    let socket = tokio::net::UdpSocket::bind(listener.local_addr().unwrap())
+        .await
+        .unwrap();
     let asked = Arc::new(AtomicUsize::new(0));
     let counting = Arc::clone(&asked);
     tokio::spawn(async move {
@@ -309,41 +308,7 @@
             kept.push(stream);
         }
     });
-    let record = MemberRecord {
-        id: BoxId::new("know-all"),
-        incarnation: 1,
-        zone: Zone::new("west-a"),
-        caller_address: address,
-        peer_address: address,
-        state: MemberState::Serving,
-        requests_per_s: None,
-        operator_revision: Revision(1_000_000),
-        upstream_revision: Revision(1_000_000),
-        reaches_store: true,
-    };
-    let settings = SwimSettings::default();
-    let mut swim = Swim::new(record, vec![of], settings);
-    tokio::spawn(async move {
-        let mut buffer = vec![0; 16_384];
-        let began = std::time::Instant::now();
-        loop {
-            let now = began.elapsed().as_millis() as u64 + 1;
-            let wait = Duration::from_millis(50);
-            let received = tokio::time::timeout(wait, socket.recv_from(&mut buffer)).await;
-            let out = match received {
-                Ok(Ok((length, from))) => {
-                    let message = ciborium::from_reader(&buffer[..length]).unwrap();
-                    swim.receive(from, message, now, &mut rand::rng())
-                }
-                _ => swim.tick(now, &mut rand::rng()),
-            };
-            for (to, message) in out {
-                let mut datagram = Vec::new();
-                ciborium::into_writer(&message, &mut datagram).unwrap();
-                let _ = socket.send_to(&datagram, to).await;
-            }
-        }
-    });
+    tokio::spawn(know_all(socket, of));
     asked
 }
 
--- /dev/null
+++ b/crates/edge/tests/common/know_all.rs
@@ -0,0 +1,49 @@
+//! A member that says that it knows more than anybody.
+
+use brasswinch_routing::{MemberRecord, MemberState, Revision, Swim, SwimSettings};
+use brasswinch_types::{BoxId, Zone};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+use tokio::net::UdpSocket;
+
+/// Longest wait for a datagram between two looks at the protocol's timers.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Takes part in the membership on `socket` for as long as the runtime lives, and knows
+/// `of` for a start. Whoever wants its news connects to the port of the same number.
+pub async fn know_all(socket: UdpSocket, of: SocketAddr) {
+    let mut swim = Swim::new(record(&socket), vec![of], SwimSettings::default());
+    let mut buffer = vec![0; 16_384];
+    let began = Instant::now();
+    loop {
+        let now = began.elapsed().as_millis() as u64 + 1;
+        let out = match tokio::time::timeout(TICK, socket.recv_from(&mut buffer)).await {
+            Ok(Ok((length, from))) => {
+                let message = ciborium::from_reader(&buffer[..length]).unwrap();
+                swim.receive(from, message, now, &mut rand::rng())
+            }
+            _ => swim.tick(now, &mut rand::rng()),
+        };
+        for (to, message) in out {
+            let mut datagram = Vec::new();
+            ciborium::into_writer(&message, &mut datagram).unwrap();
+            let _ = socket.send_to(&datagram, to).await;
+        }
+    }
+}
+
+fn record(socket: &UdpSocket) -> MemberRecord {
+    let address = socket.local_addr().unwrap();
+    MemberRecord {
+        id: BoxId::new("know-all"),
+        incarnation: 1,
+        zone: Zone::new("west-a"),
+        caller_address: address,
+        peer_address: address,
+        state: MemberState::Serving,
+        requests_per_s: None,
+        operator_revision: Revision(1_000_000),
+        upstream_revision: Revision(1_000_000),
+        reaches_store: true,
+    }
+}
--- a/crates/edge/tests/common/mod.rs
+++ b/crates/edge/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! A box between stand-ins of clients, upstreams and the store.
 #![allow(dead_code, clippy::unwrap_used, clippy::expect_used)]
 
+pub mod know_all;
+
 use brasswinch_edge::{Dialect, EdgeAddresses, EdgeHandle, EdgeSettings, FleetBounds, start};
 use brasswinch_lab::memory_store::MemoryStore;
 use brasswinch_lab::routed_upstream::Upstream;
--- /dev/null
+++ b/crates/edge/tests/slow_links.rs
@@ -0,0 +1,85 @@
+//! A configuration of thousands of routes reaches boxes behind slow links, and a change
+//! of one route in it costs little.
+#![allow(clippy::unwrap_used, clippy::expect_used)]
+
+mod common;
+
+use brasswinch_edge::{Dialect, EdgeHandle, start};
+use brasswinch_lab::faults::{Fault, FaultProxy, Rule, Target};
+use brasswinch_lab::memory_store::{MemoryStore, StoreFault};
+use brasswinch_routing::{Change, RouteKind, SteeringConfig};
+use common::know_all::know_all;
+use common::{call, config, eventually, request, route, settings};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use tokio::net::{TcpListener, UdpSocket};
+
+/// Routes of the large configuration; written out, each takes about 300 bytes.
+const MANY_ROUTES: usize = 3_000;
+
+/// What the slow link carries, in bytes a second: a twelfth of 10 Mbit/s.
+const SLOW_LINK: u64 = 100_000;
+
+fn large_config(version: u64) -> SteeringConfig {
+    let mut large = config(version);
+    for number in 0..MANY_ROUTES {
+        let prefix = format!("/r{number}/");
+        let added = route(&prefix, RouteKind::Repeatable, "desk");
+        large.routes.push(added);
+    }
+    large
+}
+
+/// A box that knows the store, and where it is reached over the slow link by one that
+/// hears of it as of any other member.
+async fn behind_a_slow_link(store: &MemoryStore) -> (EdgeHandle, SocketAddr, FaultProxy) {
+    let far = start(
+        settings("far", Vec::new()),
+        Dialect::default(),
+        store.handle(),
+    )
+    .await
+    .unwrap();
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let target = Target::default();
+    target.set(far.addresses().peers);
+    let proxy = FaultProxy::default();
+    proxy.set_rules(vec![Rule {
+        fault: Fault::BytesPerSecond(SLOW_LINK),
+        ..Rule::default()
+    }]);
+    tokio::spawn(proxy.clone().run(listener, target));
+    let socket = UdpSocket::bind(address).await.unwrap();
+    tokio::spawn(know_all(socket, address));
+    (far, address, proxy)
+}
+
+/// A box that the store turns away and that knows one other.
+async fn turned_away(store: &MemoryStore, seed: SocketAddr) -> EdgeHandle {
+    let store = store.handle();
+    store.set_fault(StoreFault::TurnedAway);
+    start(settings("near", vec![seed]), Dialect::default(), store)
+        .await
+        .unwrap()
+}
+
+async fn status(to: &EdgeHandle, path: &str) -> u16 {
+    let answered = call(to.addresses().clients, request("GET", path, "")).await;
+    answered.unwrap().status
+}
+
+#[tokio::test]
+async fn a_large_configuration_reaches_a_box_over_a_slow_link() {
+    let store = MemoryStore::default();
+    store.write(Change::Config(Arc::new(large_config(1))));
+    let (far, address, _proxy) = behind_a_slow_link(&store).await;
+    let context = Arc::clone(far.context());
+    eventually("the far box is ready", || context.is_ready()).await;
+    let near = turned_away(&store, address).await;
+    let context = Arc::clone(near.context());
+    eventually("the near box is ready", || context.is_ready()).await;
+    // There are routes, and no upstream.
+    assert_eq!(status(&near, "/r2999/1").await, 503);
+    assert_eq!(status(&near, "/none/1").await, 404);
+}
