Tell bytes and time of answers between boxes, and how far a question without an answer got

Cause: the incident's logs said that no answer came in time, not whether a box was out of reach or its answer too large.

--- a/crates/edge/src/catch_up.rs
+++ b/crates/edge/src/catch_up.rs
@@ -38,13 +38,14 @@
     let peer = source.peer;
     let after = context.fleet().newest(scope);
     match relay::ask(context, peer, scope, after).await {
-        Ok(news) => {
+        Ok(answered) => {
             let now = context.clock.now();
-            let changed = context.fleet().catch_up(news, now);
+            let changed = context.fleet().catch_up(answered.news, now);
             if changed {
                 context.publish();
             }
-            context.told(scope, &peer);
+            let (bytes, took) = (answered.bytes, answered.took.as_millis());
+            context.told(scope, &format_args!("{peer} bytes={bytes} ms={took}"));
         }
         Err(error) => emit(Event::PeerDown, format_args!("{peer}: {error}")),
     }
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -10,9 +10,10 @@
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 use tokio_tungstenite::tungstenite::Message as Frame;
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 use tokio_tungstenite::{WebSocketStream, accept_async_with_config, client_async_with_config};
@@ -49,8 +50,45 @@
     #[error("it knows nothing yet")]
     KnowsNothing,
     /// No answer in time.
-    #[error("no answer in time")]
-    TimeOver,
+    #[error("no answer in time: {0}")]
+    TimeOver(Stage),
+}
+
+/// How far a question got.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Stage {
+    /// The connection was not up.
+    Connecting,
+    /// The question was sent, and the answer was not whole.
+    Answering,
+}
+
+impl Stage {
+    fn of(is_asked: &AtomicBool) -> Self {
+        if is_asked.load(Ordering::Relaxed) {
+            Self::Answering
+        } else {
+            Self::Connecting
+        }
+    }
+}
+
+impl std::fmt::Display for Stage {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            Self::Connecting => "the connection was not up",
+            Self::Answering => "the answer was not whole",
+        })
+    }
+}
+
+/// An answer, and what it took.
+#[derive(Debug)]
+pub(crate) struct Answered {
+    pub(crate) news: CatchUp,
+    /// Its length on the wire.
+    pub(crate) bytes: usize,
+    pub(crate) took: Duration,
 }
 
 /// Answers other boxes' questions for as long as the process runs.
@@ -74,27 +112,35 @@
     peer: SocketAddr,
     scope: Scope,
     after: Option<Revision>,
-) -> Result<CatchUp, RelayError> {
-    let asking = ask_now(context, peer, Question { scope, after });
+) -> Result<Answered, RelayError> {
+    let is_asked = AtomicBool::new(false);
+    let asking = ask_now(context, peer, Question { scope, after }, &is_asked);
     timeout(EXCHANGE_TIMEOUT, asking)
         .await
-        .map_err(|_| RelayError::TimeOver)?
+        .map_err(|_| RelayError::TimeOver(Stage::of(&is_asked)))?
 }
 
 async fn ask_now(
     context: &Context,
     peer: SocketAddr,
     question: Question,
-) -> Result<CatchUp, RelayError> {
+    is_asked: &AtomicBool,
+) -> Result<Answered, RelayError> {
+    let began = Instant::now();
     let stream = connect(context, peer).await.map_err(failed)?;
     let url = format!("ws://{peer}/");
     let (mut socket, _) = client_async_with_config(url, stream, Some(config()))
         .await
         .map_err(failed)?;
     send(&mut socket, &question).await?;
-    let answer: Option<CatchUp> = receive(&mut socket).await?;
+    is_asked.store(true, Ordering::Relaxed);
+    let (answer, bytes): (Option<CatchUp>, usize) = receive(&mut socket).await?;
     let _ = socket.close(None).await;
-    answer.ok_or(RelayError::KnowsNothing)
+    Ok(Answered {
+        news: answer.ok_or(RelayError::KnowsNothing)?,
+        bytes,
+        took: began.elapsed(),
+    })
 }
 
 async fn connect(context: &Context, peer: SocketAddr) -> std::io::Result<TcpStream> {
@@ -114,7 +160,7 @@
     let mut socket = accept_async_with_config(stream, Some(config()))
         .await
         .map_err(failed)?;
-    let question: Question = receive(&mut socket).await?;
+    let (question, _): (Question, usize) = receive(&mut socket).await?;
     // A box that knows nothing yet says so, and the asker turns to another.
     let missing = context.fleet().missing(question.scope, question.after);
     send(&mut socket, &missing).await?;
@@ -149,13 +195,14 @@
 
 async fn receive<T: DeserializeOwned>(
     socket: &mut WebSocketStream<TcpStream>,
-) -> Result<T, RelayError> {
+) -> Result<(T, usize), RelayError> {
     loop {
         let frame = socket.next().await;
         let frame = frame.ok_or_else(|| failed("it was closed"))?;
         if let Frame::Binary(bytes) = frame.map_err(failed)? {
-            return ciborium::from_reader(&bytes[..])
-                .map_err(|error| RelayError::Malformed(error.to_string()));
+            let message = ciborium::from_reader(&bytes[..]);
+            let message = message.map_err(|error| RelayError::Malformed(error.to_string()))?;
+            return Ok((message, bytes.len()));
         }
     }
 }
