--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -60,6 +60,27 @@
     pub ttl_s: f64,
 }
 
+/// Wakes what catches up with other boxes, each scope by itself.
+#[derive(Default)]
+pub(crate) struct Heard {
+    operator: Notify,
+    upstreams: Notify,
+}
+
+impl Heard {
+    pub(crate) fn notify(&self) {
+        self.operator.notify_one();
+        self.upstreams.notify_one();
+    }
+
+    pub(crate) async fn notified(&self, scope: Scope) {
+        match scope {
+            Scope::Operator => self.operator.notified().await,
+            Scope::Upstreams => self.upstreams.notified().await,
+        }
+    }
+}
+
 /// Shared by all parts of one box.
 pub struct Context {
     pub(crate) settings: EdgeSettings,
@@ -75,7 +96,7 @@
     /// Requests since the start.
     pub(crate) requests: AtomicU64,
     /// Another box was heard.
-    pub(crate) heard: Notify,
+    pub(crate) heard: Heard,
     /// This box has something new to tell.
     pub(crate) has_news: Notify,
     lifecycle: watch::Sender<Lifecycle>,
@@ -111,7 +132,7 @@
             in_flight: AtomicUsize::new(0),
             held_bytes: AtomicUsize::new(0),
             requests: AtomicU64::new(0),
-            heard: Notify::new(),
+            heard: Heard::default(),
             has_news: Notify::new(),
             watches_store: watch::Sender::new(true),
             lifecycle: watch::Sender::new(Lifecycle::Starting),
--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -90,7 +90,7 @@
         Ok(message) => {
             let now = context.clock.now();
             let out = context.swim().receive(from, message, now, &mut rand::rng());
-            context.heard.notify_one();
+            context.heard.notify();
             out
         }
         Err(error) => {
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -65,6 +65,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Memory that the process may use, in bytes.
     pub memory_bytes: usize,
+    /// What its link carries, in Mbit/s; 0 where that isn't known.
+    pub link_mbps: u32,
     /// The bounds.
     pub bounds: FleetBounds,
 }
--- a/crates/edge/src/start.rs
+++ b/crates/edge/src/start.rs
@@ -79,6 +79,7 @@
     for scope in [Scope::Operator, Scope::Upstreams] {
         let following = follow::follow(Arc::clone(&context), Arc::clone(&store), scope);
         tokio::spawn(following);
+        tokio::spawn(catch_up::catch_up(Arc::clone(&context), scope));
     }
     tokio::spawn(registry::stay_registered(
         Arc::clone(&context),
@@ -87,7 +88,6 @@
     tokio::spawn(registry::find_strangers(Arc::clone(&context), store));
     tokio::spawn(gossip::take_part(Arc::clone(&context), Arc::clone(&socket)));
     tokio::spawn(relay::serve(Arc::clone(&context), relay_listener));
-    tokio::spawn(catch_up::catch_up(Arc::clone(&context)));
     tokio::spawn(server::serve(Arc::clone(&context), listener));
     tokio::spawn(serve_when_known(Arc::clone(&context)));
     tokio::spawn(sweep(Arc::clone(&context)));
@@ -143,6 +143,7 @@
         operator_revision: Revision::default(),
         upstream_revision: Revision::default(),
         reaches_store: true,
+        link_mbps: settings.link_mbps,
     }
 }
 
--- a/crates/edge/tests/common/know_all.rs
+++ b/crates/edge/tests/common/know_all.rs
@@ -45,5 +45,6 @@
         operator_revision: Revision(1_000_000),
         upstream_revision: Revision(1_000_000),
         reaches_store: true,
+        link_mbps: 0,
     }
 }
--- a/crates/edge/tests/common/mod.rs
+++ b/crates/edge/tests/common/mod.rs
@@ -57,6 +57,7 @@
         },
         seeds,
         memory_bytes: 64_000_000,
+        link_mbps: 0,
         bounds: FleetBounds::default(),
     }
 }
--- a/crates/edge/tests/slow_links.rs
+++ b/crates/edge/tests/slow_links.rs
@@ -9,9 +9,10 @@
 use brasswinch_lab::memory_store::{MemoryStore, StoreFault};
 use brasswinch_routing::{Change, RouteKind, SteeringConfig};
 use common::know_all::know_all;
-use common::{call, config, eventually, request, route, settings};
+use common::{PATIENCE, call, config, eventually, request, route, settings};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, UdpSocket};
 
 /// Routes of the large configuration; written out, each takes about 300 bytes.
@@ -45,16 +46,20 @@
     let target = Target::default();
     target.set(far.addresses().peers);
     let proxy = FaultProxy::default();
-    proxy.set_rules(vec![Rule {
-        fault: Fault::BytesPerSecond(SLOW_LINK),
-        ..Rule::default()
-    }]);
+    set_fault(&proxy, Fault::BytesPerSecond(SLOW_LINK));
     tokio::spawn(proxy.clone().run(listener, target));
     let socket = UdpSocket::bind(address).await.unwrap();
     tokio::spawn(know_all(socket, address));
     (far, address, proxy)
 }
 
+fn set_fault(proxy: &FaultProxy, fault: Fault) {
+    proxy.set_rules(vec![Rule {
+        fault,
+        ..Rule::default()
+    }]);
+}
+
 /// A box that the store turns away and that knows one other.
 async fn turned_away(store: &MemoryStore, seed: SocketAddr) -> EdgeHandle {
     let store = store.handle();
@@ -83,3 +88,28 @@
     assert_eq!(status(&near, "/r2999/1").await, 503);
     assert_eq!(status(&near, "/none/1").await, 404);
 }
+
+#[tokio::test]
+async fn a_change_of_one_route_of_a_large_configuration_needs_few_bytes() {
+    /// Far less than a large configuration takes, however it is written.
+    const FEW_BYTES: u64 = 32 * 1024;
+    let store = MemoryStore::default();
+    store.write(Change::Config(Arc::new(large_config(1))));
+    let (far, address, proxy) = behind_a_slow_link(&store).await;
+    set_fault(&proxy, Fault::Pass);
+    let near = turned_away(&store, address).await;
+    for edge in [&far, &near] {
+        let context = Arc::clone(edge.context());
+        eventually("the box is ready", || context.is_ready()).await;
+    }
+    set_fault(&proxy, Fault::TruncateAfter(FEW_BYTES));
+    let mut newer = large_config(2);
+    let added = route("/added/", RouteKind::Repeatable, "desk");
+    newer.routes.push(added);
+    store.write(Change::Config(Arc::new(newer)));
+    let began = Instant::now();
+    while status(&near, "/added/1").await != 503 {
+        assert!(began.elapsed() < PATIENCE, "the added route never came");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
--- a/crates/routing/src/change.rs
+++ b/crates/routing/src/change.rs
@@ -1,6 +1,7 @@
 //! Changes of what is known, each with the store's revision that made it.
 
 use crate::config::SteeringConfig;
+use crate::config_patch::ConfigPatch;
 use crate::upstream::UpstreamRecord;
 use brasswinch_types::{UpstreamId, Zone};
 use serde::{Deserialize, Serialize};
@@ -47,6 +48,9 @@
 pub enum Change {
     /// The configuration was replaced.
     Config(Arc<SteeringConfig>),
+    /// The configuration was changed, in these steps, from a version that a box holds;
+    /// none, if it holds the newest. Only boxes tell each other this.
+    ConfigPatched(Vec<Arc<ConfigPatch>>),
     /// A zone is to get nothing more.
     Evacuated(Zone),
     /// An upstream wrote its entry.
@@ -59,7 +63,7 @@
     /// What the change is about.
     pub fn key(&self) -> ChangeKey {
         match self {
-            Self::Config(_) => ChangeKey::Config,
+            Self::Config(_) | Self::ConfigPatched(_) => ChangeKey::Config,
             Self::Evacuated(zone) => ChangeKey::Evacuation(zone.clone()),
             Self::Upstream(record) => ChangeKey::Upstream(record.id.clone()),
             Self::Gone(key) => key.clone(),
--- a/crates/routing/src/fleet_state.rs
+++ b/crates/routing/src/fleet_state.rs
@@ -4,7 +4,8 @@
 //! applied in any order. The configuration never goes back to an older version.
 
 use crate::change::{Change, ChangeKey, Revised, Revision, Scope, Snapshot};
-use crate::config::SteeringConfig;
+use crate::config::{ConfigVersion, SteeringConfig};
+use crate::config_patch::{ConfigPatch, PatchHistory};
 use crate::upstream::UpstreamRecord;
 use brasswinch_types::{Millis, UpstreamId, Zone};
 use serde::{Deserialize, Serialize};
@@ -34,6 +35,7 @@
 pub struct FleetState {
     config: Option<Arc<SteeringConfig>>,
     config_revision: Revision,
+    config_patches: PatchHistory,
     upstreams: BTreeMap<UpstreamId, HeldUpstream>,
     evacuations: BTreeMap<Zone, Evacuation>,
     gone_upstreams: BTreeMap<UpstreamId, (Revision, Millis)>,
@@ -65,12 +67,23 @@
     Whole(Snapshot),
 }
 
+/// Steps of the configuration that begin at a version that isn't held.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("a change of the configuration is for version {base:?}, and {held:?} is held")]
+pub struct PatchMismatch {
+    /// The version that the step is for.
+    pub base: ConfigVersion,
+    /// The version that is held, if any is.
+    pub held: Option<ConfigVersion>,
+}
+
 impl FleetState {
     /// Applies one change; says whether anything is different now.
     pub fn apply(&mut self, revised: Revised, now: Millis) -> bool {
         let revision = revised.revision;
         match revised.change {
             Change::Config(config) => self.apply_config(config, revision),
+            Change::ConfigPatched(patches) => self.apply_patches(&patches, revision),
             Change::Evacuated(zone) => self.apply_evacuation(zone, revision),
             Change::Upstream(record) => self.apply_upstream(record, revision, now),
             Change::Gone(key) => self.apply_gone(&key, revision, now),
@@ -116,7 +129,25 @@
     }
 
     /// Applies what a peer knows; says whether anything is different now.
-    pub fn catch_up(&mut self, news: CatchUp, now: Millis) -> bool {
+    ///
+    /// # Errors
+    ///
+    /// Nothing is applied if the peer's changes of the configuration are for a version
+    /// that isn't held (any more): it has to be asked again.
+    pub fn catch_up(&mut self, news: CatchUp, now: Millis) -> Result<bool, PatchMismatch> {
+        let changes = match &news {
+            CatchUp::Whole(snapshot) => &snapshot.entries,
+            CatchUp::Changes { changes, .. } => changes,
+        };
+        for revised in changes {
+            if let Change::ConfigPatched(patches) = &revised.change {
+                self.check_patches(patches)?;
+            }
+        }
+        Ok(self.apply_news(news, now))
+    }
+
+    fn apply_news(&mut self, news: CatchUp, now: Millis) -> bool {
         match news {
             CatchUp::Whole(snapshot) => self.apply_snapshot(snapshot, now),
             CatchUp::Changes { scope, at, changes } => {
@@ -135,12 +166,18 @@
         self.scopes.get(&scope).map(|followed| followed.newest)
     }
 
-    /// What a peer lacks that has everything in `scope` up to `after`.
-    pub fn missing(&self, scope: Scope, after: Option<Revision>) -> Option<CatchUp> {
+    /// What a peer lacks that has everything in `scope` up to `after`, and version `holds`
+    /// of the configuration. `None` if nothing is known here.
+    pub fn missing(
+        &self,
+        scope: Scope,
+        after: Option<Revision>,
+        holds: Option<ConfigVersion>,
+    ) -> Option<CatchUp> {
         let followed = self.scopes.get(&scope)?;
         let at = followed.newest;
         let entries = match scope {
-            Scope::Operator => self.operator_entries(),
+            Scope::Operator => self.operator_entries(holds),
             Scope::Upstreams => self.upstream_entries(),
         };
         let Some(after) = after.filter(|after| *after >= followed.kept_since) else {
@@ -202,10 +239,52 @@
             .config
             .as_ref()
             .is_none_or(|held| config.version > held.version);
-        if newer {
-            self.config = Some(config);
+        if !newer {
+            return false;
+        }
+        if let Some(held) = &self.config {
+            let patch = ConfigPatch::between(held, &config);
+            self.config_patches.push(Arc::new(patch));
+        }
+        self.config = Some(config);
+        true
+    }
+
+    /// Steps from a version that isn't held change nothing.
+    fn apply_patches(&mut self, patches: &[Arc<ConfigPatch>], revision: Revision) -> bool {
+        if self.check_patches(patches).is_err() {
+            return false;
+        }
+        self.config_revision = self.config_revision.max(revision);
+        let Some(held) = self.config.clone() else {
+            return false;
+        };
+        let mut newest = Arc::clone(&held);
+        for patch in patches {
+            if patch.version > newest.version {
+                newest = Arc::new(patch.apply(&newest));
+                self.config_patches.push(Arc::clone(patch));
+            }
+        }
+        let is_newer = newest.version > held.version;
+        self.config = Some(newest);
+        is_newer
+    }
+
+    fn check_patches(&self, patches: &[Arc<ConfigPatch>]) -> Result<(), PatchMismatch> {
+        let held = self.config.as_ref().map(|config| config.version);
+        let mut reached = held;
+        for patch in patches {
+            if Some(patch.version) <= reached {
+                continue;
+            }
+            if Some(patch.base) != reached {
+                let base = patch.base;
+                return Err(PatchMismatch { base, held });
+            }
+            reached = Some(patch.version);
         }
-        newer
+        Ok(())
     }
 
     fn apply_evacuation(&mut self, zone: Zone, revision: Revision) -> bool {
@@ -317,10 +396,10 @@
         .collect()
     }
 
-    fn operator_entries(&self) -> Vec<Revised> {
+    fn operator_entries(&self, holds: Option<ConfigVersion>) -> Vec<Revised> {
         let config = self.config.iter().map(|config| Revised {
             revision: self.config_revision,
-            change: Change::Config(Arc::clone(config)),
+            change: self.config_since(config, holds),
         });
         let open = self
             .evacuations
@@ -333,6 +412,15 @@
         config.chain(evacuated).collect()
     }
 
+    /// The configuration for a peer that holds version `holds`: the steps to it, or all.
+    fn config_since(&self, config: &Arc<SteeringConfig>, holds: Option<ConfigVersion>) -> Change {
+        let patches = holds.and_then(|holds| self.config_patches.since(holds, config));
+        match patches {
+            Some(patches) => Change::ConfigPatched(patches),
+            None => Change::Config(Arc::clone(config)),
+        }
+    }
+
     fn upstream_entries(&self) -> Vec<Revised> {
         let entry = |held: &HeldUpstream| Revised {
             revision: held.revision,
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -7,6 +7,7 @@
 mod change;
 mod cold_pacing;
 mod config;
+mod config_patch;
 mod demand;
 mod fleet_state;
 mod news_source;
@@ -27,8 +28,9 @@
     Backend, ClientLimits, ConfigError, ConfigVersion, LONGEST_TIME_S, Route, RouteKind,
     ServiceConfig, SteeringConfig,
 };
+pub use config_patch::{ConfigPatch, RoutePlace};
 pub use demand::DemandSample;
-pub use fleet_state::{CatchUp, FleetState};
+pub use fleet_state::{CatchUp, FleetState, PatchMismatch};
 pub use news_source::{Candidate, Distance, NewsSources};
 pub use placement::{Choice, Placement, PlacementSettings, Refusal, UpstreamOutcome, Wanted};
 pub use region_plan::{RegionPlan, RegionRoom};
--- a/crates/routing/src/swim/member.rs
+++ b/crates/routing/src/swim/member.rs
@@ -50,6 +50,9 @@
     /// Whether the store answered it when it last asked.
     #[serde(rename = "k")]
     pub reaches_store: bool,
+    /// What its link carries, in Mbit/s; 0 where that isn't known.
+    #[serde(rename = "b", default)]
+    pub link_mbps: u32,
 }
 
 impl MemberRecord {
--- a/crates/routing/src/watchers.rs
+++ b/crates/routing/src/watchers.rs
@@ -2,11 +2,13 @@
 //!
 //! One box of each zone does, and never fewer than a few in all, so that the store's
 //! calls grow with the zones and not with the boxes, and no single loss leaves the fleet
-//! without news.
+//! without news. Boxes with fast links come first: the store tells a change of the
+//! configuration by the whole of it, up to a megabyte, and the fleet waits for that.
 
 use crate::rendezvous::{object_hash, weighted_score};
 use crate::swim::{Liveness, MemberRecord, MemberState, Swim};
 use brasswinch_types::BoxId;
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 
 /// Fewest boxes that follow the store, where there are as many.
@@ -25,7 +27,7 @@
         .map(|member| &member.record)
         .filter(|record| record.reaches_store && record.state == MemberState::Serving);
     let mut ranked: Vec<&MemberRecord> = others.chain([me]).collect();
-    ranked.sort_by(|a, b| rank(&b.id).total_cmp(&rank(&a.id)));
+    ranked.sort_by(|a, b| compare(b, a));
     let mut in_zone: BTreeMap<&str, usize> = BTreeMap::new();
     for (place, record) in ranked.into_iter().enumerate() {
         let before = in_zone.entry(record.zone.as_str()).or_default();
@@ -37,6 +39,12 @@
     true
 }
 
+/// Which of two boxes is the better one to follow the store.
+fn compare(a: &MemberRecord, b: &MemberRecord) -> Ordering {
+    let by_link = a.link_mbps.cmp(&b.link_mbps);
+    by_link.then_with(|| rank(&a.id).total_cmp(&rank(&b.id)))
+}
+
 fn rank(id: &BoxId) -> f64 {
     weighted_score(
         object_hash("watch", b"store"),
--- /dev/null
+++ b/crates/routing/tests/config_patch.rs
@@ -0,0 +1,191 @@
+//! Boxes tell each other what changed in the configuration, not all of it.
+#![allow(clippy::unwrap_used, clippy::expect_used)]
+
+mod common;
+
+use brasswinch_routing::{
+    CatchUp, Change, ConfigPatch, ConfigVersion, FleetState, Revision, Scope, Snapshot,
+    SteeringConfig,
+};
+use brasswinch_types::{Region, Service};
+use common::{config, revised, route};
+use proptest::prelude::*;
+use std::sync::Arc;
+
+/// A configuration of some of 24 routes, each as one of three variants, and some services.
+fn drawn(version: u64, variants: &[u8], services: u8) -> SteeringConfig {
+    let mut drawn = config(version);
+    drawn.routes.clear();
+    for (number, variant) in variants.iter().enumerate() {
+        if *variant == 0 {
+            continue;
+        }
+        let host = format!("host-{}.example", number % 3);
+        let mut one = route(&format!("r-{number}"), &host, &format!("/p{number}/"));
+        if *variant == 2 {
+            one.allowed_regions.insert(Region::new("west"));
+        }
+        drawn.routes.push(one);
+    }
+    let kept = drawn.services.values().next().unwrap().clone();
+    for number in 0..services {
+        let name = Service::new(format!("service-{number}"));
+        drawn.services.insert(name, kept.clone());
+    }
+    drawn
+}
+
+/// The order of routes says nothing.
+fn sorted(config: &SteeringConfig) -> SteeringConfig {
+    let mut sorted = config.clone();
+    let by_place = |route: &brasswinch_routing::Route| {
+        let (host, prefix) = (&route.host, &route.path_prefix);
+        (host.clone(), prefix.clone())
+    };
+    sorted.routes.sort_by_key(by_place);
+    sorted
+}
+
+fn listing(at: u64, config: SteeringConfig) -> Snapshot {
+    Snapshot {
+        scope: Scope::Operator,
+        at: Revision(at),
+        entries: vec![revised(at, Change::Config(Arc::new(config)))],
+    }
+}
+
+/// What `peer` is told by `knows`.
+fn told(knows: &FleetState, peer: &FleetState) -> CatchUp {
+    let holds = peer.config().map(|config| config.version);
+    let after = peer.newest(Scope::Operator);
+    knows.missing(Scope::Operator, after, holds).unwrap()
+}
+
+fn write(fleet: &mut FleetState, revision: u64, config: SteeringConfig) {
+    let change = revised(revision, Change::Config(Arc::new(config)));
+    fleet.apply_changes(Scope::Operator, vec![change], 1);
+}
+
+/// Whether the configuration itself is among the changes.
+fn is_whole(news: &CatchUp) -> bool {
+    let entries = match news {
+        CatchUp::Whole(snapshot) => &snapshot.entries,
+        CatchUp::Changes { changes, .. } => changes,
+    };
+    let is_config = |change: &Change| matches!(change, Change::Config(_));
+    entries.iter().any(|entry| is_config(&entry.change))
+}
+
+proptest! {
+    #[test]
+    fn a_patch_makes_one_version_of_another(
+        held in proptest::collection::vec(0_u8..3, 24),
+        wanted in proptest::collection::vec(0_u8..3, 24),
+        services in (0_u8..4, 0_u8..4),
+    ) {
+        let (held, wanted) = (drawn(3, &held, services.0), drawn(9, &wanted, services.1));
+        let made = ConfigPatch::between(&held, &wanted).apply(&held);
+        prop_assert_eq!(sorted(&made), sorted(&wanted));
+    }
+
+    /// One box follows the store, others hear from it and from each other now and then.
+    #[test]
+    fn boxes_that_hear_of_steps_agree_with_the_store(
+        steps in proptest::collection::vec((0_usize..24, 0_u8..3, 0_usize..6), 1..80),
+    ) {
+        let mut variants = vec![1; 24];
+        let mut boxes: Vec<FleetState> = (0..3).map(|_| FleetState::default()).collect();
+        boxes[0].apply_snapshot(listing(1, drawn(1, &variants, 1)), 1);
+        for (number, (place, variant, talk)) in steps.into_iter().enumerate() {
+            let step = number as u64 + 2;
+            variants[place] = variant;
+            write(&mut boxes[0], step, drawn(step * 3, &variants, 1));
+            let (from, to) = [(0, 1), (0, 2), (1, 2), (2, 1), (0, 0), (1, 0)][talk];
+            if let Some(news) = boxes[from].newest(Scope::Operator).map(|_| told(&boxes[from], &boxes[to])) {
+                boxes[to].catch_up(news, step).unwrap();
+            }
+        }
+        for to in [1, 2] {
+            let news = told(&boxes[0], &boxes[to]);
+            boxes[to].catch_up(news, 1_000).unwrap();
+            let (held, wanted) = (boxes[to].config().unwrap(), boxes[0].config().unwrap());
+            prop_assert_eq!(sorted(held), sorted(wanted));
+            prop_assert_eq!(boxes[to].newest(Scope::Operator), boxes[0].newest(Scope::Operator));
+        }
+    }
+}
+
+#[test]
+fn a_change_of_one_route_among_thousands_is_told_alone() {
+    let mut many = config(1);
+    for number in 0..3_000 {
+        many.routes.push(route(
+            &format!("r-{number}"),
+            "many.example",
+            &format!("/p{number}/"),
+        ));
+    }
+    let mut knows = FleetState::default();
+    let mut peer = FleetState::default();
+    knows.apply_snapshot(listing(1, many.clone()), 1);
+    peer.catch_up(told(&knows, &peer), 1).unwrap();
+    many.version = ConfigVersion(2);
+    many.routes[1_500].timeout_s = Some(0.25);
+    write(&mut knows, 2, many.clone());
+    let news = told(&knows, &peer);
+    let CatchUp::Changes { changes, .. } = &news else {
+        panic!("{news:?}");
+    };
+    let Change::ConfigPatched(patches) = &changes[0].change else {
+        panic!("{changes:?}");
+    };
+    assert_eq!(patches[0].changed_routes, [many.routes[1_500].clone()]);
+    assert!(peer.catch_up(news, 2).unwrap());
+    assert_eq!(**peer.config().unwrap(), many);
+}
+
+#[test]
+fn who_holds_nothing_or_a_version_that_is_no_longer_known_gets_all() {
+    let mut knows = FleetState::default();
+    knows.apply_snapshot(listing(1, config(1)), 1);
+    for step in 2..100 {
+        let mut newer = config(step);
+        newer.routes[0].timeout_s = Some(step as f64);
+        write(&mut knows, step, newer);
+    }
+    let missing = |holds: Option<u64>| {
+        let holds = holds.map(ConfigVersion);
+        knows
+            .missing(Scope::Operator, Some(Revision(1)), holds)
+            .unwrap()
+    };
+    assert!(is_whole(&missing(None)));
+    assert!(is_whole(&missing(Some(1))));
+    assert!(!is_whole(&missing(Some(98))));
+    // A box that started again asks from a revision before what is kept here, and may
+    // hold the newest version all the same.
+    let restarted = knows
+        .missing(Scope::Operator, None, Some(ConfigVersion(99)))
+        .unwrap();
+    assert!(!is_whole(&restarted));
+}
+
+#[test]
+fn steps_from_a_version_that_is_not_held_change_nothing() {
+    let mut knows = FleetState::default();
+    knows.apply_snapshot(listing(1, config(1)), 1);
+    write(&mut knows, 2, config(4));
+    let steps = knows.missing(Scope::Operator, Some(Revision(1)), Some(ConfigVersion(1)));
+    let steps = steps.unwrap();
+    let mut peer = FleetState::default();
+    let fresh = peer.catch_up(steps.clone(), 1).unwrap_err();
+    assert_eq!((fresh.base, fresh.held), (ConfigVersion(1), None));
+    peer.apply_snapshot(listing(1, config(3)), 1);
+    let other = peer.catch_up(steps.clone(), 1).unwrap_err();
+    assert_eq!(other.held, Some(ConfigVersion(3)));
+    assert_eq!(peer.newest(Scope::Operator), Some(Revision(1)));
+    // One that got there by another way takes them for what it knows already.
+    peer.apply_snapshot(listing(2, config(4)), 1);
+    assert!(!peer.catch_up(steps, 1).unwrap());
+    assert_eq!(peer.config().unwrap().version, ConfigVersion(4));
+}
--- a/crates/routing/tests/fleet_state.rs
+++ b/crates/routing/tests/fleet_state.rs
@@ -89,13 +89,13 @@
             }
             if sync >= 6 {
                 let after = listener.newest(Scope::Upstreams);
-                let news = watcher.missing(Scope::Upstreams, after).unwrap();
-                listener.catch_up(news, now);
+                let news = watcher.missing(Scope::Upstreams, after, None).unwrap();
+                listener.catch_up(news, now).unwrap();
             }
         }
         let after = listener.newest(Scope::Upstreams);
-        let news = watcher.missing(Scope::Upstreams, after).unwrap();
-        listener.catch_up(news, 1_000);
+        let news = watcher.missing(Scope::Upstreams, after, None).unwrap();
+        listener.catch_up(news, 1_000).unwrap();
         let in_store: BTreeMap<String, UpstreamState> =
             store.upstreams.iter().map(|(name, (_, state))| (name.clone(), *state)).collect();
         prop_assert_eq!(known(&watcher), in_store.clone());
@@ -151,13 +151,14 @@
     fleet.apply_snapshot(listing(4, vec![open]), 1);
     assert!(fleet.is_evacuated(&zone));
     let mut peer = FleetState::default();
-    peer.catch_up(fleet.missing(Scope::Operator, None).unwrap(), 1);
+    peer.catch_up(fleet.missing(Scope::Operator, None, None).unwrap(), 1)
+        .unwrap();
     assert!(peer.is_evacuated(&zone));
     fleet.apply_snapshot(listing(9, Vec::new()), 50);
     assert!(!fleet.is_evacuated(&zone));
     assert_eq!(fleet.evacuation_ended_at(&zone), Some(50));
-    let news = fleet.missing(Scope::Operator, peer.newest(Scope::Operator));
-    peer.catch_up(news.unwrap(), 60);
+    let news = fleet.missing(Scope::Operator, peer.newest(Scope::Operator), None);
+    peer.catch_up(news.unwrap(), 60).unwrap();
     assert!(!peer.is_evacuated(&zone));
     assert_eq!(peer.evacuation_ended_at(&zone), Some(60));
 }
@@ -169,9 +170,9 @@
     let scope = Scope::Upstreams;
     let entries = Vec::new();
     fleet.apply_snapshot(Snapshot { scope, at, entries }, 1);
-    let older = fleet.missing(scope, Some(Revision(99))).unwrap();
+    let older = fleet.missing(scope, Some(Revision(99)), None).unwrap();
     assert!(matches!(older, CatchUp::Whole(_)), "{older:?}");
-    let same = fleet.missing(scope, Some(at)).unwrap();
+    let same = fleet.missing(scope, Some(at), None).unwrap();
     assert!(matches!(same, CatchUp::Changes { .. }), "{same:?}");
     // What went away long ago is forgotten; a peer that lacks it gets everything.
     let gone = |revision, id| {
@@ -180,8 +181,8 @@
     };
     fleet.apply_changes(scope, gone(110, "a"), 10);
     fleet.apply_changes(scope, gone(120, "b"), 1_000_000);
-    let older = fleet.missing(scope, Some(Revision(105))).unwrap();
+    let older = fleet.missing(scope, Some(Revision(105)), None).unwrap();
     assert!(matches!(older, CatchUp::Whole(_)), "{older:?}");
-    let newer = fleet.missing(scope, Some(Revision(110))).unwrap();
+    let newer = fleet.missing(scope, Some(Revision(110)), None).unwrap();
     assert!(matches!(newer, CatchUp::Changes { .. }), "{newer:?}");
 }
--- a/crates/routing/tests/membership.rs
+++ b/crates/routing/tests/membership.rs
@@ -30,6 +30,7 @@
         operator_revision: Revision(0),
         upstream_revision: Revision(0),
         reaches_store: true,
+        link_mbps: 0,
     }
 }
 
@@ -46,6 +47,11 @@
 
 impl Network {
     fn new(count: usize) -> Self {
+        Self::with_links(count, |_| 0)
+    }
+
+    /// Boxes whose links carry `link_mbps` of their number.
+    fn with_links(count: usize, link_mbps: fn(usize) -> u32) -> Self {
         let mut network = Self {
             boxes: Vec::new(),
             cut: BTreeSet::new(),
@@ -56,14 +62,20 @@
             now: 1,
         };
         for number in 0..count {
-            network.boxes.push(Some(Self::swim(number, 1_000)));
+            let mut record = record(number, 1_000);
+            record.link_mbps = link_mbps(number);
+            network.boxes.push(Some(Self::swim_of(record)));
         }
         network
     }
 
     fn swim(number: usize, incarnation: u64) -> Swim {
+        Self::swim_of(record(number, incarnation))
+    }
+
+    fn swim_of(record: MemberRecord) -> Swim {
         let seeds = vec![address(0), address(1)];
-        Swim::new(record(number, incarnation), seeds, SwimSettings::default())
+        Swim::new(record, seeds, SwimSettings::default())
     }
 
     fn send(&mut self, from: usize, out: Vec<(SocketAddr, SwimMessage)>) {
@@ -227,6 +239,26 @@
     assert!(stepped_in.count() >= 4, "{watching:?}");
 }
 
+#[test]
+fn boxes_with_fast_links_follow_the_store_where_there_are_some() {
+    // Two of ten boxes of each zone are fast.
+    let link_mbps = |number| if number < 6 { 200 } else { 10 };
+    let mut network = Network::with_links(30, link_mbps);
+    network.run(4_000);
+    let watching = watchers(&network);
+    assert!(watching.iter().all(|number| *number < 6), "{watching:?}");
+    let zones: BTreeSet<usize> = watching.iter().map(|number| number % 3).collect();
+    assert_eq!(zones.len(), 3);
+    // Without them slow ones do it.
+    for number in 0..6 {
+        network.boxes[number] = None;
+    }
+    network.run(20_000);
+    let watching = watchers(&network);
+    let zones: BTreeSet<usize> = watching.iter().map(|number| number % 3).collect();
+    assert_eq!(zones.len(), 3, "{watching:?}");
+}
+
 #[test]
 fn news_are_hinted_at_once() {
     let mut network = Network::new(12);
