daemon: the callers' listener is closed by the shared way

Cause: see the package listen. After the stop the daemon waited 2 ms for one more connection by the runtime's own knowledge, and after 100 ms closed its port whatever the queue held; a thread that got on late beside busy processes closed it over connections that had come up.

Ruled out: an answer lost after the accept; with nothing changed but the closing of the listener the test passes.

Change: traffic::server closes its listener by brasswinch_listen::close. The test what_has_reached_a_box_before_it_stops_is_answered has four callers that connect every 1 ms in place of one every 4 ms; what it asks is the same.

--- a/crates/daemon/src/traffic/server.rs
+++ b/crates/daemon/src/traffic/server.rs
@@ -15,7 +15,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::pin::pin;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
@@ -34,12 +34,6 @@
 /// was sent before its caller could know. The box closes them only then.
 const LAST_REQUESTS: Duration = Duration::from_millis(250);
 
-/// Wait for one more connection in the listener's queue before it is closed.
-const LAST_ACCEPT: Duration = Duration::from_millis(2);
-
-/// Longest time for which the listener's queue is emptied.
-const EMPTY_QUEUE: Duration = Duration::from_millis(100);
-
 /// Serves callers until `stop` says so, then finishes what is under way.
 pub(crate) async fn serve(
     context: Arc<Context>,
@@ -67,14 +61,10 @@
         };
         connections.spawn(serve_connection(caller(peer), stream));
     }
-    let emptied_by = Instant::now() + EMPTY_QUEUE;
-    while let Ok(Ok((stream, peer))) = timeout(LAST_ACCEPT, listener.accept()).await {
+    brasswinch_listen::close(listener, |stream, peer| {
         connections.spawn(serve_connection(caller(peer), stream));
-        if Instant::now() >= emptied_by {
-            break;
-        }
-    }
-    drop(listener);
+    })
+    .await;
     while connections.join_next().await.is_some() {}
 }
 
--- a/crates/daemon/tests/leaving.rs
+++ b/crates/daemon/tests/leaving.rs
@@ -9,8 +9,11 @@
 use brasswinch_lab::upstream::wall_ms;
 use brasswinch_store::{ListedBox, ListedState};
 use common::{Fleet, alone, eventually};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
 
 /// "A few seconds": the bound on new work after an upstream was announced as leaving.
 const FEW_SECONDS_MS: u64 = 3_000;
@@ -27,7 +30,7 @@
     Fleet::serving(spec, &policy).await
 }
 
-fn load(fleet: &Fleet, seconds: u64) -> (tokio::task::JoinHandle<()>, Arc<Tally>) {
+fn load(fleet: &Fleet, seconds: u64) -> (JoinHandle<()>, Arc<Tally>) {
     let tally = Arc::new(Tally::default());
     let duration = Duration::from_secs(seconds);
     let job = fleet.job("rate-desk", 0);
@@ -160,7 +163,7 @@
 }
 
 /// Sends a small request on an open connection; whether any answer comes.
-async fn is_answered(mut stream: tokio::net::TcpStream) -> bool {
+async fn is_answered(mut stream: TcpStream) -> bool {
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
     let request = b"GET /v1/lookup HTTP/1.1\r\nhost: box\r\n\r\n";
     if stream.write_all(request).await.is_err() {
@@ -170,29 +173,41 @@
     stream.read_exact(&mut answer).await.is_ok() && &answer == b"HTTP/1.1"
 }
 
-#[tokio::test(flavor = "multi_thread")]
-async fn what_has_reached_a_box_before_it_stops_is_answered() {
+/// Connects until the box has closed its port; each connection's request comes later.
+async fn call_until_refused(address: SocketAddr) -> Vec<JoinHandle<bool>> {
     // Callers that need this long from their connection to their request.
     const THINK: Duration = Duration::from_millis(60);
-    const EVERY: Duration = Duration::from_millis(4);
-    let _alone = alone().await;
-    let mut fleet = fleet().await;
-    let name = fleet.site.box_name(0, 1);
-    let address = fleet.daemons[&name].callers;
-    fleet.daemon(&name).terminate();
+    const EVERY: Duration = Duration::from_millis(1);
     let mut calls = Vec::new();
-    // Until the daemon has closed its port.
-    while let Ok(stream) = tokio::net::TcpStream::connect(address).await {
+    while let Ok(stream) = TcpStream::connect(address).await {
         calls.push(tokio::spawn(async move {
             tokio::time::sleep(THINK).await;
             is_answered(stream).await
         }));
         tokio::time::sleep(EVERY).await;
     }
-    let all = calls.len();
+    calls
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn what_has_reached_a_box_before_it_stops_is_answered() {
+    // Several, so that one has often just connected when the box closes its port.
+    const CALLERS: usize = 4;
+    let _alone = alone().await;
+    let mut fleet = fleet().await;
+    let name = fleet.site.box_name(0, 1);
+    let address = fleet.daemons[&name].callers;
+    fleet.daemon(&name).terminate();
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|_| tokio::spawn(call_until_refused(address)))
+        .collect();
+    let mut all = 0;
     let mut cut = 0;
-    for call in calls {
-        cut += usize::from(!call.await.unwrap());
+    for caller in callers {
+        for call in caller.await.unwrap() {
+            all += 1;
+            cut += usize::from(!call.await.unwrap());
+        }
     }
     assert_eq!(cut, 0, "connections that were cut, of {all}");
 }
