edge: the clients' listener is closed by the shared way

Cause: see the package listen. The box waited 5 ms for one more connection by the runtime's own knowledge and then closed its port over what had come up.

Ruled out: nothing more was looked for; the fault is the embedded path's.

Change: server::serve closes its listener by brasswinch_listen::close. The test what_has_reached_a_box_before_it_closes_is_answered has four clients that connect every 3 ms in place of one every 10 ms, on several threads in place of one, which hid what comes up while the box is held; what it asks is the same.

--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -29,9 +29,6 @@
 /// Longest head that is read before limits are known, in bytes.
 const LEAST_HEAD_BYTES: usize = 64 * 1024;
 
-/// Wait for one more connection in the listener's queue when it is about to close.
-const LAST_ACCEPT: Duration = Duration::from_millis(5);
-
 /// Time after the box closed in which open connections still bring a request: it was
 /// sent before its client could know.
 pub(crate) const LAST_REQUESTS: Duration = Duration::from_millis(250);
@@ -49,9 +46,7 @@
             Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
         }
     }
-    while let Ok(Ok((stream, _))) = timeout(LAST_ACCEPT, listener.accept()).await {
-        spawn_connection(&context, stream);
-    }
+    brasswinch_listen::close(listener, |stream, _| spawn_connection(&context, stream)).await;
 }
 
 fn spawn_connection(context: &Arc<Context>, stream: TcpStream) {
--- a/crates/edge/tests/boxes.rs
+++ b/crates/edge/tests/boxes.rs
@@ -18,6 +18,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
 
 async fn edge(id: &str, seeds: Vec<SocketAddr>, store: &MemoryStore) -> EdgeHandle {
     start(settings(id, seeds), Dialect::default(), store.clone())
@@ -271,25 +272,38 @@
     stream.read_exact(&mut answer).await.is_ok() && &answer == b"HTTP/1.1"
 }
 
-#[tokio::test]
-async fn what_has_reached_a_box_before_it_closes_is_answered() {
+/// Connects until the box has closed its port; each connection's request comes later.
+async fn call_until_refused(clients: SocketAddr) -> Vec<JoinHandle<bool>> {
     // Clients that need this long from their connection to their request.
     const THINK: Duration = Duration::from_millis(60);
-    const EVERY: Duration = Duration::from_millis(10);
-    let mut site = Site::start(1).await;
-    let stopping = tokio::spawn(site.handle.take().unwrap().stop());
+    const EVERY: Duration = Duration::from_millis(3);
     let mut calls = Vec::new();
-    while let Ok(stream) = TcpStream::connect(site.clients).await {
+    while let Ok(stream) = TcpStream::connect(clients).await {
         calls.push(tokio::spawn(async move {
             tokio::time::sleep(THINK).await;
             is_answered(stream).await
         }));
         tokio::time::sleep(EVERY).await;
     }
-    let all = calls.len();
+    calls
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn what_has_reached_a_box_before_it_closes_is_answered() {
+    // Several, so that one has often just connected when the box closes its port.
+    const CALLERS: usize = 4;
+    let mut site = Site::start(1).await;
+    let stopping = tokio::spawn(site.handle.take().unwrap().stop());
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|_| tokio::spawn(call_until_refused(site.clients)))
+        .collect();
+    let mut all = 0;
     let mut cut = 0;
-    for call in calls {
-        cut += usize::from(!call.await.unwrap());
+    for caller in callers {
+        for call in caller.await.unwrap() {
+            all += 1;
+            cut += usize::from(!call.await.unwrap());
+        }
     }
     assert_eq!(cut, 0, "connections that were cut, of {all}");
     stopping.await.unwrap();
