--- /dev/null
+++ b/crates/edge/src/budgets.rs
@@ -0,0 +1,41 @@
+//! The budgets of repeats, one for each service, that all boxes spend from.
+
+use crate::context::Context;
+use brasswinch_routing::{RetryBudget, RetryBudgetSettings};
+use brasswinch_types::{Millis, Service};
+use std::collections::HashMap;
+use std::sync::{Mutex, PoisonError};
+
+/// This box's part of the budgets.
+#[derive(Default)]
+pub(crate) struct Budgets {
+    by_service: Mutex<HashMap<Service, RetryBudget>>,
+}
+
+impl Context {
+    /// Counts a request for `service`.
+    pub(crate) fn count_request(&self, service: &Service) {
+        let now = self.clock.now();
+        self.with_budget(service, |budget| budget.count_request(now));
+    }
+
+    /// Whether a request for `service` may be sent once more.
+    pub(crate) fn spend_retry(&self, service: &Service) -> bool {
+        let (boxes, now) = (self.sharing_boxes(), self.clock.now());
+        self.with_budget(service, |budget| budget.spend(boxes, now))
+    }
+
+    fn with_budget<T>(&self, service: &Service, change: impl FnOnce(&mut RetryBudget) -> T) -> T {
+        let bounds = &self.settings.bounds;
+        let budgets = self.budgets.by_service.lock();
+        let mut budgets = budgets.unwrap_or_else(PoisonError::into_inner);
+        let budget = budgets.entry(service.clone()).or_insert_with(|| {
+            RetryBudget::new(RetryBudgetSettings {
+                ratio: bounds.retry_ratio,
+                extra: bounds.retry_extra,
+                window_ms: (bounds.retry_window_s * 1_000.0) as Millis,
+            })
+        });
+        change(budget)
+    }
+}
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -1,5 +1,6 @@
 //! The one value that is passed down: what every part of the box shares.
 
+use crate::budgets::Budgets;
 use crate::clock::Clock;
 use crate::connections::ConnectionPool;
 use crate::dialect::Dialect;
@@ -9,10 +10,9 @@
 use brasswinch_observe::{Event, emit};
 use brasswinch_routing::{
     Backend, DemandSample, FleetState, Liveness, MemberState, Placement, PlacementSettings,
-    RetryBudget, RetryBudgetSettings, RouteTable, Scope, SteeringConfig, Swim, WeightedSplit,
-    watches_store,
+    RouteTable, Scope, SteeringConfig, Swim, WeightedSplit, watches_store,
 };
-use brasswinch_types::{Millis, Region, Service, Zone};
+use brasswinch_types::{Millis, Service};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, AtomicUsize};
@@ -20,12 +20,6 @@
 use std::time::Duration;
 use tokio::sync::{Notify, watch};
 
-/// Most addresses in a look-up's answer.
-const MOST_ADDRESSES: usize = 64;
-
-/// How long a look-up's answer may be kept, unless the bound is shorter.
-const LOOKUP_TTL_S: f64 = 2.0;
-
 /// Boxes that each zone is taken to have before they are known, where budgets are shared.
 const LEAST_BOXES_PER_ZONE: usize = 2;
 
@@ -51,15 +45,6 @@
     Closed,
 }
 
-/// Where a client may go.
-#[derive(Clone, Debug, PartialEq)]
-pub struct DirectoryAnswer {
-    /// Boxes, any of which will do.
-    pub addresses: Vec<SocketAddr>,
-    /// How long the answer may be kept, in seconds.
-    pub ttl_s: f64,
-}
-
 /// Wakes what catches up with other boxes, each scope by itself.
 #[derive(Default)]
 pub(crate) struct Heard {
@@ -104,7 +89,7 @@
     fleet: Mutex<FleetState>,
     placement: Mutex<Placement>,
     swim: Mutex<Swim>,
-    budgets: Mutex<HashMap<Service, RetryBudget>>,
+    pub(crate) budgets: Budgets,
     splits: Mutex<HashMap<String, WeightedSplit>>,
 }
 
@@ -139,7 +124,7 @@
             fleet: Mutex::default(),
             placement: Mutex::new(placement),
             swim: Mutex::new(swim),
-            budgets: Mutex::default(),
+            budgets: Budgets::default(),
             splits: Mutex::default(),
             settings,
         }
@@ -281,31 +266,6 @@
         known.max(self.settings.zones.len() * LEAST_BOXES_PER_ZONE)
     }
 
-    /// Counts a request for `service`.
-    pub(crate) fn count_request(&self, service: &Service) {
-        let now = self.clock.now();
-        self.with_budget(service, |budget| budget.count_request(now));
-    }
-
-    /// Whether a request for `service` may be sent once more.
-    pub(crate) fn spend_retry(&self, service: &Service) -> bool {
-        let (boxes, now) = (self.sharing_boxes(), self.clock.now());
-        self.with_budget(service, |budget| budget.spend(boxes, now))
-    }
-
-    fn with_budget<T>(&self, service: &Service, change: impl FnOnce(&mut RetryBudget) -> T) -> T {
-        let bounds = &self.settings.bounds;
-        let mut budgets = lock(&self.budgets);
-        let budget = budgets.entry(service.clone()).or_insert_with(|| {
-            RetryBudget::new(RetryBudgetSettings {
-                ratio: bounds.retry_ratio,
-                extra: bounds.retry_extra,
-                window_ms: (bounds.retry_window_s * 1_000.0) as Millis,
-            })
-        });
-        change(budget)
-    }
-
     /// The service of the next request on a route.
     pub(crate) fn pick_service(&self, route: &str, backends: &[Backend]) -> Option<Service> {
         if let [only] = backends {
@@ -323,36 +283,6 @@
         split.pick()
     }
 
-    /// Where a client of `zone` may go: the serving boxes of its region, or, where none
-    /// is known, of all.
-    pub fn directory_answer(&self, zone: &Zone, region: &Region) -> DirectoryAnswer {
-        let swim = self.swim();
-        let mut all: Vec<(&Zone, SocketAddr)> = swim
-            .members()
-            .filter(|member| member.liveness == Liveness::Alive)
-            .filter(|member| member.record.state == MemberState::Serving)
-            .map(|member| (&member.record.zone, member.record.caller_address))
-            .collect();
-        if self.is_ready() || all.is_empty() {
-            all.push((&self.settings.zone, self.settings.addresses.clients));
-        }
-        let region = self.settings.zones.get(zone).unwrap_or(region);
-        let near: Vec<SocketAddr> = all
-            .iter()
-            .filter(|(zone, _)| self.settings.zones.get(*zone) == Some(region))
-            .map(|(_, address)| *address)
-            .collect();
-        let mut addresses = near;
-        if addresses.is_empty() {
-            addresses = all.into_iter().map(|(_, address)| address).collect();
-        }
-        addresses.truncate(MOST_ADDRESSES);
-        DirectoryAnswer {
-            addresses,
-            ttl_s: LOOKUP_TTL_S.min(self.settings.bounds.longest_lookup_ttl_s),
-        }
-    }
-
     /// How long requests may still be answered after the box was asked to stop.
     pub(crate) fn grace(&self) -> Duration {
         Duration::from_secs_f64(self.settings.bounds.grace_s)
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -7,6 +7,7 @@
 mod answer;
 mod attempt;
 mod body;
+mod budgets;
 mod catch_up;
 mod clock;
 mod connections;
@@ -18,6 +19,7 @@
 mod figures;
 mod follow;
 mod gossip;
+mod look_up;
 mod registry;
 mod relay;
 mod request;
@@ -26,8 +28,9 @@
 mod start;
 mod store;
 
-pub use context::{Context, DirectoryAnswer};
+pub use context::Context;
 pub use dialect::Dialect;
+pub use look_up::DirectoryAnswer;
 pub use settings::{EdgeAddresses, EdgeSettings, FleetBounds};
 pub use start::{EdgeError, EdgeHandle, start};
 pub use store::{BoxRegistry, FleetStore, LeaseId, Registration, StoreFailure, Watched};
--- /dev/null
+++ b/crates/routing/src/fleet_state/upstream_entries.rs
@@ -0,0 +1,108 @@
+//! The upstreams' entries, and those that went away lately.
+
+use crate::change::{Change, ChangeKey, Revised, Revision};
+use crate::upstream::UpstreamRecord;
+use brasswinch_types::{Millis, UpstreamId};
+use std::collections::BTreeMap;
+
+/// How long the revision of an entry that went away is kept, against late news of it.
+const KEEP_GONE_MS: Millis = 120_000;
+
+#[derive(Clone, Debug)]
+struct HeldUpstream {
+    record: UpstreamRecord,
+    revision: Revision,
+    /// When the entry was learned.
+    learned_at: Millis,
+}
+
+/// An entry that went away.
+#[derive(Clone, Copy, Debug)]
+struct GoneUpstream {
+    revision: Revision,
+    gone_at: Millis,
+}
+
+/// What is known of all upstreams.
+#[derive(Debug, Default)]
+pub(super) struct UpstreamEntries {
+    held: BTreeMap<UpstreamId, HeldUpstream>,
+    gone: BTreeMap<UpstreamId, GoneUpstream>,
+}
+
+impl UpstreamEntries {
+    /// Takes an entry; says whether it is news.
+    pub(super) fn insert(
+        &mut self,
+        record: UpstreamRecord,
+        revision: Revision,
+        learned_at: Millis,
+    ) -> bool {
+        let held = self.held.get(&record.id);
+        let gone = self.gone.get(&record.id);
+        if held.is_some_and(|held| held.revision >= revision)
+            || gone.is_some_and(|gone| gone.revision >= revision)
+        {
+            return false;
+        }
+        let held = HeldUpstream {
+            record,
+            revision,
+            learned_at,
+        };
+        self.held.insert(held.record.id.clone(), held);
+        true
+    }
+
+    /// Takes that an entry went away; says whether it was there.
+    pub(super) fn remove(&mut self, id: &UpstreamId, revision: Revision, now: Millis) -> bool {
+        let held = self.held.get(id);
+        if held.is_some_and(|held| held.revision > revision) {
+            return false;
+        }
+        let gone_at = now;
+        let gone = self.gone.entry(id.clone());
+        let gone = gone.or_insert(GoneUpstream { revision, gone_at });
+        gone.revision = gone.revision.max(revision);
+        self.held.remove(id).is_some()
+    }
+
+    /// Forgets what went away long ago; returns the last revision that is forgotten.
+    pub(super) fn forget_gone(&mut self, now: Millis) -> Revision {
+        let mut forgotten = Revision(0);
+        self.gone.retain(|_, gone| {
+            let is_kept = now.saturating_sub(gone.gone_at) < KEEP_GONE_MS;
+            if !is_kept {
+                forgotten = forgotten.max(gone.revision);
+            }
+            is_kept
+        });
+        forgotten
+    }
+
+    pub(super) fn records(&self) -> impl Iterator<Item = (&UpstreamRecord, Millis)> {
+        self.held
+            .values()
+            .map(|held| (&held.record, held.learned_at))
+    }
+
+    pub(super) fn keys(&self) -> Vec<ChangeKey> {
+        self.held.keys().cloned().map(ChangeKey::Upstream).collect()
+    }
+
+    pub(super) fn entries(&self) -> Vec<Revised> {
+        let entry = |held: &HeldUpstream| Revised {
+            revision: held.revision,
+            change: Change::Upstream(held.record.clone()),
+        };
+        self.held.values().map(entry).collect()
+    }
+
+    pub(super) fn gone_entries(&self) -> Vec<Revised> {
+        let entry = |(id, gone): (&UpstreamId, &GoneUpstream)| Revised {
+            revision: gone.revision,
+            change: Change::Gone(ChangeKey::Upstream(id.clone())),
+        };
+        self.gone.iter().map(entry).collect()
+    }
+}
