Behind a slow link, take the newest configuration and not each

Cause, found by reading for what else the size of a configuration decides: a watch brings every version written since, each whole. In a storm of changes a box on a slow link falls further behind with each answer. Change: after an answer of the operators' part that took over 0.4 s to come, the box lists, which brings the last version only, until a listing brings nothing new.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -6,7 +6,7 @@
 use brasswinch_routing::{Revision, Scope};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 /// How long a watch waits at the store. Bounds how long a lost answer goes unnoticed.
 const WATCH_WAIT: Duration = Duration::from_secs(4);
@@ -28,17 +28,32 @@
 /// that gets an answer tells the others.
 const PAUSE_PER_BOX: Duration = Duration::from_millis(8);
 
+/// An answer that takes longer than this to come is a large configuration on a slow link:
+/// half a megabyte takes as long at 10 Mbit/s.
+const SLOW_TRANSFER: Duration = Duration::from_millis(400);
+
+/// Where an answer of the store left the box.
+#[derive(Clone, Copy, Debug)]
+struct Followed {
+    /// Where to go on from.
+    at: Revision,
+    /// Whether to go on with a listing: it came so slowly that more may have been written
+    /// meanwhile. A watch would bring each version of that, a listing only the last one.
+    is_behind: bool,
+}
+
 /// Follows `scope` for as long as the process runs, whenever this box is to.
 pub(crate) async fn follow<S: FleetStore>(context: Arc<Context>, store: Arc<S>, scope: Scope) {
     let mut pause = FIRST_PAUSE;
     let mut after: Option<Revision> = None;
+    let mut is_behind = false;
     let mut is_reached = true;
     loop {
         context.is_to_watch().await;
         // What other boxes told counts as well.
         let known = context.fleet().newest(scope);
         let wait = if is_reached { WATCH_WAIT } else { TRIAL_WAIT };
-        let followed = match after.max(known) {
+        let followed = match after.max(known).filter(|_| !is_behind) {
             None => list(&context, &*store, scope).await,
             Some(after) => watch(&context, &*store, scope, after, wait).await,
         };
@@ -49,12 +64,16 @@
             report(scope, &followed);
         }
         match followed {
-            Ok(at) => {
-                after = Some(at);
+            Ok(followed) => {
+                after = Some(followed.at);
+                is_behind = followed.is_behind;
                 pause = FIRST_PAUSE;
             }
             Err(StoreFailure::HistoryGone) => match list(&context, &*store, scope).await {
-                Ok(at) => after = Some(at),
+                Ok(followed) => {
+                    after = Some(followed.at);
+                    is_behind = followed.is_behind;
+                }
                 Err(_) => sleep(pause).await,
             },
             Err(_) => {
@@ -70,7 +89,7 @@
     LONGEST_PAUSE.max(PAUSE_PER_BOX.saturating_mul(boxes))
 }
 
-fn report(scope: Scope, followed: &Result<Revision, StoreFailure>) {
+fn report(scope: Scope, followed: &Result<Followed, StoreFailure>) {
     match followed {
         Err(error) if *error != StoreFailure::HistoryGone => {
             emit(Event::StoreUnreachable, format_args!("{scope:?}: {error}"));
@@ -79,18 +98,26 @@
     }
 }
 
+/// Upstreams have an entry each, and few of them change while an answer comes.
+fn is_slow(scope: Scope, transfer: Duration) -> bool {
+    scope == Scope::Operator && transfer > SLOW_TRANSFER
+}
+
 async fn list<S: FleetStore>(
     context: &Context,
     store: &S,
     scope: Scope,
-) -> Result<Revision, StoreFailure> {
+) -> Result<Followed, StoreFailure> {
+    let began = Instant::now();
     let snapshot = store.list(scope).await?;
+    let is_slow = is_slow(scope, began.elapsed());
     let at = snapshot.at;
     let now = context.clock.now();
-    context.fleet().apply_snapshot(snapshot, now);
+    let has_changed = context.fleet().apply_snapshot(snapshot, now);
     context.publish();
     context.told(scope, &"listing");
-    Ok(at)
+    let is_behind = is_slow && has_changed;
+    Ok(Followed { at, is_behind })
 }
 
 async fn watch<S: FleetStore>(
@@ -99,10 +126,14 @@
     scope: Scope,
     after: Revision,
     wait: Duration,
-) -> Result<Revision, StoreFailure> {
+) -> Result<Followed, StoreFailure> {
     let watched = store.watch(scope, after, wait).await?;
+    let followed = Followed {
+        at: watched.at,
+        is_behind: is_slow(scope, watched.transfer),
+    };
     if watched.changes.is_empty() {
-        return Ok(watched.at);
+        return Ok(followed);
     }
     let now = context.clock.now();
     let changed = context.fleet().apply_changes(scope, watched.changes, now);
@@ -111,5 +142,5 @@
     }
     context.told(scope, &"watch");
     sleep(GATHER).await;
-    Ok(watched.at)
+    Ok(followed)
 }
--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -34,6 +34,8 @@
     pub at: Revision,
     /// The changes, oldest first; none if the time ran out.
     pub changes: Vec<Revised>,
+    /// How long the answer took from its beginning to its end.
+    pub transfer: Duration,
 }
 
 /// The store, as far as it is followed.
--- a/crates/edge/tests/slow_links.rs
+++ b/crates/edge/tests/slow_links.rs
@@ -113,3 +113,36 @@
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
 }
+
+/// A watch brings each version of a configuration, and a slow link falls further behind
+/// with each.
+#[tokio::test]
+async fn behind_a_slow_link_the_newest_configuration_comes_and_not_each() {
+    const PER_CONFIG: Duration = Duration::from_millis(500);
+    let store = MemoryStore::default();
+    store.write(Change::Config(Arc::new(config(1))));
+    let access = store.handle();
+    let site = settings("box-1", Vec::new());
+    let edge = start(site, Dialect::default(), access.clone())
+        .await
+        .unwrap();
+    let context = Arc::clone(edge.context());
+    eventually("the box is ready", || context.is_ready()).await;
+    eventually("a watch waits", || !access.waits().is_empty()).await;
+    access.set_slow_link(PER_CONFIG);
+    let told = access.told_configs();
+    store.write(Change::Config(Arc::new(config(2))));
+    eventually("a version is under way", || access.told_configs() > told).await;
+    for version in 3..20 {
+        store.write(Change::Config(Arc::new(config(version))));
+    }
+    let mut newest = config(20);
+    let added = route("/added/", RouteKind::Repeatable, "desk");
+    newest.routes.push(added);
+    store.write(Change::Config(Arc::new(newest)));
+    while status(&edge, "/added/1").await != 503 {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let told = access.told_configs() - told;
+    assert!(told <= 4, "{told} of 19 versions came over the slow link");
+}
--- a/crates/lab/src/memory_store.rs
+++ b/crates/lab/src/memory_store.rs
@@ -48,6 +48,16 @@
     shared: Arc<Shared>,
     fault: Arc<Mutex<StoreFault>>,
     waits: Arc<Mutex<Vec<Duration>>>,
+    link: Arc<Mutex<Link>>,
+}
+
+/// What lies between the store and one box.
+#[derive(Clone, Copy, Debug, Default)]
+struct Link {
+    /// How long each configuration takes.
+    per_config: Duration,
+    /// Configurations that came over it.
+    configs: usize,
 }
 
 impl MemoryStore {
@@ -57,6 +67,7 @@
             shared: Arc::clone(&self.shared),
             fault: Arc::default(),
             waits: Arc::default(),
+            link: Arc::default(),
         }
     }
 
@@ -65,6 +76,35 @@
         *self.fault.lock().unwrap_or_else(PoisonError::into_inner) = fault;
     }
 
+    /// Makes this box's link slow: each configuration in an answer takes `per_config`.
+    pub fn set_slow_link(&self, per_config: Duration) {
+        self.lock_link().per_config = per_config;
+    }
+
+    /// Configurations that this box was told, in listings and by watches.
+    pub fn told_configs(&self) -> usize {
+        self.lock_link().configs
+    }
+
+    /// Takes `entries` to the box; returns how long that took.
+    async fn carry(&self, entries: &[Revised]) -> Duration {
+        let is_config = |entry: &&Revised| entry.change.key() == ChangeKey::Config;
+        let configs = entries.iter().filter(is_config).count();
+        let took = {
+            let mut link = self.lock_link();
+            link.configs += configs;
+            link.per_config * u32::try_from(configs).unwrap_or(u32::MAX)
+        };
+        if !took.is_zero() {
+            tokio::time::sleep(took).await;
+        }
+        took
+    }
+
+    fn lock_link(&self) -> MutexGuard<'_, Link> {
+        self.link.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Writes an entry, or takes one away.
     pub fn write(&self, change: Change) -> Revision {
         let mut state = self.state();
@@ -131,6 +171,17 @@
         }
     }
 
+    fn snapshot(&self, scope: Scope) -> Snapshot {
+        let state = self.state();
+        let entries = state.entries.values();
+        let in_scope = entries.filter(|entry| entry.change.key().scope() == scope);
+        Snapshot {
+            scope,
+            at: Revision(state.revision),
+            entries: in_scope.cloned().collect(),
+        }
+    }
+
     /// Changes of `scope` after a revision, if there are any.
     fn news(&self, scope: Scope, after: Revision) -> Result<Option<Watched>, StoreFailure> {
         let state = self.state();
@@ -141,21 +192,21 @@
             |revised: &&Revised| revised.revision > after && revised.change.key().scope() == scope;
         let changes: Vec<Revised> = state.history.iter().filter(newer).cloned().collect();
         let at = Revision(state.revision);
-        Ok((!changes.is_empty()).then_some(Watched { at, changes }))
+        let transfer = Duration::ZERO;
+        Ok((!changes.is_empty()).then_some(Watched {
+            at,
+            changes,
+            transfer,
+        }))
     }
 }
 
 impl FleetStore for MemoryStore {
     async fn list(&self, scope: Scope) -> Result<Snapshot, StoreFailure> {
         self.fail_if_told(Duration::ZERO).await?;
-        let state = self.state();
-        let entries = state.entries.values();
-        let in_scope = entries.filter(|entry| entry.change.key().scope() == scope);
-        Ok(Snapshot {
-            scope,
-            at: Revision(state.revision),
-            entries: in_scope.cloned().collect(),
-        })
+        let snapshot = self.snapshot(scope);
+        self.carry(&snapshot.entries).await;
+        Ok(snapshot)
     }
 
     async fn watch(
@@ -175,12 +226,16 @@
                 changed.await;
             }
         };
-        let watched = tokio::time::timeout(wait, waiting).await;
-        watched.unwrap_or_else(|_| {
-            let at = Revision(self.state().revision);
-            let changes = Vec::new();
-            Ok(Watched { at, changes })
-        })
+        let Ok(watched) = tokio::time::timeout(wait, waiting).await else {
+            return Ok(Watched {
+                at: Revision(self.state().revision),
+                changes: Vec::new(),
+                transfer: Duration::ZERO,
+            });
+        };
+        let mut watched = watched?;
+        watched.transfer = self.carry(&watched.changes).await;
+        Ok(watched)
     }
 }
 
