--- a/crates/lab/src/callers.rs
+++ b/crates/lab/src/callers.rs
@@ -154,9 +154,11 @@
     /// Looks up a box: the first that answers counts.
     pub async fn lookup(&self, job: &Job) -> Result<LookupAnswer, Outcome> {
         let mut last = Outcome::Broken;
-        for _ in 0..self.boxes.len() {
-            let turn = self.next.fetch_add(1, Ordering::Relaxed);
-            let address = self.boxes[turn % self.boxes.len()];
+        // One turn for all tries: others who look up meanwhile must not make this one ask
+        // a box twice and leave out another.
+        let turn = self.next.fetch_add(1, Ordering::Relaxed);
+        for further in 0..self.boxes.len() {
+            let address = self.boxes[(turn + further) % self.boxes.len()];
             match self.lookup_at(address, job).await {
                 Ok(answer) => return Ok(answer),
                 Err(outcome) => last = outcome,
