--- a/crates/routing/src/watchers.rs
+++ b/crates/routing/src/watchers.rs
@@ -26,10 +26,10 @@
         .filter(|member| member.liveness == Liveness::Alive)
         .map(|member| &member.record)
         .filter(|record| record.reaches_store && record.state == MemberState::Serving);
-    let mut ranked: Vec<&MemberRecord> = others.chain([me]).collect();
-    ranked.sort_by(|a, b| compare(b, a));
+    let mut ranked: Vec<Ranked<'_>> = others.chain([me]).map(Ranked::of).collect();
+    ranked.sort_by(|a, b| b.compare(a));
     let mut in_zone: BTreeMap<&str, usize> = BTreeMap::new();
-    for (place, record) in ranked.into_iter().enumerate() {
+    for (place, Ranked { record, .. }) in ranked.into_iter().enumerate() {
         let before = in_zone.entry(record.zone.as_str()).or_default();
         if record.id == me.id {
             return place < LEAST_WATCHERS || *before == 0;
@@ -39,10 +39,24 @@
     true
 }
 
-/// Which of two boxes is the better one to follow the store.
-fn compare(a: &MemberRecord, b: &MemberRecord) -> Ordering {
-    let by_link = a.link_mbps.cmp(&b.link_mbps);
-    by_link.then_with(|| rank(&a.id).total_cmp(&rank(&b.id)))
+/// A box and its rank, which is worked out once: a large fleet is sorted each time that a
+/// box comes or goes.
+struct Ranked<'a> {
+    record: &'a MemberRecord,
+    rank: f64,
+}
+
+impl<'a> Ranked<'a> {
+    fn of(record: &'a MemberRecord) -> Self {
+        let rank = rank(&record.id);
+        Self { record, rank }
+    }
+
+    /// Which of two boxes is the better one to follow the store.
+    fn compare(&self, other: &Self) -> Ordering {
+        let by_link = self.record.link_mbps.cmp(&other.record.link_mbps);
+        by_link.then_with(|| self.rank.total_cmp(&other.rank))
+    }
 }
 
 fn rank(id: &BoxId) -> f64 {
