--- a/crates/edge/src/relay/answers.rs
+++ b/crates/edge/src/relay/answers.rs
@@ -59,15 +59,20 @@
     ) -> Result<Answer<'_>, TransferError> {
         let packed = self.packed(context, question)?;
         if packed.len() < LARGE {
-            let _turn = None;
-            return Ok(Answer { packed, _turn });
+            return Ok(Answer {
+                packed,
+                _turn: None,
+            });
         }
         // An error means that all turns are taken.
-        if let Ok(turn) = self.turns.try_acquire() {
-            let _turn = Some(turn);
-            return Ok(Answer { packed, _turn });
-        }
-        let (packed, _turn) = (pack(&Reply::Busy)?, None);
+        let Ok(turn) = self.turns.try_acquire() else {
+            let packed = pack(&Reply::Busy)?;
+            return Ok(Answer {
+                packed,
+                _turn: None,
+            });
+        };
+        let _turn = Some(turn);
         Ok(Answer { packed, _turn })
     }
 
@@ -84,11 +89,10 @@
         let packed = pack(&missing.map_or(Reply::KnowsNothing, Reply::News))?;
         if packed.len() >= LARGE {
             kept.truncate(KEPT_ANSWERS - 1);
-            let (question, packed) = (question, packed.clone());
             kept.push_front(Kept {
                 question,
                 at,
-                packed,
+                packed: packed.clone(),
             });
         }
         Ok(packed)
--- a/crates/edge/src/relay/transfer.rs
+++ b/crates/edge/src/relay/transfer.rs
@@ -21,6 +21,10 @@
 /// 10 Mbit/s one takes 0.1 s; the rest is for a busy processor.
 const PIECE_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Longest wait for the other side to close after the last piece went. What the system
+/// still holds of an answer takes a second at most on a link of 10 Mbit/s.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Messages from this size on are compressed, in bytes. Routes are much alike and shrink
 /// to a tenth; small messages aren't worth the time.
 const COMPRESS_FROM: usize = 4 * 1024;
@@ -171,9 +175,11 @@
     ciborium::from_reader(&plain[..]).map_err(malformed)
 }
 
-/// Waits until the other side closed, so that what was sent isn't cut off.
+/// Waits until the other side closed, so that what was sent isn't cut off. One that doesn't
+/// close is no reason to keep the connection.
 pub(super) async fn wait_for_close(socket: &mut WebSocketStream<TcpStream>) {
-    while let Some(Ok(_)) = socket.next().await {}
+    let closing = async { while let Some(Ok(_)) = socket.next().await {} };
+    let _ = timeout(CLOSE_TIMEOUT, closing).await;
 }
 
 fn malformed(error: impl std::fmt::Display) -> TransferError {
--- a/crates/edge/tests/slow_links.rs
+++ b/crates/edge/tests/slow_links.rs
@@ -9,7 +9,7 @@
 use brasswinch_lab::memory_store::{MemoryStore, StoreFault};
 use brasswinch_routing::{Change, RouteKind, SteeringConfig};
 use common::know_all::know_all;
-use common::{PATIENCE, Site, call, config, eventually, request, route, settings};
+use common::{PATIENCE, call, config, eventually, request, route, settings};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use std::net::SocketAddr;
@@ -79,6 +79,35 @@
         .unwrap()
 }
 
+/// A configuration with one route more, `/added/`, than `of`.
+fn with_added_route(mut of: SteeringConfig) -> Change {
+    let added = route("/added/", RouteKind::Repeatable, "desk");
+    of.routes.push(added);
+    Change::Config(Arc::new(of))
+}
+
+/// Waits until `/added/` is there; there are no upstreams.
+async fn has_added_route(edge: &EdgeHandle) {
+    let began = Instant::now();
+    while status(edge, "/added/1").await != 503 {
+        assert!(began.elapsed() < PATIENCE, "the added route never came");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// A box that serves version 1, and its access to the store.
+async fn alone(store: &MemoryStore) -> (EdgeHandle, MemoryStore) {
+    store.write(Change::Config(Arc::new(config(1))));
+    let access = store.handle();
+    let settings = settings("box-1", Vec::new());
+    let edge = start(settings, Dialect::default(), access.clone())
+        .await
+        .unwrap();
+    let context = Arc::clone(edge.context());
+    eventually("the box is ready", || context.is_ready()).await;
+    (edge, access)
+}
+
 async fn status(to: &EdgeHandle, path: &str) -> u16 {
     let answered = call(to.addresses().clients, request("GET", path, "")).await;
     answered.unwrap().status
@@ -115,15 +144,8 @@
         eventually("the box is ready", || context.is_ready()).await;
     }
     set_fault(&proxy, Fault::TruncateAfter(FEW_BYTES));
-    let mut newer = large_config(2);
-    let added = route("/added/", RouteKind::Repeatable, "desk");
-    newer.routes.push(added);
-    store.write(Change::Config(Arc::new(newer)));
-    let began = Instant::now();
-    while status(&near, "/added/1").await != 503 {
-        assert!(began.elapsed() < PATIENCE, "the added route never came");
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
+    store.write(with_added_route(large_config(2)));
+    has_added_route(&near).await;
 }
 
 /// A watch brings each version of a configuration, and a slow link falls further behind
@@ -132,14 +154,7 @@
 async fn behind_a_slow_link_the_newest_configuration_comes_and_not_each() {
     const PER_CONFIG: Duration = Duration::from_millis(500);
     let store = MemoryStore::default();
-    store.write(Change::Config(Arc::new(config(1))));
-    let access = store.handle();
-    let site = settings("box-1", Vec::new());
-    let edge = start(site, Dialect::default(), access.clone())
-        .await
-        .unwrap();
-    let context = Arc::clone(edge.context());
-    eventually("the box is ready", || context.is_ready()).await;
+    let (edge, access) = alone(&store).await;
     eventually("a watch waits", || !access.waits().is_empty()).await;
     access.set_slow_link(PER_CONFIG);
     let told = access.told_configs();
@@ -148,13 +163,8 @@
     for version in 3..20 {
         store.write(Change::Config(Arc::new(config(version))));
     }
-    let mut newest = config(20);
-    let added = route("/added/", RouteKind::Repeatable, "desk");
-    newest.routes.push(added);
-    store.write(Change::Config(Arc::new(newest)));
-    while status(&edge, "/added/1").await != 503 {
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
+    store.write(with_added_route(config(20)));
+    has_added_route(&edge).await;
     let told = access.told_configs() - told;
     assert!(told <= 4, "{told} of 19 versions came over the slow link");
 }
@@ -162,28 +172,16 @@
 #[tokio::test]
 async fn what_was_written_during_an_outage_is_not_taken_version_by_version() {
     let store = MemoryStore::default();
-    store.write(Change::Config(Arc::new(config(1))));
-    let access = store.handle();
+    let (edge, access) = alone(&store).await;
     access.end_answers_with_a_config();
-    let site = settings("box-1", Vec::new());
-    let edge = start(site, Dialect::default(), access.clone())
-        .await
-        .unwrap();
-    let context = Arc::clone(edge.context());
-    eventually("the box is ready", || context.is_ready()).await;
     access.set_fault(StoreFault::TurnedAway);
     let told = access.told_configs();
     for version in 2..30 {
         store.write(Change::Config(Arc::new(config(version))));
     }
-    let mut newest = config(30);
-    let added = route("/added/", RouteKind::Repeatable, "desk");
-    newest.routes.push(added);
-    store.write(Change::Config(Arc::new(newest)));
+    store.write(with_added_route(config(30)));
     access.set_fault(StoreFault::None);
-    while status(&edge, "/added/1").await != 503 {
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
+    has_added_route(&edge).await;
     let told = access.told_configs() - told;
     assert!(told <= 5, "{told} of 29 versions were taken");
 }
@@ -192,15 +190,9 @@
 /// brings more.
 #[tokio::test]
 async fn after_a_watch_whose_answer_can_t_come_whole_the_box_lists() {
-    let site = Site::start(0).await;
-    site.store.set_fault(StoreFault::LargeWatches);
-    let mut newer = config(2);
-    let added = route("/added/", RouteKind::Repeatable, "desk");
-    newer.routes.push(added);
-    site.store.write(Change::Config(Arc::new(newer)));
-    let began = Instant::now();
-    while site.get("/added/1").await.status != 503 {
-        assert!(began.elapsed() < PATIENCE, "the added route never came");
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
+    let store = MemoryStore::default();
+    let (edge, access) = alone(&store).await;
+    access.set_fault(StoreFault::LargeWatches);
+    store.write(with_added_route(config(2)));
+    has_added_route(&edge).await;
 }
