A box is left behind by what it awaits, not by others always knowing more

Change: what counts is whether the revision that was heard of is had within that time. a_box_that_is_told_again_and_again_does_not_ask_the_store passed on the code before too (eight boxes are too few to show it): it only keeps the promise.

--- a/crates/edge/src/left_behind.rs
+++ b/crates/edge/src/left_behind.rs
@@ -3,7 +3,7 @@
 
 use crate::context::Context;
 use brasswinch_observe::{Event, emit};
-use brasswinch_routing::Scope;
+use brasswinch_routing::{Revision, Scope};
 use std::pin::pin;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -39,29 +39,44 @@
     }
 }
 
-/// Since when others know more of one scope.
+/// What a box waits for in one scope.
+#[derive(Clone, Copy)]
+struct Awaited {
+    /// Up to where others were heard to know.
+    revision: Revision,
+    /// When the store is to be asked for it.
+    ask_store_at: Instant,
+}
+
+/// How long others have known more of one scope. In a large fleet somebody always does:
+/// what counts is whether this box gets what it has heard of.
 #[derive(Default)]
 pub(crate) struct Behind {
-    /// When the store is to be asked.
-    ask_store_at: Option<Instant>,
+    awaited: Option<Awaited>,
 }
 
 impl Behind {
     /// Nobody knows more.
     pub(crate) fn ended(&mut self, context: &Context, scope: Scope) {
-        self.ask_store_at = None;
-        if context.left_behind.swap(scope, false) {
-            context.update_watching();
-        }
+        self.awaited = None;
+        relies_on_others(context, scope);
     }
 
     /// Others know more, as they may have done before.
     pub(crate) fn goes_on(&mut self, context: &Context, scope: Scope) {
-        let now = Instant::now();
-        let ask_store_at = *self
-            .ask_store_at
-            .get_or_insert_with(|| now + patience(context));
-        if now < ask_store_at || context.left_behind.swap(scope, true) {
+        let known = context.fleet().newest(scope);
+        let awaited = self
+            .awaited
+            .filter(|awaited| known < Some(awaited.revision));
+        let Some(awaited) = awaited else {
+            self.awaited = Some(Awaited {
+                revision: context.swim().newest_heard(scope),
+                ask_store_at: Instant::now() + patience(context),
+            });
+            relies_on_others(context, scope);
+            return;
+        };
+        if Instant::now() < awaited.ask_store_at || context.left_behind.swap(scope, true) {
             return;
         }
         emit(Event::LeftBehind, format_args!("scope={scope:?}"));
@@ -76,7 +91,7 @@
         asking: impl Future<Output = ()>,
     ) {
         let mut asking = pin!(asking);
-        let Some(ask_store_at) = self.ask_store_at else {
+        let Some(Awaited { ask_store_at, .. }) = self.awaited else {
             return asking.await;
         };
         tokio::select! {
@@ -88,6 +103,13 @@
     }
 }
 
+/// The store needn't be asked (any more).
+fn relies_on_others(context: &Context, scope: Scope) {
+    if context.left_behind.swap(scope, false) {
+        context.update_watching();
+    }
+}
+
 fn patience(context: &Context) -> Duration {
     let boxes = u32::try_from(context.sharing_boxes()).unwrap_or(u32::MAX);
     PATIENCE + SPREAD_PER_BOX.saturating_mul(boxes).mul_f64(rand::random())
--- a/crates/edge/tests/left_behind.rs
+++ b/crates/edge/tests/left_behind.rs
@@ -5,7 +5,8 @@
 
 use brasswinch_edge::{Dialect, EdgeHandle, start};
 use brasswinch_lab::memory_store::{MemoryStore, StoreFault};
-use brasswinch_routing::{Change, RouteKind};
+use brasswinch_routing::{Change, ChangeKey, RouteKind};
+use brasswinch_types::UpstreamId;
 use common::know_all::{know_all, know_all_on_a_fast_link};
 use common::{PATIENCE, call, config, eventually, request, route, settings};
 use futures_util::SinkExt;
@@ -132,6 +133,53 @@
     context.directory_answer(&zone, &region).addresses.len()
 }
 
+/// Somebody always knows more where much is written; who gets it from others all the while
+/// leaves the store alone.
+#[tokio::test]
+async fn a_box_that_is_told_again_and_again_does_not_ask_the_store() {
+    /// Longer than other boxes are relied on, three times over.
+    const FOR: Duration = Duration::from_secs(4);
+    const EVERY: Duration = Duration::from_millis(40);
+    let store = MemoryStore::default();
+    store.write(Change::Config(Arc::new(config(1))));
+    let mut boxes: Vec<(EdgeHandle, MemoryStore)> = Vec::new();
+    for number in 0..8 {
+        let seeds = boxes.first().map(|(first, _)| first.addresses().peers);
+        let access = store.handle();
+        let id = format!("box-{number}");
+        let edge = edge(&id, seeds.into_iter().collect(), access.clone()).await;
+        boxes.push((edge, access));
+    }
+    for (edge, _) in &boxes {
+        let context = Arc::clone(edge.context());
+        eventually("all are known", || members(&context) == boxes.len()).await;
+    }
+    let nothing = || Change::Gone(ChangeKey::Upstream(UpstreamId::new("none")));
+    // Ends the watches of boxes that don't follow the store any more.
+    store.write(with_route(2));
+    store.write(nothing());
+    for (edge, _) in &boxes {
+        has_route(edge, 2).await;
+    }
+    tokio::time::sleep(FOR / 4).await;
+    let watches = || boxes.iter().map(|(_, access)| access.waits().len());
+    let before: Vec<usize> = watches().collect();
+    let began = Instant::now();
+    while began.elapsed() < FOR {
+        store.write(nothing());
+        tokio::time::sleep(EVERY).await;
+    }
+    let after: Vec<usize> = watches().collect();
+    let more = before
+        .iter()
+        .zip(&after)
+        .filter(|(before, after)| after > before);
+    assert!(
+        more.count() <= 4,
+        "watches before {before:?} and after {after:?}"
+    );
+}
+
 #[tokio::test]
 async fn a_box_that_trickles_holds_nobody_up() {
     /// Half of the time that a large answer may take.
