Sight: each decision's line names the version, the object's home, how it stood and how old its load is

Change: routing::placement::basis holds what a choice or a refusal was based on; its Display ends each of the four lines, so explain prints it too. Ruled out: a second event for each decision, which would double the lines. Test: a_refusal_tells_what_it_was_based_on (new with the fields).

--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -11,12 +11,13 @@
 use crate::failure::{Failure, Tries};
 use crate::request::{RequestFacts, request_id};
 use brasswinch_observe::{Event, emit};
-use brasswinch_routing::{Choice, Refusal, Route, Wanted};
+use brasswinch_routing::{Basis, Choice, ConfigVersion, Refusal, Route, Wanted};
 use brasswinch_types::{ErrorKind, Ran, Service, UpstreamId};
 use http::request::Parts;
 use http::{Request, Response};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use std::fmt;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use tokio::time::{Instant, timeout_at};
@@ -43,7 +44,7 @@
             report_failure(context, &parts, &failure, arrived);
             match failure {
                 Failure::Kind(kind) | Failure::AtUpstream { kind, .. } => error_answer(kind),
-                Failure::Refused { retry_after_ms } => {
+                Failure::Refused { retry_after_ms, .. } => {
                     refusal(ErrorKind::AtCapacity, retry_after_ms)
                 }
             }
@@ -59,14 +60,46 @@
     };
     let id = request_id(parts, &context.dialect);
     let (path, took) = (parts.uri.path(), arrived.elapsed().as_millis());
-    let upstream = match failure {
-        Failure::AtUpstream { upstream, .. } => upstream.as_str(),
-        Failure::Kind(_) | Failure::Refused { .. } => "-",
-    };
-    emit(
-        event,
-        format_args!("id={id} path={path} upstream={upstream} cause={kind} ms={took}"),
-    );
+    let config = context.in_force.load();
+    let config = config.as_ref().map_or(0, |held| held.config.version.0);
+    let told = format!("id={id} path={path} config={config} cause={kind} ms={took}");
+    match failure {
+        Failure::AtUpstream {
+            upstream, basis, ..
+        } => emit(event, format_args!("{told} upstream={upstream} {basis}")),
+        Failure::Refused {
+            retry_after_ms,
+            basis,
+        } => emit(
+            event,
+            format_args!("{told} upstream=- retry_after_ms={retry_after_ms} {basis}"),
+        ),
+        Failure::Kind(_) => emit(event, format_args!("{told} upstream=-")),
+    }
+}
+
+/// A choice as the log tells it, after the try has taken the choice itself.
+struct Decided {
+    upstream: UpstreamId,
+    config: ConfigVersion,
+    basis: Basis,
+}
+
+impl Decided {
+    fn new(choice: &Choice, in_force: &InForce) -> Self {
+        Self {
+            upstream: choice.upstream.clone(),
+            config: in_force.config.version,
+            basis: choice.basis.clone(),
+        }
+    }
+}
+
+impl fmt::Display for Decided {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (upstream, config, basis) = (&self.upstream, self.config.0, &self.basis);
+        write!(f, "upstream={upstream} config={config} {basis}")
+    }
 }
 
 /// A request whose route is known.
@@ -76,6 +109,7 @@
     service: Service,
     parts: &'a Parts,
     facts: RequestFacts<'a>,
+    arrived: Instant,
     answer_by: Instant,
 }
 
@@ -98,6 +132,7 @@
     let service = service.ok_or(ErrorKind::NoUpstream)?;
     context.count_request(&service);
     let routed = Routed {
+        arrived,
         answer_by: facts.answer_by(arrived, route.timeout_s),
         context,
         route,
@@ -153,8 +188,8 @@
             let choice = self
                 .next_upstream(&tries)
                 .map_err(|failure| tries.truth(failure))?;
-            let upstream = choice.upstream.clone();
-            tries.upstreams.push(upstream.clone());
+            tries.begin(&choice);
+            let decided = Decided::new(&choice, in_force);
             let outgoing = Outgoing {
                 parts: self.parts,
                 body: match body.take() {
@@ -167,7 +202,7 @@
             let kind = match attempt(self.context, choice, outgoing).await {
                 AttemptEnd::Answer(answer) => {
                     let count = tries.upstreams.len();
-                    self.report_served(&upstream, answer.status().as_u16(), count);
+                    self.report_served(&decided, answer.status().as_u16(), count);
                     return Ok(answer);
                 }
                 AttemptEnd::NotSent(unsent) => {
@@ -181,9 +216,9 @@
             };
             tries.count_sent(kind);
             if !self.may_retry(&tries, kind) {
-                return Err(tries.truth(Failure::AtUpstream { kind, upstream }));
+                return Err(tries.truth(tries.last_failure(kind)));
             }
-            self.report_retry(&upstream, kind);
+            self.report_retry(&decided, kind);
         }
     }
 
@@ -212,27 +247,25 @@
             && self.context.spend_retry(&self.service)
     }
 
-    fn report_served(&self, upstream: &UpstreamId, status: u16, tries: usize) {
+    fn report_served(&self, decided: &Decided, status: u16, tries: usize) {
         let id = request_id(self.parts, &self.context.dialect);
         let (route, service) = (&self.route.name, &self.service);
-        let left = crate::body::time_left(self.answer_by).as_millis();
+        let took = self.arrived.elapsed().as_millis();
         emit(
             Event::RequestServed,
             format_args!(
-                "id={id} route={route} service={service} upstream={upstream} status={status} \
-                 tries={tries} left_ms={left}"
+                "id={id} route={route} service={service} status={status} tries={tries} \
+                 ms={took} {decided}"
             ),
         );
     }
 
-    fn report_retry(&self, upstream: &UpstreamId, cause: ErrorKind) {
+    fn report_retry(&self, decided: &Decided, cause: ErrorKind) {
         let id = request_id(self.parts, &self.context.dialect);
         let (route, service) = (&self.route.name, &self.service);
         emit(
             Event::RequestRetried,
-            format_args!(
-                "id={id} route={route} service={service} upstream={upstream} cause={cause}"
-            ),
+            format_args!("id={id} route={route} service={service} cause={cause} {decided}"),
         );
     }
 
@@ -249,7 +282,13 @@
         let chosen = placement.choose(&wanted, rand::random(), now);
         chosen.map_err(|refusal| match refusal {
             Refusal::NoUpstream => ErrorKind::NoUpstream.into(),
-            Refusal::Busy { retry_after_ms } => Failure::Refused { retry_after_ms },
+            Refusal::Busy {
+                retry_after_ms,
+                basis,
+            } => Failure::Refused {
+                retry_after_ms,
+                basis: Box::new(basis),
+            },
         })
     }
 
--- a/crates/edge/src/failure.rs
+++ b/crates/edge/src/failure.rs
@@ -1,6 +1,7 @@
 //! What is known of a request's tries, and the failure that follows from it.
 
 use crate::body::Held;
+use brasswinch_routing::{Basis, Choice};
 use brasswinch_types::{ErrorKind, Ran, UpstreamId};
 use bytes::Bytes;
 
@@ -12,9 +13,13 @@
     AtUpstream {
         kind: ErrorKind,
         upstream: UpstreamId,
+        basis: Box<Basis>,
     },
     /// For lack of room, with a time to come back.
-    Refused { retry_after_ms: u64 },
+    Refused {
+        retry_after_ms: u64,
+        basis: Box<Basis>,
+    },
 }
 
 impl Failure {
@@ -35,6 +40,8 @@
 /// What is known of a request's tries.
 pub(crate) struct Tries {
     pub(crate) upstreams: Vec<UpstreamId>,
+    /// The last of them, and what it was chosen on.
+    last: Option<(UpstreamId, Basis)>,
     /// The body, where it is held whole.
     pub(crate) whole: Bytes,
     pub(crate) can_repeat: bool,
@@ -49,6 +56,7 @@
     pub(crate) fn new(held: &Held) -> Self {
         Self {
             upstreams: Vec::new(),
+            last: None,
             whole: held.bytes.clone(),
             can_repeat: held.is_whole(),
             sent: 0,
@@ -57,6 +65,24 @@
         }
     }
 
+    /// Notes the upstream of the next try.
+    pub(crate) fn begin(&mut self, choice: &Choice) {
+        self.upstreams.push(choice.upstream.clone());
+        self.last = Some((choice.upstream.clone(), choice.basis.clone()));
+    }
+
+    /// The failure of the last try, which ended with `kind`.
+    pub(crate) fn last_failure(&self, kind: ErrorKind) -> Failure {
+        match &self.last {
+            Some((upstream, basis)) => Failure::AtUpstream {
+                kind,
+                upstream: upstream.clone(),
+                basis: Box::new(basis.clone()),
+            },
+            None => kind.into(),
+        }
+    }
+
     /// Counts a try in which the request was sent and that failed.
     pub(crate) fn count_sent(&mut self, kind: ErrorKind) {
         self.sent += 1;
@@ -66,12 +92,10 @@
     /// Once a try may have run, no later one makes the answer "not run".
     pub(crate) fn truth(&self, failure: Failure) -> Failure {
         let claims_not_run = failure.kind().answer().ran == Ran::NotRun;
-        match self.upstreams.last() {
-            Some(upstream) if self.may_have_run && claims_not_run => Failure::AtUpstream {
-                kind: ErrorKind::UpstreamBroken,
-                upstream: upstream.clone(),
-            },
-            _ => failure,
+        if self.may_have_run && claims_not_run {
+            self.last_failure(ErrorKind::UpstreamBroken)
+        } else {
+            failure
         }
     }
 }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -32,7 +32,9 @@
 pub use demand::DemandSample;
 pub use fleet_state::{CatchUp, FleetState, PatchMismatch};
 pub use news_source::{Candidate, Distance, NewsSources};
-pub use placement::{Choice, Placement, PlacementSettings, Refusal, UpstreamOutcome, Wanted};
+pub use placement::{
+    Basis, Choice, Home, HomeState, Placement, PlacementSettings, Refusal, UpstreamOutcome, Wanted,
+};
 pub use region_plan::{RegionPlan, RegionRoom};
 pub use rendezvous::{object_hash, weighted_score};
 pub use retry_budget::{RetryBudget, RetryBudgetSettings};
--- /dev/null
+++ b/crates/routing/src/placement/basis.rs
@@ -0,0 +1,95 @@
+//! What a decision about a request was based on, for the log.
+
+use super::entry::Entry;
+use brasswinch_types::{Millis, UpstreamId};
+use std::fmt;
+
+/// How an object's home stood when a request about it came.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HomeState {
+    /// It had a free slot.
+    Free,
+    /// Its slots were taken.
+    Full,
+    /// It answers much slower than the others of its service.
+    Slow,
+    /// It was started or taken back lately.
+    Cold,
+    /// It failed lately, or this request.
+    LeftOut,
+}
+
+impl HomeState {
+    pub(super) fn of(entry: &Entry, is_usable: bool, now: Millis) -> Self {
+        if !is_usable {
+            Self::LeftOut
+        } else if entry.is_cold(now) {
+            Self::Cold
+        } else if entry.is_slow {
+            Self::Slow
+        } else if entry.fullness(now) >= 1.0 {
+            Self::Full
+        } else {
+            Self::Free
+        }
+    }
+}
+
+impl fmt::Display for HomeState {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Free => "free",
+            Self::Full => "full",
+            Self::Slow => "slow",
+            Self::Cold => "cold",
+            Self::LeftOut => "left_out",
+        })
+    }
+}
+
+/// An object's home as the box saw it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Home {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// How it stood.
+    pub state: HomeState,
+    /// Requests there, in multiples of its slots.
+    pub fullness: f64,
+    /// Age of the upstream's own word about its load; `None` if it never gave one.
+    pub report_age_ms: Option<Millis>,
+    /// It has answered a request about the object lately.
+    pub has_served: bool,
+}
+
+/// What a decision about a request was based on. Its `Display` is a part of a log line.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Basis {
+    /// The object that the request is about, as a hash.
+    pub object: u64,
+    /// The object's home; `None` where no upstream may be used.
+    pub home: Option<Home>,
+    /// Whether one more request could have left its planned region.
+    pub may_leave_region: bool,
+}
+
+impl fmt::Display for Basis {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "object={:08x}", self.object >> 32)?;
+        let Some(home) = &self.home else {
+            return f.write_str(" home=-");
+        };
+        let Home {
+            upstream, state, ..
+        } = home;
+        let (fullness, has_served) = (home.fullness, home.has_served);
+        write!(
+            f,
+            " home={upstream} home_is={state} fullness={fullness:.2} has_served={has_served}"
+        )?;
+        if let Some(age) = home.report_age_ms {
+            write!(f, " report_age_ms={age}")?;
+        }
+        write!(f, " may_leave_region={}", self.may_leave_region)
+    }
+}
--- a/crates/routing/src/placement/mod.rs
+++ b/crates/routing/src/placement/mod.rs
@@ -5,6 +5,7 @@
 //! slot gets the request. Only where none has one does it wait at the least loaded of
 //! them, or go to another region, and where all are full it is refused at once.
 
+mod basis;
 mod entry;
 mod lost_entries;
 mod service_upstreams;
@@ -16,6 +17,7 @@
 use crate::upstream::UpstreamRecord;
 use crate::upstream_load::LoadReport;
 use crate::{FleetState, SteeringConfig};
+pub use basis::{Basis, Home, HomeState};
 use brasswinch_types::{BoxId, Millis, Region, Service, UpstreamId, Zone};
 use entry::Entry;
 use lost_entries::Losses;
@@ -65,10 +67,10 @@
 }
 
 /// The chosen upstream.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Choice {
-    /// The object that the request is about, as a hash.
-    pub object: u64,
+    /// What it was based on.
+    pub basis: Basis,
     /// The upstream.
     pub upstream: UpstreamId,
     /// Its service.
@@ -78,7 +80,7 @@
 }
 
 /// Why no upstream was chosen.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Refusal {
     /// The service has no upstream that may be used.
     NoUpstream,
@@ -86,6 +88,8 @@
     Busy {
         /// When to come back, in milliseconds.
         retry_after_ms: Millis,
+        /// What that was based on.
+        basis: Basis,
     },
 }
 
@@ -295,7 +299,7 @@
         match outcome {
             UpstreamOutcome::Answered(latency_ms) => {
                 load.answered(latency_ms, now);
-                entry.note_served(choice.object);
+                entry.note_served(choice.basis.object);
             }
             UpstreamOutcome::Shed => load.shed(),
             UpstreamOutcome::Replaced => entry.is_replaced = true,
--- a/crates/routing/src/placement/service_upstreams.rs
+++ b/crates/routing/src/placement/service_upstreams.rs
@@ -1,5 +1,6 @@
 //! The upstreams of one service, and the choice among them.
 
+use super::basis::{Basis, Home, HomeState};
 use super::entry::Entry;
 use super::spill::SpillWindow;
 use super::warming::Warming;
@@ -71,6 +72,7 @@
             None => (warming.random * u64::MAX as f64) as u64,
         };
         let regions = self.ranked_regions(object, wanted, now);
+        let basis = self.basis(object, &regions, wanted, now);
         let chosen = self
             .never_used(wanted, warming, now)
             .or_else(|| self.with_room(object, &regions, wanted, warming.random, now))
@@ -80,26 +82,50 @@
             self.urgent_first_until = now + URGENT_FIRST_MS;
         }
         match chosen {
-            Some(index) => Ok(self.start(index, object)),
+            Some(index) => Ok(self.start(index, basis)),
             None if regions.is_empty() && !self.has_any(wanted, now) => Err(Refusal::NoUpstream),
             None => Err(Refusal::Busy {
                 retry_after_ms: REFUSED_RETRY_MS + (warming.random * 100.0) as Millis,
+                basis,
             }),
         }
     }
 
-    fn start(&mut self, index: usize, object: u64) -> Choice {
+    fn start(&mut self, index: usize, basis: Basis) -> Choice {
         let entry = &mut self.entries[index];
         entry.load.started();
         entry.is_used = true;
         Choice {
-            object,
+            basis,
             upstream: entry.record.id.clone(),
             service: entry.record.service.clone(),
             address: entry.record.address,
         }
     }
 
+    /// What is known of the object's home, the first in the first region, whether it can
+    /// be used or not.
+    fn basis(&self, object: u64, regions: &[Region], wanted: &Wanted<'_>, now: Millis) -> Basis {
+        let region = regions.first();
+        let score = |entry: &&Entry| rendezvous_score(object, entry);
+        let home = self
+            .entries
+            .iter()
+            .filter(|entry| Some(&entry.region) == region && entry.takes_requests(now))
+            .max_by(|a, b| score(a).total_cmp(&score(b)));
+        Basis {
+            object,
+            home: home.map(|entry| Home {
+                upstream: entry.record.id.clone(),
+                state: HomeState::of(entry, is_usable(entry, wanted, now), now),
+                fullness: entry.fullness(now),
+                report_age_ms: entry.load.report_age_ms(now),
+                has_served: entry.has_served(object),
+            }),
+            may_leave_region: self.spills.may_spill(),
+        }
+    }
+
     fn has_any(&self, wanted: &Wanted<'_>, now: Millis) -> bool {
         self.entries
             .iter()
@@ -134,10 +160,7 @@
             .enumerate()
             .filter(|(_, entry)| &entry.region == region && is_usable(entry, wanted, now))
             .filter(|(_, entry)| !entry.is_cold(now))
-            .map(|(index, entry)| {
-                let weight = f64::from(entry.record.slots.max(1));
-                (weighted_score(object, entry.hash, weight), index)
-            })
+            .map(|(index, entry)| (rendezvous_score(object, entry), index))
             .collect();
         ranked.sort_by(|a, b| b.0.total_cmp(&a.0));
         ranked.truncate(HOMES_IN_REGION);
@@ -294,6 +317,11 @@
     }
 }
 
+/// How well the upstream suits the object, by its slots.
+fn rendezvous_score(object: u64, entry: &Entry) -> f64 {
+    weighted_score(object, entry.hash, f64::from(entry.record.slots.max(1)))
+}
+
 fn is_allowed(entry: &Entry, wanted: &Wanted<'_>) -> bool {
     wanted.allowed_regions.is_empty() || wanted.allowed_regions.contains(&entry.region)
 }
--- a/crates/routing/src/upstream_load.rs
+++ b/crates/routing/src/upstream_load.rs
@@ -119,6 +119,11 @@
         self.is_unreachable
     }
 
+    /// Age of the upstream's last report; `None` if there was none.
+    pub fn report_age_ms(&self, now: Millis) -> Option<Millis> {
+        (self.reported_at > 0).then(|| now.saturating_sub(self.reported_at))
+    }
+
     /// Requests at the upstream, as far as known: running and waiting.
     pub fn estimate(&self, now: Millis) -> f64 {
         let age = now.saturating_sub(self.reported_at) as f64;
--- a/crates/routing/tests/placement.rs
+++ b/crates/routing/tests/placement.rs
@@ -4,8 +4,8 @@
 mod common;
 
 use brasswinch_routing::{
-    Change, ChangeKey, Choice, FleetState, LoadReport, Placement, PlacementSettings, Refusal,
-    UpstreamOutcome, UpstreamState,
+    Change, ChangeKey, Choice, FleetState, HomeState, LoadReport, Placement, PlacementSettings,
+    Refusal, UpstreamOutcome, UpstreamState,
 };
 use brasswinch_types::{BoxId, Region, UpstreamId, Zone};
 use common::{
@@ -290,7 +290,7 @@
                 let region = zones()[&test.zone_of(&choice.upstream)].clone();
                 away += u32::from(region != home_region);
             }
-            Err(Refusal::Busy { retry_after_ms }) => {
+            Err(Refusal::Busy { retry_after_ms, .. }) => {
                 assert!(retry_after_ms > 0);
                 refused += 1;
             }
@@ -424,3 +424,29 @@
     assert!(part <= 0.125, "{part} of {all} left the region");
     assert!(away > 0);
 }
+
+/// The log can say why a request was refused from the refusal alone.
+#[test]
+fn a_refusal_tells_what_it_was_based_on() {
+    let mut test = Test::new(fleet(1));
+    let home = test.choose("1", 10);
+    let full = LoadReport {
+        running: SLOTS,
+        waiting: SLOTS * 3,
+        slots: SLOTS,
+    };
+    test.placement.reported(&home, full, 10);
+    let refusal = (0..100).find_map(|_| test.try_choose("1", &[], 60).err());
+    let Some(Refusal::Busy { basis, .. }) = refusal else {
+        panic!("{refusal:?}");
+    };
+    assert!(!basis.may_leave_region);
+    let seen = basis.home.clone().unwrap();
+    assert_eq!(seen.upstream, home.upstream);
+    assert_eq!(seen.state, HomeState::Full);
+    assert_eq!(seen.report_age_ms, Some(50));
+    assert!(!seen.has_served);
+    let told = basis.to_string();
+    let expected = format!("home={} home_is=full fullness=", home.upstream);
+    assert!(told.contains(&expected), "{told}");
+}
