--- a/crates/routing/tests/placement.rs
+++ b/crates/routing/tests/placement.rs
@@ -491,3 +491,29 @@
         .count();
     assert!(moved <= 2, "{moved} of 200 moved");
 }
+
+/// Before its first report nothing tells what others send to an upstream; all boxes of a
+/// region that start together would fill it several times over.
+#[test]
+fn before_its_first_report_an_upstream_is_taken_to_get_as_much_from_others() {
+    let mut test = Test::new(fleet(1));
+    let boxes: Vec<BoxId> = (1..=6).map(|n| BoxId::new(format!("box-{n}"))).collect();
+    test.placement.set_boxes(boxes.iter(), BTreeMap::new());
+    test.placement.review_if_due(1_000);
+    let first = test.choose("1", 1_000);
+    let seen = |choice: &Choice| choice.basis.home.as_ref().unwrap().fullness;
+    let unheard = seen(&test.choose("1", 1_001));
+    assert_eq!(
+        unheard,
+        2.0 / f64::from(SLOTS),
+        "one here, one of the other"
+    );
+    let report = LoadReport {
+        running: 2,
+        waiting: 0,
+        slots: SLOTS,
+    };
+    test.placement.reported(&first, report, 1_002);
+    let heard = seen(&test.choose("1", 1_002));
+    assert_eq!(heard, 3.0 / f64::from(SLOTS), "two here, one told of");
+}
