Sight for upstreams used after they left: which are kept without an entry, and for how long a chosen one has had none

Cause (suspected): upstreams whose entries went together with many others stay in use, and no line told which, since when, or that a request went to one. So a request to an upstream that had left could be late news as well as a kept entry. No logic changed.

--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -13,8 +13,9 @@
     Backend, DemandSample, FleetState, Liveness, MemberState, Placement, PlacementSettings,
     RouteTable, Scope, SteeringConfig, Swim, WeightedSplit, watches_store,
 };
-use brasswinch_types::{Millis, Service};
+use brasswinch_types::{Millis, Service, UpstreamId};
 use std::collections::HashMap;
+use std::fmt;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, AtomicUsize};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -27,6 +28,9 @@
 /// Added to the time between an upstream's entries when news of a cold start is awaited.
 const ENTRY_LAG_MS: Millis = 1_500;
 
+/// Upstreams that a log line names.
+const MOST_NAMED: usize = 8;
+
 /// A configuration with its routes ready for look-up.
 pub(crate) struct InForce {
     pub(crate) config: Arc<SteeringConfig>,
@@ -96,6 +100,17 @@
     splits: Mutex<HashMap<String, WeightedSplit>>,
 }
 
+/// Upstreams in a log line: how many, and the first few.
+struct KeptUpstreams<'a>(&'a [UpstreamId]);
+
+impl fmt::Display for KeptUpstreams<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "upstreams={}", self.0.len())?;
+        let mut named = self.0.iter().take(MOST_NAMED);
+        named.try_for_each(|id| write!(f, " {id}"))
+    }
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -198,7 +213,11 @@
             self.in_force
                 .store(Some(Arc::new(InForce { config, routes })));
         }
-        self.placement().update(&fleet, config, self.clock.now());
+        let kept = self.placement().update(&fleet, config, self.clock.now());
+        drop(fleet);
+        if !kept.is_empty() {
+            emit(Event::EntriesKept, format_args!("{}", KeptUpstreams(&kept)));
+        }
     }
 
     /// Whether this box follows the store itself.
--- a/crates/edge/src/failure.rs
+++ b/crates/edge/src/failure.rs
@@ -2,7 +2,7 @@
 
 use crate::body::Held;
 use brasswinch_routing::{Basis, Choice};
-use brasswinch_types::{ErrorKind, Ran, UpstreamId};
+use brasswinch_types::{ErrorKind, Millis, Ran, UpstreamId};
 use bytes::Bytes;
 use std::fmt;
 
@@ -11,6 +11,7 @@
 pub(crate) struct Decided {
     pub(crate) upstream: UpstreamId,
     basis: Basis,
+    lost_ms: Option<Millis>,
 }
 
 impl Decided {
@@ -18,13 +19,18 @@
         Self {
             upstream: choice.upstream.clone(),
             basis: choice.basis.clone(),
+            lost_ms: choice.lost_ms,
         }
     }
 }
 
 impl fmt::Display for Decided {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "upstream={} {}", self.upstream, self.basis)
+        write!(f, "upstream={} {}", self.upstream, self.basis)?;
+        match self.lost_ms {
+            Some(lost_ms) => write!(f, " lost_ms={lost_ms}"),
+            None => Ok(()),
+        }
     }
 }
 
--- a/crates/routing/src/placement/entry.rs
+++ b/crates/routing/src/placement/entry.rs
@@ -9,6 +9,15 @@
 /// Objects that are remembered as served by an upstream.
 const MOST_SERVED: usize = 32;
 
+/// When an upstream's entry was lost, by this box's clock.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Lost {
+    /// When this box heard of it.
+    pub(super) heard_at: Millis,
+    /// The upstream stays in use until then, unless its entry comes back.
+    pub(super) kept_until: Millis,
+}
+
 /// An upstream and what this box knows of it.
 #[derive(Clone, Debug)]
 pub(super) struct Entry {
@@ -16,8 +25,8 @@
     pub(super) region: Region,
     pub(super) hash: u64,
     pub(super) cold_until: Millis,
-    /// Its entry was lost; it stays in use until then, unless it comes back.
-    pub(super) kept_until: Option<Millis>,
+    /// `None` while its entry is there.
+    pub(super) lost: Option<Lost>,
     /// When this box learned of it.
     pub(super) joined_at: Millis,
     /// This box has sent it a request, or it was there before the first.
@@ -55,7 +64,13 @@
 
     /// Whether its entry is there, or was lost so lately that it may come back.
     pub(super) fn is_held(&self, now: Millis) -> bool {
-        self.kept_until.is_none_or(|until| now < until)
+        self.lost.is_none_or(|lost| now < lost.kept_until)
+    }
+
+    /// How long ago this box heard that the entry was lost, in milliseconds.
+    pub(super) fn lost_ms(&self, now: Millis) -> Option<Millis> {
+        let lost = self.lost?;
+        Some(now.saturating_sub(lost.heard_at))
     }
 
     /// Whether something has befallen it that other upstreams have to make up for.
--- a/crates/routing/src/placement/lost_entries.rs
+++ b/crates/routing/src/placement/lost_entries.rs
@@ -4,7 +4,7 @@
 //! moment it is rather their leases that ran out, because the store was away or cut off
 //! from a part of the upstreams; those that live write them again.
 
-use super::entry::Entry;
+use super::entry::{Entry, Lost};
 use brasswinch_types::{Millis, Service};
 use std::collections::HashMap;
 
@@ -42,10 +42,13 @@
         let mass_losses = self.mass_losses();
         let mut kept = self.lost;
         kept.retain_mut(|entry| {
-            if entry.kept_until.is_none() && mass_losses.contains(&entry.record.service) {
-                entry.kept_until = Some(now + keep_ms);
+            if entry.lost.is_none() && mass_losses.contains(&entry.record.service) {
+                entry.lost = Some(Lost {
+                    heard_at: now,
+                    kept_until: now + keep_ms,
+                });
             }
-            entry.kept_until.is_some_and(|until| now < until)
+            entry.lost.is_some_and(|lost| now < lost.kept_until)
         });
         kept
     }
--- a/crates/routing/src/placement/mod.rs
+++ b/crates/routing/src/placement/mod.rs
@@ -85,6 +85,9 @@
     pub service: Service,
     /// Where it listens.
     pub address: SocketAddr,
+    /// How long ago the box heard that the upstream's entry was lost together with many
+    /// others, in milliseconds; `None` while the entry is there.
+    pub lost_ms: Option<Millis>,
 }
 
 /// Why no upstream was chosen.
@@ -165,8 +168,14 @@
         self.most_boxes
     }
 
-    /// Takes what is known of upstreams.
-    pub fn update(&mut self, fleet: &FleetState, config: &SteeringConfig, now: Millis) {
+    /// Takes what is known of upstreams. Returns those whose entries were lost since the
+    /// last time and that stay in use for now.
+    pub fn update(
+        &mut self,
+        fleet: &FleetState,
+        config: &SteeringConfig,
+        now: Millis,
+    ) -> Vec<UpstreamId> {
         let mut held: HashMap<UpstreamId, Entry> = HashMap::new();
         for service in self.services.values_mut() {
             let entries = std::mem::take(&mut service.entries);
@@ -182,7 +191,7 @@
             .into_values()
             .filter(|entry| entry.takes_requests(now) && !addresses.contains(&entry.record.address))
             .collect();
-        self.keep_lost_entries(vanished, fleet, now);
+        let kept = self.keep_lost_entries(vanished, fleet, now);
         for (name, service) in &mut self.services {
             let configured = config.services.get(name);
             service.cold_per_s = configured.map_or(0.0, |service| service.cold_per_s);
@@ -191,19 +200,30 @@
         self.services
             .retain(|_, service| !service.entries.is_empty());
         self.review(now);
+        kept
     }
 
     /// Keeps upstreams whose entries were lost together, for as long as writing them again
     /// takes. Upstreams that vanish one by one have left.
-    fn keep_lost_entries(&mut self, lost: Vec<Entry>, fleet: &FleetState, now: Millis) {
+    fn keep_lost_entries(
+        &mut self,
+        lost: Vec<Entry>,
+        fleet: &FleetState,
+        now: Millis,
+    ) -> Vec<UpstreamId> {
+        let mut newly_kept = Vec::new();
         let left = self.services.iter();
         let left = left.map(|(name, service)| (name.clone(), service.entries.len()));
         let losses = Losses::new(lost, left.collect());
         for mut entry in losses.kept(self.settings.keep_vanished_ms, now) {
             entry.is_evacuated = fleet.is_evacuated(&entry.record.zone);
+            if entry.lost_ms(now) == Some(0) {
+                newly_kept.push(entry.record.id.clone());
+            }
             let service = entry.record.service.clone();
             self.service(&service).entries.push(entry);
         }
+        newly_kept
     }
 
     fn is_in_use(&self, name: &Service) -> bool {
@@ -234,7 +254,7 @@
             region: region.cloned().unwrap_or_else(|| Region::new("")),
             hash: object_hash("upstream", record.id.as_str().as_bytes()),
             cold_until,
-            kept_until: None,
+            lost: None,
             joined_at: held.as_ref().map_or(now, |held| held.joined_at),
             is_used: match &held {
                 Some(held) => held.is_used,
--- a/crates/routing/src/placement/service_upstreams.rs
+++ b/crates/routing/src/placement/service_upstreams.rs
@@ -82,7 +82,7 @@
             self.urgent_first_until = now + URGENT_FIRST_MS;
         }
         match chosen {
-            Some(index) => Ok(self.start(index, basis)),
+            Some(index) => Ok(self.start(index, basis, now)),
             None if regions.is_empty() && !self.has_any(wanted, now) => Err(Refusal::NoUpstream),
             None => Err(Refusal::Busy {
                 retry_after_ms: REFUSED_RETRY_MS + (warming.random * 100.0) as Millis,
@@ -91,7 +91,7 @@
         }
     }
 
-    fn start(&mut self, index: usize, basis: Basis) -> Choice {
+    fn start(&mut self, index: usize, basis: Basis, now: Millis) -> Choice {
         let entry = &mut self.entries[index];
         entry.load.started();
         entry.is_used = true;
@@ -100,6 +100,7 @@
             upstream: entry.record.id.clone(),
             service: entry.record.service.clone(),
             address: entry.record.address,
+            lost_ms: entry.lost_ms(now),
         }
     }
 
