--- a/crates/edge/tests/common/know_all.rs
+++ b/crates/edge/tests/common/know_all.rs
@@ -24,6 +24,16 @@
     take_part(record, socket, of).await;
 }
 
+/// A member that would follow the store for all, and that never has anything new to tell.
+pub async fn know_nothing_on_a_fast_link(socket: UdpSocket, of: SocketAddr) {
+    let mut record = record(&socket);
+    record.id = BoxId::new(format!("know-nothing-{}", record.peer_address.port()));
+    record.link_mbps = 1_000;
+    record.operator_revision = Revision(0);
+    record.upstream_revision = Revision(0);
+    take_part(record, socket, of).await;
+}
+
 async fn take_part(record: MemberRecord, socket: UdpSocket, of: SocketAddr) {
     let mut swim = Swim::new(record, vec![of], SwimSettings::default());
     let mut buffer = vec![0; 16_384];
--- a/crates/lab/src/memory_store.rs
+++ b/crates/lab/src/memory_store.rs
@@ -39,6 +39,8 @@
     LargeWatches,
     /// Calls get no answer, and fail when that has lasted for [`SILENCE`].
     Silent,
+    /// The same for watches that wait; calls that don't wait are answered.
+    SilentWatches,
 }
 
 /// How long a call waits for an answer that doesn't begin.
@@ -58,6 +60,8 @@
 struct Link {
     /// How long each configuration takes.
     per_config: Duration,
+    /// How long each answer is under way.
+    per_answer: Duration,
     /// Configurations that came over it.
     configs: usize,
     /// Whether answers to watches end with their first configuration.
@@ -85,6 +89,11 @@
         self.lock_link().per_config = per_config;
     }
 
+    /// Makes each answer take `delay` to reach this box.
+    pub fn set_answer_delay(&self, delay: Duration) {
+        self.lock_link().per_answer = delay;
+    }
+
     /// Ends each answer to a watch of this box with its first configuration, as a store
     /// whose answers have a longest length does with large ones.
     pub fn end_answers_with_a_config(&self) {
@@ -99,13 +108,14 @@
     /// Takes `entries` to the box; returns how long that took.
     async fn carry(&self, entries: &[Revised]) -> Duration {
         let configs = entries.iter().filter(|entry| is_config(entry)).count();
-        let took = {
+        let (took, delay) = {
             let mut link = self.lock_link();
             link.configs += configs;
-            link.per_config * u32::try_from(configs).unwrap_or(u32::MAX)
+            let took = link.per_config * u32::try_from(configs).unwrap_or(u32::MAX);
+            (took, link.per_answer)
         };
-        if !took.is_zero() {
-            tokio::time::sleep(took).await;
+        if !(took + delay).is_zero() {
+            tokio::time::sleep(took + delay).await;
         }
         took
     }
@@ -176,7 +186,8 @@
         match self.fault() {
             StoreFault::None | StoreFault::LargeWatches => Ok(()),
             StoreFault::TurnedAway => Err(StoreFailure::Busy),
-            StoreFault::Silent => {
+            StoreFault::SilentWatches if wait.is_zero() => Ok(()),
+            StoreFault::Silent | StoreFault::SilentWatches => {
                 tokio::time::sleep(wait + SILENCE).await;
                 Err(StoreFailure::Unavailable("no answer in time".into()))
             }
@@ -248,6 +259,7 @@
             }
         };
         let Ok(watched) = tokio::time::timeout(wait, waiting).await else {
+            self.carry(&[]).await;
             return Ok(Watched {
                 at: Revision(self.state().revision),
                 changes: Vec::new(),
