A box tells changes only since its last listing: what came and went before it, it never saw

A box that was told all by another and then listed, or listed again after a gap in the store's history, told askers its changes without those of upstreams (or evacuations) that had come and gone in between; their revision went on and the entry stayed. Change: a listing that goes past what is known begins the kept changes anew; askers from before it get everything.

--- a/crates/routing/src/fleet_state/mod.rs
+++ b/crates/routing/src/fleet_state/mod.rs
@@ -88,7 +88,11 @@
             newest: snapshot.at,
             kept_since: snapshot.at,
         });
-        followed.newest = followed.newest.max(snapshot.at);
+        if snapshot.at > followed.newest {
+            // What came and went since was never seen here, so it can't be told to others.
+            followed.kept_since = snapshot.at;
+            followed.newest = snapshot.at;
+        }
         changed
     }
 
