Each box knows as of when its view of the store is whole, and asks the store before it is too old

Cause: class: a chain of best efforts (gathering, gossip, questions to boxes that may be dead, pauses, a patience, a time for kept entries), each with a constant of its own and nothing that bounds the sum. Change: the store's answers say as of when they are whole; boxes that follow the store tell that, as an age, to the others that follow and each to its zone; a box whose view is older than 0.6 of the shortest bound asks the store itself. Lost entries are kept from the last moment as of which they are known to have been there, unless the store has failed this box since. A question for news goes to boxes that know all that was heard of. The patience of 1.2 s (edge::left_behind) is gone: the age takes its place.

--- a/crates/edge/src/catch_up.rs
+++ b/crates/edge/src/catch_up.rs
@@ -1,10 +1,9 @@
 //! Catches up with boxes that know more of the store than this one.
 
 use crate::context::Context;
-use crate::left_behind::Behind;
 use crate::relay::{self, Answered, RelayError};
 use brasswinch_observe::{Event, emit};
-use brasswinch_routing::{Candidate, Distance, Liveness, Member, NewsSources, Scope};
+use brasswinch_routing::{Candidate, Distance, Liveness, Member, NewsSources, Revision, Scope};
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
@@ -25,21 +24,17 @@
 /// task of its own: upstreams that leave must not wait for a large configuration.
 pub(crate) async fn catch_up(context: Arc<Context>, scope: Scope) {
     let mut sources = NewsSources::default();
-    let mut behind = Behind::default();
     loop {
         context.heard.notified(scope).await;
         if ahead(&context, scope).is_empty() {
-            behind.ended(&context, scope);
             continue;
         }
-        behind.goes_on(&context, scope);
         if context.watches_store() && context.fleet().newest(scope).is_some() {
             sleep(OWN_WATCH_FIRST).await;
         }
         let (candidates, now) = (ahead(&context, scope), context.clock.now());
         if let Some(source) = sources.choose(&candidates, rand::random(), now) {
-            let asking = ask(&context, scope, source, &mut sources);
-            behind.goes_on_during(&context, scope, asking).await;
+            ask(&context, scope, source, &mut sources).await;
         }
     }
 }
@@ -91,6 +86,7 @@
 
 fn learn(context: &Context, peer: SocketAddr, scope: Scope, answered: Answered) {
     let now = context.clock.now();
+    let age = context.view_age_ms(scope);
     let learned = context.fleet().catch_up(answered.news, now);
     match learned {
         Ok(true) => context.publish(),
@@ -99,12 +95,27 @@
         Err(mismatch) => emit(Event::NewsOutdated, format_args!("{peer}: {mismatch}")),
     }
     let (bytes, took) = (answered.bytes, answered.took.as_millis());
-    context.told(scope, &format_args!("{peer} bytes={bytes} ms={took}"));
+    context.told(scope, age, &format_args!("{peer} bytes={bytes} ms={took}"));
 }
 
-/// Boxes that know more of `scope` than this one.
+/// Boxes that know more of `scope` than this one: where some know all that this one has
+/// heard there is, only those. A box that is barely ahead would have it ask again.
 fn ahead(context: &Context, scope: Scope) -> Vec<Candidate> {
-    let mine = context.fleet().newest(scope).unwrap_or_default();
+    let (mine, awaited) = {
+        let fleet = context.fleet();
+        (
+            fleet.newest(scope).unwrap_or_default(),
+            fleet.awaited(scope).unwrap_or_default(),
+        )
+    };
+    let mut ahead = beyond(context, scope, mine);
+    if ahead.iter().any(|other| other.revision >= awaited) {
+        ahead.retain(|other| other.revision >= awaited);
+    }
+    ahead
+}
+
+fn beyond(context: &Context, scope: Scope, mine: Revision) -> Vec<Candidate> {
     let swim = context.swim();
     if swim.newest_heard(scope) <= mine {
         return Vec::new();
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -5,13 +5,16 @@
 use crate::connections::ConnectionPool;
 use crate::dialect::Dialect;
 use crate::figures::Figures;
-use crate::left_behind::LeftBehind;
+use crate::follow::Following;
+use crate::refresh::ViewLimits;
 use crate::settings::EdgeSettings;
+use crate::store::StoreFailure;
+use crate::telling::Telling;
 use arc_swap::ArcSwapOption;
 use brasswinch_observe::{Event, emit};
 use brasswinch_routing::{
     Backend, DemandSample, FleetState, Liveness, MemberState, Placement, PlacementSettings,
-    RouteTable, Scope, SteeringConfig, Swim, WeightedSplit, watches_store,
+    RouteTable, Scope, SteeringConfig, StoreDuty, Swim, Watchers, WeightedSplit,
 };
 use brasswinch_types::{Millis, Service, UpstreamId};
 use std::collections::HashMap;
@@ -28,6 +31,9 @@
 /// Added to the time between an upstream's entries when news of a cold start is awaited.
 const ENTRY_LAG_MS: Millis = 1_500;
 
+/// Everything that is followed.
+pub(crate) const SCOPES: [Scope; 2] = [Scope::Operator, Scope::Upstreams];
+
 /// Upstreams that a log line names.
 const MOST_NAMED: usize = 8;
 
@@ -71,6 +77,22 @@
     }
 }
 
+/// How each scope is being followed.
+#[derive(Debug, Default)]
+struct FollowingScopes {
+    operator: Following,
+    upstreams: Following,
+}
+
+impl FollowingScopes {
+    fn of(&mut self, scope: Scope) -> &mut Following {
+        match scope {
+            Scope::Operator => &mut self.operator,
+            Scope::Upstreams => &mut self.upstreams,
+        }
+    }
+}
+
 /// Shared by all parts of one box.
 pub struct Context {
     pub(crate) settings: EdgeSettings,
@@ -87,12 +109,16 @@
     pub(crate) requests: AtomicU64,
     /// Another box was heard.
     pub(crate) heard: Heard,
-    /// Where no other box tells this one what it lacks.
-    pub(crate) left_behind: LeftBehind,
+    /// What is to be told of this box's view of the store.
+    pub(crate) telling: Telling,
+    /// How old that view may become.
+    pub(crate) view_limits: ViewLimits,
+    following: Mutex<FollowingScopes>,
     /// This box has something new to tell.
     pub(crate) has_news: Notify,
     lifecycle: watch::Sender<Lifecycle>,
     watches_store: watch::Sender<bool>,
+    watchers: Mutex<Arc<Watchers>>,
     fleet: Mutex<FleetState>,
     placement: Mutex<Placement>,
     swim: Mutex<Swim>,
@@ -126,7 +152,14 @@
             keep_vanished_ms: (settings.bounds.drain_s * 750.0) as Millis,
             after_evacuation_ms: heartbeat_ms + ENTRY_LAG_MS,
         });
+        let bounds = &settings.bounds;
+        let shortest_s = bounds.drain_s.min(bounds.config_apply_s);
+        let watchers = Watchers::of(&swim);
         Self {
+            view_limits: ViewLimits::new(shortest_s),
+            watchers: Mutex::new(Arc::new(watchers)),
+            telling: Telling::default(),
+            following: Mutex::default(),
             dialect,
             clock: Clock::new(),
             in_force: ArcSwapOption::empty(),
@@ -136,7 +169,6 @@
             held_bytes: AtomicUsize::new(0),
             requests: AtomicU64::new(0),
             heard: Heard::default(),
-            left_behind: LeftBehind::default(),
             has_news: Notify::new(),
             watches_store: watch::Sender::new(true),
             lifecycle: watch::Sender::new(Lifecycle::Starting),
@@ -232,8 +264,8 @@
     }
 
     /// Tells other boxes how far `scope` is known here, where that went on by news from
-    /// `source`.
-    pub(crate) fn told(&self, scope: Scope, source: &dyn std::fmt::Display) {
+    /// `source`. Before it the view was `age_ms` old, in milliseconds.
+    pub(crate) fn told(&self, scope: Scope, age_ms: Option<Millis>, source: &dyn fmt::Display) {
         let Some(newest) = self.fleet().newest(scope) else {
             return;
         };
@@ -241,9 +273,15 @@
             let revision = newest.0;
             emit(
                 Event::NewsLearned,
-                format_args!("scope={scope:?} revision={revision} from={source}"),
+                format_args!(
+                    "scope={scope:?} revision={revision} age_ms={} from={source}",
+                    age_ms.map_or_else(|| "-".to_owned(), |age_ms| age_ms.to_string()),
+                ),
             );
             self.has_news.notify_one();
+            if self.duty() != StoreDuty::Hears {
+                self.tell_zone();
+            }
         }
     }
 
@@ -257,6 +295,27 @@
         self.swim().set_reaches_store(reaches_store);
     }
 
+    /// How `scope` is being followed.
+    pub(crate) fn following(&self, scope: Scope) -> Following {
+        *lock(&self.following).of(scope)
+    }
+
+    pub(crate) fn set_following(&self, scope: Scope, following: Following) {
+        *lock(&self.following).of(scope) = following;
+    }
+
+    /// The store gave no answer. Where it is away or out of reach, it may lose entries of
+    /// upstreams that live.
+    pub(crate) fn store_failed(&self, error: &StoreFailure) {
+        if matches!(
+            error,
+            StoreFailure::Unavailable(_) | StoreFailure::NotWhole(_)
+        ) {
+            let now = self.clock.now();
+            self.fleet().store_failed(now);
+        }
+    }
+
     /// Tells placement which boxes serve and what their callers ask for.
     pub(crate) fn publish_members(&self) {
         let swim = self.swim();
@@ -281,7 +340,9 @@
 
     /// Decides anew whether this box follows the store itself.
     pub(crate) fn update_watching(&self) {
-        let watches = self.left_behind.is_any() || watches_store(&self.swim());
+        let watchers = Watchers::of(&self.swim());
+        let watches = watchers.duty != StoreDuty::Hears;
+        *lock(&self.watchers) = Arc::new(watchers);
         self.watches_store.send_if_modified(|held| {
             let is_new = *held != watches;
             *held = watches;
@@ -289,6 +350,16 @@
         });
     }
 
+    /// The boxes that follow the store.
+    pub(crate) fn watchers(&self) -> Arc<Watchers> {
+        Arc::clone(&lock(&self.watchers))
+    }
+
+    /// What this box does to know of the store's changes.
+    pub(crate) fn duty(&self) -> StoreDuty {
+        self.watchers().duty
+    }
+
     /// Most boxes that may be spending shared budgets with this one.
     pub(crate) fn sharing_boxes(&self) -> usize {
         let known = self.placement().most_boxes();
--- a/crates/edge/src/figures.rs
+++ b/crates/edge/src/figures.rs
@@ -94,6 +94,10 @@
                 let labels = format!("scope=\"{name}\"");
                 line(&mut text, "store_revision", &labels, revision.0 as f64);
             }
+            if let Some(age_ms) = self.view_age_ms(scope) {
+                let labels = format!("scope=\"{name}\"");
+                line(&mut text, "view_age_seconds", &labels, age_ms as f64 / 1e3);
+            }
         }
         if let Some(in_force) = &*self.in_force.load() {
             let version = in_force.config.version.0 as f64;
--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -50,6 +50,10 @@
                 Err(_) => Vec::new(),
             },
             () = context.has_news.notified() => context.swim().hints(&mut rand::rng()),
+            () = context.telling.due.notified() => {
+                tell(&context, &socket).await;
+                Vec::new()
+            }
         };
         send(&socket, out).await;
         let newest = context.swim().generation();
@@ -88,6 +92,9 @@
 fn receive(context: &Context, datagram: &[u8], from: SocketAddr) -> Vec<(SocketAddr, SwimMessage)> {
     match ciborium::from_reader::<SwimMessage, _>(datagram) {
         Ok(message) => {
+            if let SwimMessage::Known { id, views } = &message {
+                context.hear_known(id, views);
+            }
             let now = context.clock.now();
             let out = context.swim().receive(from, message, now, &mut rand::rng());
             context.heard.notify();
@@ -100,6 +107,20 @@
     }
 }
 
+/// Tells other boxes how much this one knows, where that is due.
+async fn tell(context: &Context, socket: &UdpSocket) {
+    let Some((message, receivers)) = context.take_telling() else {
+        return;
+    };
+    let mut datagram = Vec::with_capacity(128);
+    if ciborium::into_writer(&message, &mut datagram).is_ok() {
+        for to in receivers {
+            // Lost ones are expected; the next one says the same and more.
+            let _ = socket.send_to(&datagram, to).await;
+        }
+    }
+}
+
 async fn send(socket: &UdpSocket, out: Vec<(SocketAddr, SwimMessage)>) {
     for (to, message) in out {
         let mut datagram = Vec::with_capacity(512);
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -20,6 +20,8 @@
     pub grace_s: f64,
     /// Longest time in which requests may still reach an upstream that said it leaves.
     pub drain_s: f64,
+    /// Longest time in which what operators wrote comes into force everywhere.
+    pub config_apply_s: f64,
     /// Repeats for each request of a service.
     pub retry_ratio: f64,
     /// Repeats in a window, whatever the requests.
@@ -40,6 +42,7 @@
         Self {
             grace_s: 6.0,
             drain_s: 2.0,
+            config_apply_s: 2.0,
             retry_ratio: 0.2,
             retry_extra: 60.0,
             retry_window_s: 10.0,
--- a/crates/edge/src/start.rs
+++ b/crates/edge/src/start.rs
@@ -1,10 +1,10 @@
 //! Starts a box, and stops it in order.
 
-use crate::context::{Context, Lifecycle};
+use crate::context::{Context, Lifecycle, SCOPES};
 use crate::dialect::Dialect;
 use crate::settings::{EdgeAddresses, EdgeSettings};
 use crate::store::{BoxRegistry, FleetStore};
-use crate::{catch_up, follow, gossip, registry, relay, server};
+use crate::{catch_up, follow, gossip, refresh, registry, relay, server};
 use brasswinch_observe::{Event, emit};
 use brasswinch_routing::{MemberRecord, MemberState, Revision, Scope, Swim, SwimSettings};
 use std::net::SocketAddr;
@@ -76,9 +76,11 @@
     let context = Arc::new(Context::new(settings, dialect, swim));
     emit(Event::Started, format_args!("{}", addresses.clients));
     let store = Arc::new(store);
-    for scope in [Scope::Operator, Scope::Upstreams] {
+    for scope in SCOPES {
         let following = follow::follow(Arc::clone(&context), Arc::clone(&store), scope);
         tokio::spawn(following);
+        let refreshing = refresh::keep_young(Arc::clone(&context), Arc::clone(&store), scope);
+        tokio::spawn(refreshing);
         tokio::spawn(catch_up::catch_up(Arc::clone(&context), scope));
     }
     tokio::spawn(registry::stay_registered(
--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -41,6 +41,9 @@
     pub transfer: Duration,
 }
 
+/// Called when an answer begins to come.
+pub type Begun<'a> = &'a (dyn Fn() + Send + Sync + 'a);
+
 /// The store, as far as it is followed.
 ///
 /// A call whose answer doesn't begin about a second after it was due, or pauses for as
@@ -50,12 +53,14 @@
     /// Everything in `scope`.
     fn list(&self, scope: Scope) -> impl Future<Output = Result<Snapshot, StoreFailure>> + Send;
 
-    /// Waits at most `wait` for a change in `scope` after a revision.
+    /// Waits at most `wait` for a change in `scope` after a revision. `begun` is called when
+    /// the answer begins to come.
     fn watch(
         &self,
         scope: Scope,
         after: Revision,
         wait: Duration,
+        begun: Begun<'_>,
     ) -> impl Future<Output = Result<Watched, StoreFailure>> + Send;
 }
 
--- /dev/null
+++ b/crates/edge/src/store_news.rs
@@ -0,0 +1,116 @@
+//! Calls to the store that bring news: a listing, or the changes since a revision.
+
+use crate::context::Context;
+use crate::store::{Begun, FleetStore, StoreFailure};
+use brasswinch_routing::{Change, Claim, Revised, Revision, Scope};
+use brasswinch_types::Millis;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// An answer that takes longer than this to come is a large configuration on a slow link:
+/// half a megabyte takes as long at 10 Mbit/s.
+const SLOW_TRANSFER: Duration = Duration::from_millis(400);
+
+/// What an answer of the store told.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Told {
+    /// Whether it came so slowly that more may have been written meanwhile.
+    pub(crate) is_slow: bool,
+    /// Whether a watch brought anything.
+    pub(crate) has_changes: bool,
+    /// Whether a watch brought a configuration.
+    pub(crate) has_config: bool,
+}
+
+/// Learns everything in `scope`.
+///
+/// # Errors
+///
+/// Fails where the store gives no answer that can be used.
+pub(crate) async fn list<S: FleetStore>(
+    context: &Context,
+    store: &S,
+    scope: Scope,
+) -> Result<Told, StoreFailure> {
+    let (began, as_of) = (Instant::now(), context.clock.now());
+    let snapshot = store.list(scope).await?;
+    let is_slow = is_slow(scope, began.elapsed());
+    let at = snapshot.at;
+    let age = context.view_age_ms(scope);
+    let has_changed = context
+        .fleet()
+        .apply_snapshot(snapshot, context.clock.now());
+    learned(context, scope, at, as_of);
+    context.publish();
+    context.told(scope, age, &"listing");
+    Ok(Told {
+        is_slow: is_slow && has_changed,
+        has_changes: false,
+        has_config: false,
+    })
+}
+
+/// Learns the changes in `scope` after a revision, and waits at most `wait` for one. `begun`
+/// is called when the answer begins to come.
+///
+/// # Errors
+///
+/// Fails where the store gives no answer that can be used, or no longer keeps the changes.
+pub(crate) async fn watch<S: FleetStore>(
+    context: &Context,
+    store: &S,
+    scope: Scope,
+    after: Revision,
+    wait: Duration,
+    begun: Begun<'_>,
+) -> Result<Told, StoreFailure> {
+    let (began, called_at) = (Instant::now(), context.clock.now());
+    let watched = store.watch(scope, after, wait, begun).await?;
+    let has_changes = !watched.changes.is_empty();
+    let told = Told {
+        is_slow: is_slow(scope, watched.transfer),
+        has_changes,
+        has_config: watched.changes.iter().any(is_config),
+    };
+    // A watch that waited in vain says that nothing came until then; one that ended before
+    // that, only that nothing was missing when it began.
+    let waited = wait.as_millis() as Millis;
+    let as_of = if has_changes || began.elapsed() < wait {
+        called_at
+    } else {
+        called_at + waited
+    };
+    let age = context.view_age_ms(scope);
+    let now = context.clock.now();
+    let has_changed = context.fleet().apply_changes(scope, watched.changes, now);
+    learned(context, scope, watched.at, as_of);
+    if has_changed {
+        context.publish();
+    }
+    if has_changes {
+        context.told(scope, age, &"watch");
+    }
+    Ok(told)
+}
+
+/// The store has told everything up to `at`, as of `as_of`.
+fn learned(context: &Context, scope: Scope, at: Revision, as_of: Millis) {
+    let mut fleet = context.fleet();
+    if let Some(revision) = fleet.newest(scope) {
+        let claim = Claim {
+            revision,
+            at,
+            as_of,
+        };
+        fleet.claim(scope, claim);
+    }
+}
+
+/// Upstreams have an entry each, and few of them change while an answer comes.
+fn is_slow(scope: Scope, transfer: Duration) -> bool {
+    scope == Scope::Operator && transfer > SLOW_TRANSFER
+}
+
+fn is_config(change: &Revised) -> bool {
+    matches!(change.change, Change::Config(_))
+}
--- a/crates/lab/src/memory_store.rs
+++ b/crates/lab/src/memory_store.rs
@@ -3,7 +3,9 @@
 //! It keeps revisions and a history, and does wrong what the real one may: it turns a box
 //! away, forgets its history, and loses the answers of watches.
 
-use brasswinch_edge::{BoxRegistry, FleetStore, LeaseId, Registration, StoreFailure, Watched};
+use brasswinch_edge::{
+    Begun, BoxRegistry, FleetStore, LeaseId, Registration, StoreFailure, Watched,
+};
 use brasswinch_routing::{Change, ChangeKey, Revised, Revision, Scope, Snapshot};
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -246,6 +248,7 @@
         scope: Scope,
         after: Revision,
         wait: Duration,
+        begun: Begun<'_>,
     ) -> Result<Watched, StoreFailure> {
         self.lock_waits().push(wait);
         self.fail_if_told(wait).await?;
@@ -270,6 +273,7 @@
         if self.fault() == StoreFault::LargeWatches {
             return Err(StoreFailure::NotWhole("it is too large".into()));
         }
+        begun();
         watched.transfer = self.carry(&watched.changes).await;
         Ok(watched)
     }
--- a/crates/routing/src/fleet_state/mod.rs
+++ b/crates/routing/src/fleet_state/mod.rs
@@ -6,20 +6,23 @@
 mod evacuations;
 mod held_config;
 mod upstream_entries;
+mod view;
 
 pub use held_config::PatchMismatch;
+pub use view::Claim;
 
 use crate::change::{Change, ChangeKey, Revised, Revision, Scope, Snapshot};
 use crate::config::SteeringConfig;
 use crate::config_patch::ConfigMark;
 use crate::upstream::UpstreamRecord;
-use brasswinch_types::{Millis, Zone};
+use brasswinch_types::{Millis, UpstreamId, Zone};
 use evacuations::Evacuations;
 use held_config::HeldConfig;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use upstream_entries::UpstreamEntries;
+use view::View;
 
 /// Everything that was learned from the store, from whatever side.
 #[derive(Debug, Default)]
@@ -28,6 +31,9 @@
     evacuations: Evacuations,
     upstreams: UpstreamEntries,
     scopes: BTreeMap<Scope, Followed>,
+    views: BTreeMap<Scope, View>,
+    /// When this box last found that the store doesn't serve.
+    store_failed_at: Option<Millis>,
 }
 
 /// How far a scope was followed.
@@ -39,6 +45,16 @@
     kept_since: Revision,
 }
 
+/// An upstream's entry that was lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LostEntry {
+    /// The last moment as of which it is known to have been there.
+    pub present_as_of: Option<Millis>,
+    /// Whether the store has failed this box since then. It may have lost entries of
+    /// upstreams that live.
+    pub store_failed: bool,
+}
+
 /// What a peer lacks of a scope.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum CatchUp {
@@ -93,6 +109,7 @@
             followed.kept_since = snapshot.at;
             followed.newest = snapshot.at;
         }
+        self.settle(snapshot.scope);
         changed
     }
 
@@ -107,6 +124,7 @@
         if let (Some(newest), Some(followed)) = (newest, self.scopes.get_mut(&scope)) {
             followed.newest = followed.newest.max(newest);
         }
+        self.settle(scope);
         changed
     }
 
@@ -137,6 +155,7 @@
                 if let Some(followed) = self.scopes.get_mut(&scope) {
                     followed.newest = followed.newest.max(at);
                 }
+                self.settle(scope);
                 changed
             }
         }
@@ -148,6 +167,54 @@
         self.scopes.get(&scope).map(|followed| followed.newest)
     }
 
+    /// Takes what the store or another box says of how much there is to know in `scope`.
+    pub fn claim(&mut self, scope: Scope, claim: Claim) {
+        let newest = self.newest(scope);
+        self.views.entry(scope).or_default().take(claim, newest);
+    }
+
+    /// As of when everything in `scope` is known, by this box's clock; `None` before that
+    /// was ever so.
+    pub fn whole_as_of(&self, scope: Scope) -> Option<Millis> {
+        self.views.get(&scope)?.as_of()
+    }
+
+    /// The store's revision from which changes in `scope` have to be asked for; `None`
+    /// before the first listing.
+    pub fn asked_to(&self, scope: Scope) -> Option<Revision> {
+        let newest = self.newest(scope)?;
+        let at = self.views.get(&scope).map(View::at).unwrap_or_default();
+        Some(newest.max(at))
+    }
+
+    /// The latest revision of `scope` that others said there is and that isn't known yet.
+    pub fn awaited(&self, scope: Scope) -> Option<Revision> {
+        self.views.get(&scope)?.awaited()
+    }
+
+    /// Takes that the store doesn't serve this box.
+    pub fn store_failed(&mut self, now: Millis) {
+        self.store_failed_at = Some(now);
+    }
+
+    /// What is known of the entry of an upstream that is no longer there; `None` if it was
+    /// never there, or went long ago.
+    pub fn lost_entry(&self, id: &UpstreamId) -> Option<LostEntry> {
+        let present_as_of = self.upstreams.gone_present_as_of(id)?;
+        let store_failed = self.store_failed_at > present_as_of;
+        Some(LostEntry {
+            present_as_of,
+            store_failed,
+        })
+    }
+
+    fn settle(&mut self, scope: Scope) {
+        let newest = self.newest(scope);
+        if let Some(view) = self.views.get_mut(&scope) {
+            view.settle(newest);
+        }
+    }
+
     /// What a peer lacks that has everything in `scope` up to `after`, and holds the
     /// configuration that `holds` marks. `None` if nothing is known here.
     pub fn missing(
@@ -214,7 +281,8 @@
             ChangeKey::Upstream(id) => {
                 let forgotten = self.upstreams.forget_gone(now);
                 self.keep_since(Scope::Upstreams, forgotten);
-                self.upstreams.remove(id, revision, now)
+                let present_as_of = self.whole_as_of(Scope::Upstreams);
+                self.upstreams.remove(id, revision, now, present_as_of)
             }
         }
     }
--- a/crates/routing/src/fleet_state/upstream_entries.rs
+++ b/crates/routing/src/fleet_state/upstream_entries.rs
@@ -21,6 +21,9 @@
 struct GoneUpstream {
     revision: Revision,
     gone_at: Millis,
+    /// The last moment as of which the entry is known to have been there, where it was
+    /// held.
+    present_as_of: Option<Millis>,
 }
 
 /// What is known of all upstreams.
@@ -55,16 +58,34 @@
     }
 
     /// Takes that an entry went away; says whether it was there.
-    pub(super) fn remove(&mut self, id: &UpstreamId, revision: Revision, now: Millis) -> bool {
+    /// `present_as_of` is the last moment as of which all entries are known.
+    pub(super) fn remove(
+        &mut self,
+        id: &UpstreamId,
+        revision: Revision,
+        now: Millis,
+        present_as_of: Option<Millis>,
+    ) -> bool {
         let held = self.held.get(id);
         if held.is_some_and(|held| held.revision > revision) {
             return false;
         }
-        let gone_at = now;
-        let gone = self.gone.entry(id.clone());
-        let gone = gone.or_insert(GoneUpstream { revision, gone_at });
+        let was_held = self.held.remove(id).is_some();
+        let gone = self.gone.entry(id.clone()).or_insert(GoneUpstream {
+            revision,
+            gone_at: now,
+            present_as_of,
+        });
         gone.revision = gone.revision.max(revision);
-        self.held.remove(id).is_some()
+        if was_held {
+            gone.gone_at = now;
+            gone.present_as_of = present_as_of;
+        }
+        was_held
+    }
+
+    pub(super) fn gone_present_as_of(&self, id: &UpstreamId) -> Option<Option<Millis>> {
+        self.gone.get(id).map(|gone| gone.present_as_of)
     }
 
     /// Forgets what went away long ago; returns the last revision that is forgotten.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -30,7 +30,7 @@
 };
 pub use config_patch::{ConfigMark, ConfigPatch, RoutePlace};
 pub use demand::{AveragedDemand, DemandSample};
-pub use fleet_state::{CatchUp, FleetState, PatchMismatch};
+pub use fleet_state::{CatchUp, Claim, FleetState, LostEntry, PatchMismatch};
 pub use news_source::{Candidate, Distance, NewsSources};
 pub use placement::{
     Basis, Choice, Home, HomeState, Placement, PlacementSettings, Refusal, UpstreamOutcome, Wanted,
@@ -40,7 +40,9 @@
 pub use retry_budget::{RetryBudget, RetryBudgetSettings};
 pub use route_table::RouteTable;
 pub use split::WeightedSplit;
-pub use swim::{Liveness, Member, MemberRecord, MemberState, Swim, SwimMessage, SwimSettings};
+pub use swim::{
+    KnownView, Liveness, Member, MemberRecord, MemberState, Swim, SwimMessage, SwimSettings,
+};
 pub use upstream::{UpstreamRecord, UpstreamState};
 pub use upstream_load::{LoadReport, UpstreamLoad};
-pub use watchers::watches_store;
+pub use watchers::{StoreDuty, Watchers, watches_store};
--- a/crates/routing/src/placement/lost_entries.rs
+++ b/crates/routing/src/placement/lost_entries.rs
@@ -3,8 +3,14 @@
 //! An upstream that leaves takes its own entry away. Where many entries go at the same
 //! moment it is rather their leases that ran out, because the store was away or cut off
 //! from a part of the upstreams; those that live write them again.
+//!
+//! One that leaves meanwhile looks like the others. So what is kept is kept for a time
+//! from when its entry was last known to be there: it left after that, and gets nothing
+//! longer than that time after it left, however long the news took. Only where the store
+//! itself has failed this box since, the time counts from now.
 
 use super::entry::{Entry, Lost};
+use crate::fleet_state::FleetState;
 use brasswinch_types::{Millis, Service};
 use std::collections::HashMap;
 
@@ -33,19 +39,27 @@
 
     /// The entries that stay in use for now. `keep_ms` is how long those of a service
     /// stay that lost many at once.
-    pub(super) fn kept(self, keep_ms: Millis, now: Millis) -> Vec<Entry> {
-        let keep_ms = if self.is_fleet_loss() {
+    pub(super) fn kept(self, keep_ms: Millis, fleet: &FleetState, now: Millis) -> Vec<Entry> {
+        let after_outage_ms = if self.is_fleet_loss() {
             keep_ms.max(BACK_AFTER_OUTAGE_MS)
         } else {
             keep_ms
         };
+        let kept_until = |entry: &Entry| {
+            let lost = fleet.lost_entry(&entry.record.id)?;
+            if lost.store_failed {
+                return Some(now + after_outage_ms);
+            }
+            Some(lost.present_as_of? + keep_ms)
+        };
         let mass_losses = self.mass_losses();
         let mut kept = self.lost;
         kept.retain_mut(|entry| {
             if entry.lost.is_none() && mass_losses.contains(&entry.record.service) {
+                // Where nothing tells when it was there, it isn't kept.
                 entry.lost = Some(Lost {
                     heard_at: now,
-                    kept_until: now + keep_ms,
+                    kept_until: kept_until(entry).unwrap_or(now),
                 });
             }
             entry.lost.is_some_and(|lost| now < lost.kept_until)
--- a/crates/routing/src/placement/mod.rs
+++ b/crates/routing/src/placement/mod.rs
@@ -51,8 +51,8 @@
     pub zones: BTreeMap<Zone, Region>,
     /// Most of a region's requests that may change region of execution in a window.
     pub most_shift: f64,
-    /// How long upstreams that lost their entries together may still be used: time to
-    /// write them again.
+    /// How long upstreams that lost their entries together may still be used, from when
+    /// those are last known to have been there: time to write them again.
     pub keep_vanished_ms: Millis,
     /// How long upstreams of a zone whose evacuation ended are taken for cold unless
     /// their entries say more.
@@ -215,7 +215,7 @@
         let left = self.services.iter();
         let left = left.map(|(name, service)| (name.clone(), service.entries.len()));
         let losses = Losses::new(lost, left.collect());
-        for mut entry in losses.kept(self.settings.keep_vanished_ms, now) {
+        for mut entry in losses.kept(self.settings.keep_vanished_ms, fleet, now) {
             entry.is_evacuated = fleet.is_evacuated(&entry.record.zone);
             if entry.lost_ms(now) == Some(0) {
                 newly_kept.push(entry.record.id.clone());
--- a/crates/routing/src/swim/member.rs
+++ b/crates/routing/src/swim/member.rs
@@ -56,6 +56,15 @@
 }
 
 impl MemberRecord {
+    /// Takes that the box knows `scope` up to `revision` at least.
+    pub(super) fn raise_revision(&mut self, scope: Scope, revision: Revision) {
+        let held = match scope {
+            Scope::Operator => &mut self.operator_revision,
+            Scope::Upstreams => &mut self.upstream_revision,
+        };
+        *held = (*held).max(revision);
+    }
+
     /// Up to where the box knows `scope`.
     pub fn revision(&self, scope: Scope) -> Revision {
         match scope {
--- a/crates/routing/src/swim/message.rs
+++ b/crates/routing/src/swim/message.rs
@@ -1,6 +1,8 @@
 //! What boxes tell each other about members.
 
 use super::member::{Liveness, MemberRecord};
+use crate::change::{Revision, Scope};
+use brasswinch_types::BoxId;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -46,6 +48,32 @@
         /// The members.
         updates: Vec<Update>,
     },
+    /// Here is how much I know of the store, and how old that is.
+    Known {
+        /// The sender.
+        #[serde(rename = "i")]
+        id: BoxId,
+        /// Each scope that it knows.
+        #[serde(rename = "v")]
+        views: Vec<KnownView>,
+    },
+}
+
+/// How much a box knows of a scope, and how old that is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KnownView {
+    /// The scope.
+    #[serde(rename = "s")]
+    pub scope: Scope,
+    /// The last change that it knows.
+    #[serde(rename = "r")]
+    pub revision: Revision,
+    /// The store's revision up to which there is no later change.
+    #[serde(rename = "a")]
+    pub at: Revision,
+    /// How long ago, in milliseconds, that was everything.
+    #[serde(rename = "o")]
+    pub age_ms: u32,
 }
 
 /// A message and where it goes.
--- a/crates/routing/src/swim/mod.rs
+++ b/crates/routing/src/swim/mod.rs
@@ -11,7 +11,7 @@
 mod spreading;
 
 pub use member::{Liveness, Member, MemberRecord, MemberState};
-pub use message::{Outgoing, SwimMessage};
+pub use message::{KnownView, Outgoing, SwimMessage};
 
 use crate::change::{Revision, Scope};
 use brasswinch_types::{BoxId, Millis};
@@ -100,6 +100,11 @@
         &self.me
     }
 
+    /// The member, dead or alive.
+    pub fn member(&self, id: &BoxId) -> Option<&Member> {
+        self.members.get(id)
+    }
+
     /// All other members, the dead ones included.
     pub fn members(&self) -> impl Iterator<Item = &Member> {
         self.members.values()
@@ -133,14 +138,10 @@
     /// Changes up to where this box says that it knows `scope`; says whether that is
     /// further than before.
     pub fn set_revision(&mut self, scope: Scope, revision: Revision) -> bool {
-        let held = match scope {
-            Scope::Operator => &mut self.me.operator_revision,
-            Scope::Upstreams => &mut self.me.upstream_revision,
-        };
-        if *held >= revision {
+        if self.me.revision(scope) >= revision {
             return false;
         }
-        *held = revision;
+        self.me.raise_revision(scope, revision);
         self.me.incarnation += 1;
         true
     }
@@ -236,6 +237,10 @@
                     Vec::new()
                 }
             }
+            SwimMessage::Known { id, views } => {
+                self.hear_known(&id, &views);
+                Vec::new()
+            }
         }
     }
 
--- a/crates/routing/src/swim/spreading.rs
+++ b/crates/routing/src/swim/spreading.rs
@@ -1,6 +1,6 @@
 //! News: what is told on each message, and what is believed of what is heard.
 
-use super::message::Update;
+use super::message::{KnownView, Update};
 use super::{Liveness, Member, MemberState, Outgoing, Swim, SwimMessage};
 use crate::change::Scope;
 use brasswinch_types::{BoxId, Millis};
@@ -95,6 +95,18 @@
         self.generation += 1;
     }
 
+    /// Takes how much a member knows. Nothing is believed of boxes that are no members.
+    pub(super) fn hear_known(&mut self, id: &BoxId, views: &[KnownView]) {
+        let Some(member) = self.members.get_mut(id) else {
+            return;
+        };
+        for view in views {
+            member.record.raise_revision(view.scope, view.revision);
+            let heard = self.heard.entry(view.scope).or_default();
+            *heard = (*heard).max(view.revision);
+        }
+    }
+
     fn hear_revisions(&mut self, update: &Update) {
         for scope in [Scope::Operator, Scope::Upstreams] {
             let heard = self.heard.entry(scope).or_default();
--- a/crates/routing/src/watchers.rs
+++ b/crates/routing/src/watchers.rs
@@ -9,34 +9,75 @@
 use crate::swim::{Liveness, MemberRecord, MemberState, Swim};
 use brasswinch_types::BoxId;
 use std::cmp::Ordering;
-use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
 
 /// Fewest boxes that follow the store, where there are as many.
 const LEAST_WATCHERS: usize = 4;
 
-/// Whether this box follows the store itself. Boxes that the store doesn't answer count
-/// as none, so that others step in; they go on trying all the same.
-pub fn watches_store(swim: &Swim) -> bool {
-    let me = swim.me();
-    if !me.reaches_store || me.state != MemberState::Serving {
-        return true;
-    }
-    let others = swim
-        .members()
-        .filter(|member| member.liveness == Liveness::Alive)
-        .map(|member| &member.record)
-        .filter(|record| record.reaches_store && record.state == MemberState::Serving);
-    let mut ranked: Vec<Ranked<'_>> = others.chain([me]).map(Ranked::of).collect();
-    ranked.sort_by(|a, b| b.compare(a));
-    let mut in_zone: BTreeMap<&str, usize> = BTreeMap::new();
-    for (place, Ranked { record, .. }) in ranked.into_iter().enumerate() {
-        let before = in_zone.entry(record.zone.as_str()).or_default();
-        if record.id == me.id {
-            return place < LEAST_WATCHERS || *before == 0;
+/// What a box does to know of the store's changes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StoreDuty {
+    /// Follows the store, and confirms to the others that follow it that they miss nothing.
+    Confirms,
+    /// Follows the store.
+    Follows,
+    /// Hears from others.
+    Hears,
+}
+
+/// The boxes that follow the store, as one box sees them.
+#[derive(Clone, Debug)]
+pub struct Watchers {
+    /// What this box does.
+    pub duty: StoreDuty,
+    /// Where the others that follow the store are reached.
+    pub others: Vec<SocketAddr>,
+}
+
+impl Watchers {
+    /// Boxes that the store doesn't answer count as none, so that others step in; they go
+    /// on trying all the same.
+    pub fn of(swim: &Swim) -> Self {
+        let me = swim.me();
+        let members = swim
+            .members()
+            .filter(|member| member.liveness == Liveness::Alive)
+            .map(|member| &member.record);
+        let candidates = members.chain([me]).filter(|record| may_follow(record));
+        let mut ranked: Vec<Ranked<'_>> = candidates.map(Ranked::of).collect();
+        ranked.sort_by(|a, b| b.compare(a));
+        let mut zones: BTreeSet<&str> = BTreeSet::new();
+        let mut duty = if may_follow(me) {
+            StoreDuty::Hears
+        } else {
+            StoreDuty::Follows
+        };
+        let mut others = Vec::new();
+        for (place, Ranked { record, .. }) in ranked.into_iter().enumerate() {
+            let is_first_of_zone = zones.insert(record.zone.as_str());
+            if place >= LEAST_WATCHERS && !is_first_of_zone {
+                continue;
+            }
+            if record.id != me.id {
+                others.push(record.peer_address);
+            } else if place == 0 {
+                duty = StoreDuty::Confirms;
+            } else {
+                duty = StoreDuty::Follows;
+            }
         }
-        *before += 1;
+        Self { duty, others }
     }
-    true
+}
+
+/// Whether this box follows the store itself.
+pub fn watches_store(swim: &Swim) -> bool {
+    Watchers::of(swim).duty != StoreDuty::Hears
+}
+
+fn may_follow(record: &MemberRecord) -> bool {
+    record.reaches_store && record.state == MemberState::Serving
 }
 
 /// A box and its rank, which is worked out once: a large fleet is sorted each time that a
--- a/crates/routing/tests/placement.rs
+++ b/crates/routing/tests/placement.rs
@@ -219,6 +219,7 @@
     let ids: Vec<UpstreamId> = fleet.upstreams().map(|(r, _)| r.id.clone()).collect();
     placement.update(&fleet, &config(1), 1);
     let gone = |id: &UpstreamId| Change::Gone(ChangeKey::Upstream(id.clone()));
+    fleet.store_failed(20);
     for (number, id) in ids.iter().enumerate().take(10) {
         fleet.apply(revised(9_000 + number as u64, gone(id)), 20);
     }
@@ -231,6 +232,26 @@
     assert_eq!(used(&mut test, 2_050).len(), 2, "those that are");
 }
 
+/// Where the store has served all the while, upstreams that lose their entries may have
+/// left, however many they are: the time counts from when they were last there.
+#[test]
+fn entries_that_the_whole_fleet_lost_as_the_store_served_are_kept_from_when_they_were_there() {
+    let mut test = Test::new(fleet(2));
+    common::whole_as_of(&mut test.fleet, 700);
+    let ids: Vec<UpstreamId> = test.fleet.upstreams().map(|(r, _)| r.id.clone()).collect();
+    for (number, id) in ids.iter().enumerate().take(10) {
+        let gone = Change::Gone(ChangeKey::Upstream(id.clone()));
+        test.fleet
+            .apply(revised(9_000 + number as u64, gone), 1_800);
+    }
+    test.placement.update(&test.fleet, &config(1), 1_800);
+    let used = |test: &mut Test, now| -> BTreeSet<UpstreamId> {
+        objects().map(|object| test.visit(&object, now)).collect()
+    };
+    assert!(used(&mut test, 2_150).len() > 2, "those that can be back");
+    assert_eq!(used(&mut test, 2_250).len(), 2, "those that are");
+}
+
 #[test]
 fn entries_that_a_part_of_the_fleet_lost_are_kept_for_a_short_time_only() {
     let mut test = Test::new(fleet(2));
