What is known up to a revision is not taken again from an older account

Cause: FleetState took every entry of a late answer that it did not hold, whatever it knew up to. Entries that had gone before the box's first listing came back so, and stayed, since the store tells a leave once. Change: an account older than what is known changes nothing; of others, what is not later than what is known is passed over (configurations have versions and are merged by them).

--- a/crates/routing/src/fleet_state/mod.rs
+++ b/crates/routing/src/fleet_state/mod.rs
@@ -84,8 +84,29 @@
         }
     }
 
-    /// Applies a listing: its entries, and the end of what it lacks.
+    /// Applies a change unless everything up to it is known: what it wrote may have gone
+    /// since, and nothing here would remember that. Configurations have versions.
+    fn apply_unless_known(
+        &mut self,
+        revised: Revised,
+        known: Option<Revision>,
+        now: Millis,
+    ) -> bool {
+        let is_known = known >= Some(revised.revision);
+        if is_known && revised.change.key() != ChangeKey::Config {
+            return false;
+        }
+        self.apply(revised, now)
+    }
+
+    /// Applies a listing: its entries, and the end of what it lacks. One that is older than
+    /// what is known changes nothing.
     pub fn apply_snapshot(&mut self, snapshot: Snapshot, now: Millis) -> bool {
+        let newest = self.newest(snapshot.scope);
+        if newest > Some(snapshot.at) {
+            // All of it is known, and what has gone since must not come back.
+            return false;
+        }
         let listed: BTreeSet<ChangeKey> = snapshot
             .entries
             .iter()
@@ -98,7 +119,7 @@
             }
         }
         for entry in snapshot.entries {
-            changed |= self.apply(entry, now);
+            changed |= self.apply_unless_known(entry, newest, now);
         }
         let followed = self.scopes.entry(snapshot.scope).or_insert(Followed {
             newest: snapshot.at,
@@ -116,10 +137,11 @@
     /// Applies changes that follow each other without a gap; says whether anything is
     /// different now.
     pub fn apply_changes(&mut self, scope: Scope, changes: Vec<Revised>, now: Millis) -> bool {
+        let known = self.newest(scope);
         let newest = changes.iter().map(|change| change.revision).max();
         let mut changed = false;
         for change in changes {
-            changed |= self.apply(change, now);
+            changed |= self.apply_unless_known(change, known, now);
         }
         if let (Some(newest), Some(followed)) = (newest, self.scopes.get_mut(&scope)) {
             followed.newest = followed.newest.max(newest);
