--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -50,12 +50,10 @@
                 Err(_) => Vec::new(),
             },
             () = context.has_news.notified() => context.swim().hints(&mut rand::rng()),
-            () = context.telling.due.notified() => {
-                tell(&context, &socket).await;
-                Vec::new()
-            }
+            () = context.telling.wake.notified() => Vec::new(),
         };
         send(&socket, out).await;
+        tell(&context, &socket).await;
         let newest = context.swim().generation();
         if newest != generation && published_at.elapsed() >= PUBLISH {
             generation = newest;
--- a/crates/edge/src/telling.rs
+++ b/crates/edge/src/telling.rs
@@ -7,72 +7,90 @@
 use brasswinch_routing::{Claim, KnownView, Liveness, Revision, Scope, StoreDuty, SwimMessage};
 use brasswinch_types::{BoxId, Millis, Zone};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use tokio::sync::Notify;
 
 /// Least time between two messages that tell nothing but that a view has grown younger.
 const LEAST_APART_MS: Millis = 150;
 
-/// What is to be told, and wakes what tells it.
+/// What is to be told, and what was.
+#[derive(Debug, Default)]
+struct Due {
+    /// Whether the boxes of the own zone are to be told, at least.
+    is_due: bool,
+    /// Whether the others that follow the store are as well.
+    to_followers: bool,
+    /// When anybody was last told, in milliseconds.
+    told_at: Millis,
+    /// The revisions that were told then.
+    told: Vec<Option<Revision>>,
+}
+
+/// What is to be told of this box's view of the store.
 #[derive(Debug, Default)]
 pub(crate) struct Telling {
-    /// To the boxes of the own zone.
-    zone: AtomicBool,
-    /// To the others that follow the store.
-    followers: AtomicBool,
-    /// When the zone was last told, in milliseconds.
-    told_at: AtomicU64,
-    /// The sum of the revisions that the zone was last told.
-    told_revisions: AtomicU64,
-    pub(crate) due: Notify,
+    due: Mutex<Due>,
+    /// Wakes what tells it.
+    pub(crate) wake: Notify,
+}
+
+impl Telling {
+    fn due(&self) -> MutexGuard<'_, Due> {
+        self.due.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 impl Context {
     /// The store has answered, to one that follows it.
     pub(crate) fn followed(&self) {
-        if self.duty() == StoreDuty::Confirms {
-            self.telling.followers.store(true, Ordering::Relaxed);
-        }
-        self.tell_zone();
+        self.tell(self.duty() == StoreDuty::Confirms);
     }
 
     /// The store has said what is missing from a view that had grown old.
     pub(crate) fn confirmed(&self) {
-        if self.duty() != StoreDuty::Hears {
-            self.telling.followers.store(true, Ordering::Relaxed);
-        }
-        self.tell_zone();
+        self.tell(self.duty() != StoreDuty::Hears);
     }
 
-    /// Tells the zone, unless it has just been told the same.
+    /// Tells the own zone.
     pub(crate) fn tell_zone(&self) {
-        let telling = &self.telling;
-        let told_at = telling.told_at.load(Ordering::Relaxed);
-        let is_news = telling.told_revisions.load(Ordering::Relaxed) != self.revisions();
-        if is_news || self.clock.now().saturating_sub(told_at) >= LEAST_APART_MS {
-            telling.zone.store(true, Ordering::Relaxed);
-            telling.due.notify_one();
-        }
+        self.tell(false);
     }
 
-    /// The message that is due, and whom it goes to.
+    fn tell(&self, to_followers: bool) {
+        let mut due = self.telling.due();
+        due.is_due = true;
+        due.to_followers |= to_followers;
+        drop(due);
+        self.telling.wake.notify_one();
+    }
+
+    /// The message that is due, if one is, and whom it goes to. News go at once; where there
+    /// is none, a message follows another after a while.
     pub(crate) fn take_telling(&self) -> Option<(SwimMessage, Vec<SocketAddr>)> {
-        let telling = &self.telling;
-        let to_zone = telling.zone.swap(false, Ordering::Relaxed);
-        let to_followers = telling.followers.swap(false, Ordering::Relaxed);
+        let mut due = self.telling.due();
+        if !due.is_due {
+            return None;
+        }
+        let now = self.clock.now();
+        let revisions = self.revisions();
+        if due.told == revisions && now.saturating_sub(due.told_at) < LEAST_APART_MS {
+            return None;
+        }
+        let to_followers = due.to_followers;
+        *due = Due {
+            is_due: false,
+            to_followers: false,
+            told_at: now,
+            told: revisions,
+        };
+        drop(due);
         let views = self.known_views();
         if views.is_empty() {
             return None;
         }
-        let mut receivers = Vec::new();
+        let mut receivers = self.neighbours();
         if to_followers {
-            receivers = self.watchers().others.clone();
-        }
-        if to_zone {
-            let revisions = self.revisions();
-            telling.told_at.store(self.clock.now(), Ordering::Relaxed);
-            telling.told_revisions.store(revisions, Ordering::Relaxed);
-            receivers.extend(self.neighbours());
+            receivers.extend(&self.watchers().others);
             receivers.sort_unstable();
             receivers.dedup();
         }
@@ -82,8 +100,7 @@
 
     /// Takes how much another box knows.
     pub(crate) fn hear_known(&self, id: &BoxId, views: &[KnownView]) {
-        let zone = self.zone_of(id);
-        let Some(zone) = zone else {
+        let Some(zone) = self.zone_of(id) else {
             return;
         };
         let mut is_younger = false;
@@ -136,12 +153,9 @@
         SCOPES.into_iter().filter_map(view).collect()
     }
 
-    /// Both revisions in one number, which changes when either does: they only grow.
-    fn revisions(&self) -> u64 {
+    fn revisions(&self) -> Vec<Option<Revision>> {
         let fleet = self.fleet();
-        let revision = |scope| fleet.newest(scope).unwrap_or_default();
-        let sum = |sum: u64, Revision(revision)| sum.wrapping_add(revision);
-        SCOPES.into_iter().map(revision).fold(0, sum)
+        SCOPES.iter().map(|scope| fleet.newest(*scope)).collect()
     }
 
     fn zone_of(&self, id: &BoxId) -> Option<Zone> {
