--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -6,7 +6,6 @@
 use crate::dialect::Dialect;
 use crate::figures::Figures;
 use crate::follow::Following;
-use crate::refresh::ViewLimits;
 use crate::settings::EdgeSettings;
 use crate::store::StoreFailure;
 use crate::telling::Telling;
@@ -14,7 +13,7 @@
 use brasswinch_observe::{Event, emit};
 use brasswinch_routing::{
     Backend, DemandSample, FleetState, Liveness, MemberState, Placement, PlacementSettings,
-    RouteTable, Scope, SteeringConfig, StoreDuty, Swim, Watchers, WeightedSplit,
+    RouteTable, Scope, SteeringConfig, StoreDuty, Swim, ViewLimits, Watchers, WeightedSplit,
 };
 use brasswinch_types::{Millis, Service, UpstreamId};
 use std::collections::HashMap;
--- a/crates/edge/src/refresh.rs
+++ b/crates/edge/src/refresh.rs
@@ -3,7 +3,8 @@
 //! Boxes hear of changes from those that follow the store, by many steps, each of which may
 //! fail or take long: others may be dead, frozen, cut off, or a connection silent. So each
 //! box knows as of when its view is whole, and asks the store itself before the view is so
-//! old that a bound on what was written could be broken. [`ViewLimits`] has the sum.
+//! old that a bound on what was written could be broken:
+//! [`ViewLimits`](brasswinch_routing::ViewLimits) has the sum.
 
 use crate::context::Context;
 use crate::follow::{FIRST_PAUSE, Following, longest_pause};
@@ -16,64 +17,9 @@
 use std::time::Duration;
 use tokio::time::sleep;
 
-/// Part of the shortest bound that a view may be old before its box asks the store. What is
-/// left has to do for the call (two ways and an answer, 0.1 s), and for a request on its way
-/// to an upstream (a new connection over 35 ms takes 0.1 s): 0.8 s of 2.
-const OLDEST_PART: f64 = 0.6;
-
-/// Shortest age, in milliseconds, at which a box asks, however short the bounds: the store
-/// is not to be asked without a pause.
-const LEAST_OLDEST_MS: f64 = 500.0;
-
-/// Of that, the part after which the box that confirms for all asks again. Everybody has
-/// what it learns a tenth of a second later: 0.08 of the whole at 1.2 s.
-const CONFIRM_PART: f64 = 0.6;
-
-/// The same for the others that follow the store, where nothing was confirmed to them.
-const FOLLOWERS_PART: f64 = 0.8;
-
-/// The same for all others: drawn from here to the whole, so that one of them asks first
-/// and tells the others.
-const OTHERS_PART: f64 = 0.9;
-
 /// Between two looks while nothing is known yet, or the store is being asked otherwise.
 const POLL: Duration = Duration::from_millis(100);
 
-/// How old a box lets its view of the store become.
-///
-/// What was written `t` ago is known, or the store is being asked, where `t` is over the
-/// oldest view allowed. With the longest a call takes where nothing is wrong, and the
-/// longest way of a request, it is in force in time while
-///
-/// `OLDEST_PART × bound + call + way ≤ bound`.
-///
-/// A box that can't ask serves on by what it knows.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct ViewLimits {
-    oldest_ms: f64,
-}
-
-impl ViewLimits {
-    /// `bound_s` is the shortest time in which anything written has to be in force.
-    pub(crate) fn new(bound_s: f64) -> Self {
-        let oldest_ms = bound_s * 1_000.0 * OLDEST_PART;
-        Self {
-            oldest_ms: oldest_ms.max(LEAST_OLDEST_MS),
-        }
-    }
-
-    /// The age, in milliseconds, at which a box with this duty asks the store; `random` is
-    /// drawn from 0 to 1.
-    fn limit_ms(&self, duty: StoreDuty, random: f64) -> Millis {
-        let part = match duty {
-            StoreDuty::Confirms => CONFIRM_PART,
-            StoreDuty::Follows => FOLLOWERS_PART,
-            StoreDuty::Hears => OTHERS_PART + (1.0 - OTHERS_PART) * random,
-        };
-        (self.oldest_ms * part) as Millis
-    }
-}
-
 /// Keeps the view of `scope` young for as long as the process runs.
 pub(crate) async fn keep_young<S: FleetStore>(context: Arc<Context>, store: Arc<S>, scope: Scope) {
     let mut pause = FIRST_PAUSE;
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -20,6 +20,7 @@
 mod swim;
 mod upstream;
 mod upstream_load;
+mod view_limits;
 mod watchers;
 
 pub use change::{Change, ChangeKey, Revised, Revision, Scope, Snapshot};
@@ -45,4 +46,5 @@
 };
 pub use upstream::{UpstreamRecord, UpstreamState};
 pub use upstream_load::{LoadReport, UpstreamLoad};
+pub use view_limits::ViewLimits;
 pub use watchers::{StoreDuty, Watchers, watches_store};
