--- a/crates/routing/tests/bound.rs
+++ b/crates/routing/tests/bound.rs
@@ -1,6 +1,6 @@
 //! A model of how news of the store spread, in made-up time: boxes die, start again and
 //! freeze, what they tell each other is lost or late, and upstreams leave, alone or many at
-//! once, and come back. The parts that decide are the real ones; a seed draws everything else.
+//! once, and come back; the store forgets its history now and then. The parts that decide are the real ones; a seed draws everything else.
 //!
 //! Checked all the while: a box that nothing has befallen lately chooses no upstream that
 //! would still get the request after the bound. In the end every box knows all.
@@ -183,7 +183,7 @@
     }
 
     fn upstreams_change(&mut self) {
-        if self.chance(2.0) {
+        if self.chance(8.0) {
             let id = self.ids.choose(&mut self.rng).unwrap().clone();
             self.store.leave(&id, self.now);
         }
@@ -194,8 +194,8 @@
                 }
             }
         }
-        if self.chance(1.5)
-            && let Some(id) = self.store.left.keys().next().cloned()
+        if self.chance(10.0)
+            && let Some(id) = self.one_that_left()
         {
             self.store.left.remove(&id);
             let number = self.ids.iter().position(|other| *other == id).unwrap();
@@ -205,9 +205,14 @@
         }
     }
 
+    fn one_that_left(&mut self) -> Option<UpstreamId> {
+        let left: Vec<&UpstreamId> = self.store.left.keys().collect();
+        left.choose(&mut self.rng).map(|id| (*id).clone())
+    }
+
     fn boxes_fail(&mut self) {
         for number in 0..BOXES {
-            if self.boxes[number].out_until > self.now || !self.chance(0.12) {
+            if self.boxes[number].out_until > self.now || !self.chance(0.3) {
                 continue;
             }
             let for_ms = self.rng.random_range(300..2_500);
@@ -326,11 +331,12 @@
             return;
         }
         let arrives = self.now + self.rng.random_range(5..CALL_MS);
+        let is_history_gone = self.rng.random_bool(0.2);
         let answer = match it.fleet.asked_to(SCOPE) {
-            Some(after) => {
+            Some(after) if !is_history_gone => {
                 Message::Changes(self.store.later_than(after), self.store.at(), self.now)
             }
-            None => Message::Listing(self.store.listing(), self.now),
+            _ => Message::Listing(self.store.listing(), self.now),
         };
         let random = self.rng.random();
         let it = &mut self.boxes[number];
