--- a/crates/edge/tests/bad_input.rs
+++ b/crates/edge/tests/bad_input.rs
@@ -89,3 +89,40 @@
         assert_eq!(answer.status, 200, "{ages}");
     }
 }
+
+/// A view whose age is a span from 0 up is understood; one that says anything else is not,
+/// and the box that hears it says so and takes nothing of it.
+#[test]
+fn a_view_whose_age_is_no_span_is_not_understood() {
+    use ciborium::Value;
+    let known = |age: Value| {
+        let text = |text: &str| Value::Text(text.into());
+        let view = Value::Map(vec![
+            (text("s"), text("Upstreams")),
+            (text("r"), Value::from(7)),
+            (text("a"), Value::from(7)),
+            (text("o"), age),
+        ]);
+        let fields = vec![
+            (text("i"), text("box-1")),
+            (text("v"), Value::Array(vec![view])),
+        ];
+        let message = Value::Map(vec![(text("Known"), Value::Map(fields))]);
+        let mut datagram = Vec::new();
+        ciborium::into_writer(&message, &mut datagram).unwrap();
+        ciborium::from_reader::<brasswinch_routing::SwimMessage, _>(&datagram[..])
+    };
+    assert!(known(Value::from(0)).is_ok());
+    assert!(known(Value::from(4_000)).is_ok());
+    let no_spans = [
+        Value::from(-1),
+        Value::from(u64::from(u32::MAX) + 1),
+        Value::Float(f64::NAN),
+        Value::Float(1e300),
+        Value::Text("400".into()),
+        Value::Null,
+    ];
+    for age in no_spans {
+        assert!(known(age.clone()).is_err(), "{age:?}");
+    }
+}
