--- a/crates/cli/src/commands/status.rs
+++ b/crates/cli/src/commands/status.rs
@@ -1,4 +1,4 @@
-//! `brasswinch status`: what a box is doing.
+//! `brasswinch status`: what a box is doing, or what it believes.
 
 use crate::operator::{self, Connection};
 use argh::FromArgs;
@@ -11,7 +11,12 @@
 pub(crate) struct StatusCommand {
     /// administration address of any box
     #[argh(option)]
-    admin: SocketAddr,
+    admin: Option<SocketAddr>,
+
+    /// address of a box's figures on the users' platform, instead of --admin: what that
+    /// box believes
+    #[argh(option)]
+    figures: Option<SocketAddr>,
 
     /// text or json
     #[argh(option, default = "String::from(\"text\")")]
@@ -20,6 +25,15 @@
 
 /// Carries the command out and gives its exit code.
 pub(crate) async fn run(command: StatusCommand) -> Result<u8, LabError> {
-    let connection = Connection::new(command.admin)?;
-    operator::status(&connection, command.output == "json").await
+    let as_json = command.output == "json";
+    match (command.admin, command.figures) {
+        (Some(admin), None) => {
+            let connection = Connection::new(admin)?;
+            operator::status(&connection, as_json).await
+        }
+        (None, Some(figures)) => operator::box_status(figures, as_json).await,
+        _ => Err(LabError::Answer(
+            "give either --admin or --figures".to_owned(),
+        )),
+    }
 }
--- a/crates/cli/src/operator.rs
+++ b/crates/cli/src/operator.rs
@@ -2,6 +2,7 @@
 
 use crate::commands::{EXIT_FAILED, EXIT_OK, EXIT_SUPERSEDED, EXIT_UNKNOWN, EXIT_WRONG};
 use brasswinch_daemon::{PolicyView, StatusView, SubmitAnswer, SubmitOutcome};
+use brasswinch_edge::BoxStatus;
 use brasswinch_lab::callers::{Caller, Job, Tally, open_load};
 use brasswinch_lab::http::{LabClient, LabError, decode};
 use serde_json::json;
@@ -169,6 +170,18 @@
     Ok(EXIT_OK)
 }
 
+/// `status` of a box on the users' platform, from its figures' address.
+pub(crate) async fn box_status(figures: SocketAddr, as_json: bool) -> Result<u8, LabError> {
+    let client = LabClient::default();
+    let status: BoxStatus = client.get(figures, "/status", None).await?;
+    if as_json {
+        println!("{:#}", json!(status));
+    } else {
+        print!("{status}");
+    }
+    Ok(EXIT_OK)
+}
+
 /// `status`.
 pub(crate) async fn status(connection: &Connection, as_json: bool) -> Result<u8, LabError> {
     let status = connection.status().await?;
--- a/crates/edge/src/budgets.rs
+++ b/crates/edge/src/budgets.rs
@@ -1,6 +1,7 @@
 //! The budgets of repeats, one for each service, that all boxes spend from.
 
 use crate::context::Context;
+use crate::status::RepeatsLeft;
 use brasswinch_routing::{RetryBudget, RetryBudgetSettings};
 use brasswinch_types::{Millis, Service};
 use std::collections::HashMap;
@@ -25,6 +26,20 @@
         self.with_budget(service, |budget| budget.spend(boxes, now))
     }
 
+    /// What is left of each service's budget, by the services' names.
+    pub(crate) fn repeats_left(&self) -> Vec<RepeatsLeft> {
+        let (boxes, now) = (self.sharing_boxes(), self.clock.now());
+        let budgets = self.budgets.by_service.lock();
+        let budgets = budgets.unwrap_or_else(PoisonError::into_inner);
+        let left = |(service, budget): (&Service, &RetryBudget)| RepeatsLeft {
+            service: service.clone(),
+            left: budget.left(boxes, now).max(0.0),
+        };
+        let mut all: Vec<RepeatsLeft> = budgets.iter().map(left).collect();
+        all.sort_by(|a, b| a.service.cmp(&b.service));
+        all
+    }
+
     fn with_budget<T>(&self, service: &Service, change: impl FnOnce(&mut RetryBudget) -> T) -> T {
         let bounds = &self.settings.bounds;
         let budgets = self.budgets.by_service.lock();
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -16,6 +16,7 @@
     RouteTable, Scope, SteeringConfig, StoreDuty, Swim, ViewLimits, Watchers, WeightedSplit,
 };
 use brasswinch_types::{Millis, Service, UpstreamId};
+use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::fmt;
 use std::net::SocketAddr;
@@ -43,8 +44,8 @@
 }
 
 /// How far the box is on its way from start to stop.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) enum Lifecycle {
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Lifecycle {
     /// It doesn't know enough to serve.
     Starting,
     /// It serves.
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -27,13 +27,15 @@
 mod server;
 mod settings;
 mod start;
+mod status;
 mod store;
 mod store_news;
 mod telling;
 
-pub use context::Context;
+pub use context::{Context, Lifecycle};
 pub use dialect::Dialect;
 pub use look_up::DirectoryAnswer;
 pub use settings::{EdgeAddresses, EdgeSettings, FleetBounds};
 pub use start::{EdgeError, EdgeHandle, start};
+pub use status::{BoxStatus, RepeatsLeft, ViewStatus};
 pub use store::{Begun, BoxRegistry, FleetStore, LeaseId, Registration, StoreFailure, Watched};
--- a/crates/routing/src/placement/mod.rs
+++ b/crates/routing/src/placement/mod.rs
@@ -17,6 +17,7 @@
 mod lost_entries;
 mod service_upstreams;
 mod spill;
+mod status;
 mod warming;
 
 use crate::demand::AveragedDemand;
@@ -30,6 +31,7 @@
 use entry::Entry;
 use lost_entries::Losses;
 use service_upstreams::ServiceUpstreams;
+pub use status::{KeptUpstream, ServiceStatus};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use warming::Warming;
--- a/crates/routing/src/retry_budget.rs
+++ b/crates/routing/src/retry_budget.rs
@@ -52,6 +52,15 @@
     /// Takes one repeat out, if one is left. `boxes` is the most boxes that may be
     /// spending at the same time.
     pub fn spend(&mut self, boxes: usize, now: Millis) -> bool {
+        if self.left(boxes, now) < 1.0 {
+            return false;
+        }
+        self.bucket(now).repeats += 1;
+        true
+    }
+
+    /// Repeats that are left; below 0 where the window's requests have become fewer.
+    pub fn left(&self, boxes: usize, now: Millis) -> f64 {
         let newest = now / BUCKET_MS;
         let oldest = newest.saturating_sub(self.buckets.len() as u64 - 1);
         let in_window = self.buckets.iter().filter(|bucket| bucket.index >= oldest);
@@ -60,11 +69,7 @@
         });
         let extra = self.settings.extra / boxes.max(1) as f64;
         let allowed = (self.settings.ratio * f64::from(requests) + extra) * USED_PART;
-        if f64::from(repeats + 1) > allowed {
-            return false;
-        }
-        self.bucket(now).repeats += 1;
-        true
+        allowed - f64::from(repeats)
     }
 
     fn bucket(&mut self, now: Millis) -> &mut Bucket {
--- a/crates/routing/src/watchers.rs
+++ b/crates/routing/src/watchers.rs
@@ -8,6 +8,7 @@
 use crate::rendezvous::{object_hash, weighted_score};
 use crate::swim::{Liveness, MemberRecord, MemberState, Swim};
 use brasswinch_types::BoxId;
+use serde::{Deserialize, Serialize};
 use std::cmp::Ordering;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -16,7 +17,7 @@
 const LEAST_WATCHERS: usize = 4;
 
 /// What a box does to know of the store's changes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StoreDuty {
     /// Follows the store, and confirms to the others that follow it that they miss nothing.
     Confirms,
