--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -5,15 +5,14 @@
 use crate::connections::ConnectionPool;
 use crate::dialect::Dialect;
 use crate::figures::Figures;
-use crate::follow::Following;
 use crate::settings::EdgeSettings;
-use crate::store::StoreFailure;
 use crate::telling::Telling;
+use crate::watching::Watching;
 use arc_swap::ArcSwapOption;
 use brasswinch_observe::{Event, emit};
 use brasswinch_routing::{
     Backend, DemandSample, FleetState, Liveness, MemberState, Placement, PlacementSettings,
-    RouteTable, Scope, SteeringConfig, StoreDuty, Swim, ViewLimits, Watchers, WeightedSplit,
+    RouteTable, Scope, SteeringConfig, StoreDuty, Swim, ViewLimits, WeightedSplit,
 };
 use brasswinch_types::{Millis, Service, UpstreamId};
 use serde::{Deserialize, Serialize};
@@ -77,22 +76,6 @@
     }
 }
 
-/// How each scope is being followed.
-#[derive(Debug, Default)]
-struct FollowingScopes {
-    operator: Following,
-    upstreams: Following,
-}
-
-impl FollowingScopes {
-    fn of(&mut self, scope: Scope) -> &mut Following {
-        match scope {
-            Scope::Operator => &mut self.operator,
-            Scope::Upstreams => &mut self.upstreams,
-        }
-    }
-}
-
 /// Shared by all parts of one box.
 pub struct Context {
     pub(crate) settings: EdgeSettings,
@@ -113,12 +96,10 @@
     pub(crate) telling: Telling,
     /// How old that view may become.
     pub(crate) view_limits: ViewLimits,
-    following: Mutex<FollowingScopes>,
+    pub(crate) watching: Watching,
     /// This box has something new to tell.
     pub(crate) has_news: Notify,
     lifecycle: watch::Sender<Lifecycle>,
-    watches_store: watch::Sender<bool>,
-    watchers: Mutex<Arc<Watchers>>,
     fleet: Mutex<FleetState>,
     placement: Mutex<Placement>,
     swim: Mutex<Swim>,
@@ -154,12 +135,10 @@
         });
         let bounds = &settings.bounds;
         let shortest_s = bounds.drain_s.min(bounds.config_apply_s);
-        let watchers = Watchers::of(&swim);
         Self {
             view_limits: ViewLimits::new(shortest_s),
-            watchers: Mutex::new(Arc::new(watchers)),
+            watching: Watching::new(&swim),
             telling: Telling::default(),
-            following: Mutex::default(),
             dialect,
             clock: Clock::new(),
             in_force: ArcSwapOption::empty(),
@@ -170,7 +149,6 @@
             requests: AtomicU64::new(0),
             heard: Heard::default(),
             has_news: Notify::new(),
-            watches_store: watch::Sender::new(true),
             lifecycle: watch::Sender::new(Lifecycle::Starting),
             fleet: Mutex::default(),
             placement: Mutex::new(placement),
@@ -252,17 +230,6 @@
         }
     }
 
-    /// Whether this box follows the store itself.
-    pub(crate) fn watches_store(&self) -> bool {
-        *self.watches_store.borrow()
-    }
-
-    /// Waits until this box is to follow the store itself.
-    pub(crate) async fn is_to_watch(&self) {
-        let mut changes = self.watches_store.subscribe();
-        let _ = changes.wait_for(|watches| *watches).await;
-    }
-
     /// Tells other boxes how far `scope` is known here, where that went on by news from
     /// `source`. Before it the view was `age_ms` old, in milliseconds.
     pub(crate) fn told(&self, scope: Scope, age_ms: Option<Millis>, source: &dyn fmt::Display) {
@@ -290,32 +257,6 @@
         self.swim().set_seeds(seeds);
     }
 
-    /// Takes whether the store answers.
-    pub(crate) fn set_reaches_store(&self, reaches_store: bool) {
-        self.swim().set_reaches_store(reaches_store);
-    }
-
-    /// How `scope` is being followed.
-    pub(crate) fn following(&self, scope: Scope) -> Following {
-        *lock(&self.following).of(scope)
-    }
-
-    pub(crate) fn set_following(&self, scope: Scope, following: Following) {
-        *lock(&self.following).of(scope) = following;
-    }
-
-    /// The store gave no answer. Where it is away or out of reach, it may lose entries of
-    /// upstreams that live.
-    pub(crate) fn store_failed(&self, error: &StoreFailure) {
-        if matches!(
-            error,
-            StoreFailure::Unavailable(_) | StoreFailure::NotWhole(_)
-        ) {
-            let now = self.clock.now();
-            self.fleet().store_failed(now);
-        }
-    }
-
     /// Tells placement which boxes serve and what their callers ask for.
     pub(crate) fn publish_members(&self) {
         let swim = self.swim();
@@ -338,28 +279,6 @@
         self.update_watching();
     }
 
-    /// Decides anew whether this box follows the store itself.
-    pub(crate) fn update_watching(&self) {
-        let watchers = Watchers::of(&self.swim());
-        let watches = watchers.duty != StoreDuty::Hears;
-        *lock(&self.watchers) = Arc::new(watchers);
-        self.watches_store.send_if_modified(|held| {
-            let is_new = *held != watches;
-            *held = watches;
-            is_new
-        });
-    }
-
-    /// The boxes that follow the store.
-    pub(crate) fn watchers(&self) -> Arc<Watchers> {
-        Arc::clone(&lock(&self.watchers))
-    }
-
-    /// What this box does to know of the store's changes.
-    pub(crate) fn duty(&self) -> StoreDuty {
-        self.watchers().duty
-    }
-
     /// Most boxes that may be spending shared budgets with this one.
     pub(crate) fn sharing_boxes(&self) -> usize {
         let known = self.placement().most_boxes();
--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -107,25 +107,29 @@
 
 /// Tells other boxes how much this one knows, where that is due.
 async fn tell(context: &Context, socket: &UdpSocket) {
-    let Some((message, receivers)) = context.take_telling() else {
-        return;
-    };
-    let mut datagram = Vec::with_capacity(128);
-    if ciborium::into_writer(&message, &mut datagram).is_ok() {
-        for to in receivers {
-            // Lost ones are expected; the next one says the same and more.
-            let _ = socket.send_to(&datagram, to).await;
-        }
+    if let Some((message, receivers)) = context.take_telling() {
+        send_to_all(socket, &message, &receivers).await;
     }
 }
 
 async fn send(socket: &UdpSocket, out: Vec<(SocketAddr, SwimMessage)>) {
     for (to, message) in out {
-        let mut datagram = Vec::with_capacity(512);
-        if ciborium::into_writer(&message, &mut datagram).is_ok() {
-            // Lost ones are expected; the protocol asks again.
-            let _ = socket.send_to(&datagram, to).await;
-        }
+        send_to_all(socket, &message, &[to]).await;
+    }
+}
+
+async fn send_to_all(socket: &UdpSocket, message: &SwimMessage, receivers: &[SocketAddr]) {
+    let mut datagram = Vec::with_capacity(512);
+    if let Err(error) = ciborium::into_writer(message, &mut datagram) {
+        emit(
+            Event::PeerMalformed,
+            format_args!("a message of this box can't be written: {error}"),
+        );
+        return;
+    }
+    for to in receivers {
+        // Lost ones are expected; the protocol asks again, and the next one says more.
+        let _ = socket.send_to(&datagram, to).await;
     }
 }
 
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -31,6 +31,7 @@
 mod store;
 mod store_news;
 mod telling;
+mod watching;
 
 pub use context::{Context, Lifecycle};
 pub use dialect::Dialect;
