--- a/crates/routing/tests/common/mod.rs
+++ b/crates/routing/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! Small fleets for tests of decisions.
 #![allow(dead_code, clippy::unwrap_used, clippy::expect_used)]
 
+pub mod recorded_store;
+
 use brasswinch_routing::{
     Backend, Change, Claim, ClientLimits, ConfigVersion, FleetState, Placement, PlacementSettings,
     Revised, Revision, Route, RouteKind, Scope, ServiceConfig, Snapshot, SteeringConfig,
--- a/crates/routing/tests/gaps.rs
+++ b/crates/routing/tests/gaps.rs
@@ -12,73 +12,22 @@
 
 mod common;
 
-use brasswinch_routing::{Change, ChangeKey, FleetState, Revised, Revision, Scope, Snapshot};
-use brasswinch_types::UpstreamId;
-use common::{revised, upstream};
+use brasswinch_routing::{FleetState, Scope};
+use common::recorded_store::{RecordedStore, names};
 use proptest::prelude::*;
-use std::collections::BTreeMap;
 
 /// Boxes that learn from the store and from each other.
 const BOXES: usize = 3;
 
-/// The store: all changes of upstreams, the first of revision 1.
-#[derive(Default)]
-struct Store {
-    history: Vec<Revised>,
+fn list(store: &RecordedStore, fleet: &mut FleetState) {
+    fleet.apply_snapshot(store.listing(), 1);
 }
 
-impl Store {
-    fn at(&self) -> Revision {
-        Revision(self.history.len() as u64)
-    }
-
-    fn write(&mut self, change: Change) {
-        let revision = self.at().0 + 1;
-        self.history.push(revised(revision, change));
-    }
-
-    fn add(&mut self, id: &str) {
-        self.write(Change::Upstream(upstream(id, "west-a", 1_000)));
-    }
-
-    fn remove(&mut self, id: &str) {
-        let id = UpstreamId::new(id);
-        self.write(Change::Gone(ChangeKey::Upstream(id)));
-    }
-
-    /// The entries as they stood at a revision.
-    fn entries(&self, at: Revision) -> BTreeMap<ChangeKey, Revised> {
-        let mut entries = BTreeMap::new();
-        for revised in self.history.iter().filter(|revised| revised.revision <= at) {
-            let key = revised.change.key();
-            if matches!(revised.change, Change::Gone(_)) {
-                entries.remove(&key);
-            } else {
-                entries.insert(key, revised.clone());
-            }
-        }
-        entries
-    }
-
-    fn names(&self, at: Revision) -> Vec<ChangeKey> {
-        self.entries(at).into_keys().collect()
-    }
-
-    fn list(&self, fleet: &mut FleetState) {
-        let at = self.at();
-        let entries = self.entries(at).into_values().collect();
-        let scope = Scope::Upstreams;
-        fleet.apply_snapshot(Snapshot { scope, at, entries }, 1);
-    }
-
-    fn watch(&self, fleet: &mut FleetState) {
-        let Some(after) = fleet.newest(Scope::Upstreams) else {
-            return self.list(fleet);
-        };
-        let later = self.history.iter();
-        let later = later.filter(|revised| revised.revision > after);
-        fleet.apply_changes(Scope::Upstreams, later.cloned().collect(), 1);
-    }
+fn watch(store: &RecordedStore, fleet: &mut FleetState) {
+    let Some(after) = fleet.newest(Scope::Upstreams) else {
+        return list(store, fleet);
+    };
+    fleet.apply_changes(Scope::Upstreams, store.later_than(after), 1);
 }
 
 fn ask(asker: &mut FleetState, asked: &FleetState) {
@@ -88,24 +37,19 @@
     }
 }
 
-fn names(fleet: &FleetState) -> Vec<ChangeKey> {
-    let ids = fleet.upstreams().map(|(record, _)| record.id.clone());
-    ids.map(ChangeKey::Upstream).collect()
-}
-
 #[test]
 fn a_box_that_listed_over_what_it_knew_hides_no_upstream_that_left() {
-    let mut store = Store::default();
-    store.add("old");
+    let mut store = RecordedStore::default();
+    store.add(1, "old");
     let (mut first, mut second) = (FleetState::default(), FleetState::default());
-    store.list(&mut first);
+    list(&store, &mut first);
     ask(&mut second, &first);
-    store.add("came-and-left");
-    store.watch(&mut first);
-    store.remove("came-and-left");
-    store.list(&mut second);
-    store.add("new");
-    store.watch(&mut second);
+    store.add(1, "came-and-left");
+    watch(&store, &mut first);
+    store.remove(1, "came-and-left");
+    list(&store, &mut second);
+    store.add(1, "new");
+    watch(&store, &mut second);
     ask(&mut first, &second);
     assert_eq!(first.newest(Scope::Upstreams), Some(store.at()));
     assert_eq!(names(&first), store.names(store.at()));
@@ -143,15 +87,15 @@
     fn what_a_box_knows_is_whole_up_to_its_revision(
         steps in proptest::collection::vec(step(), 1..60)
     ) {
-        let mut store = Store::default();
+        let mut store = RecordedStore::default();
         let mut boxes: Vec<FleetState> = (0..BOXES).map(|_| FleetState::default()).collect();
         for step in steps {
             match step {
-                Step::Add(id) => store.add(&format!("t{id}")),
-                Step::Remove(id) => store.remove(&format!("t{id}")),
+                Step::Add(id) => store.add(1, &format!("t{id}")),
+                Step::Remove(id) => store.remove(1, &format!("t{id}")),
                 Step::Restart(number) => boxes[number] = FleetState::default(),
-                Step::List(number) => store.list(&mut boxes[number]),
-                Step::Watch(number) => store.watch(&mut boxes[number]),
+                Step::List(number) => list(&store, &mut boxes[number]),
+                Step::Watch(number) => watch(&store, &mut boxes[number]),
                 Step::Ask(asker, asked) if asker != asked => {
                     let mut fleet = std::mem::take(&mut boxes[asker]);
                     ask(&mut fleet, &boxes[asked]);
--- a/crates/routing/tests/late_answers.rs
+++ b/crates/routing/tests/late_answers.rs
@@ -10,86 +10,19 @@
 mod common;
 
 use brasswinch_routing::{
-    CatchUp, Change, ChangeKey, Claim, FleetState, Revised, Revision, Scope, Snapshot,
+    CatchUp, ChangeKey, Claim, FleetState, Revised, Revision, Scope, Snapshot,
 };
-use brasswinch_types::UpstreamId;
-use common::{revised, upstream};
+use common::recorded_store::{RecordedStore, names};
 use proptest::prelude::*;
-use std::collections::BTreeMap;
 
 /// Boxes that learn from the store and from each other.
 const BOXES: usize = 3;
 
 const SCOPE: Scope = Scope::Upstreams;
 
-/// The store: all changes of upstreams, the first of revision 1, and when each was made.
-#[derive(Default)]
-struct Store {
-    history: Vec<(u64, Revised)>,
-}
-
-impl Store {
-    fn at(&self) -> Revision {
-        Revision(self.history.len() as u64)
-    }
-
-    /// The revision at a time.
-    fn at_time(&self, time: u64) -> Revision {
-        let earlier = self.history.iter().filter(|(made, _)| *made <= time);
-        Revision(earlier.count() as u64)
-    }
-
-    fn write(&mut self, time: u64, change: Change) {
-        let revision = self.at().0 + 1;
-        self.history.push((time, revised(revision, change)));
-    }
-
-    fn add(&mut self, time: u64, id: &str) {
-        self.write(time, Change::Upstream(upstream(id, "west-a", 1_000)));
-    }
-
-    fn remove(&mut self, time: u64, id: &str) {
-        let id = UpstreamId::new(id);
-        self.write(time, Change::Gone(ChangeKey::Upstream(id)));
-    }
-
-    /// The entries as they stood at a revision.
-    fn entries(&self, at: Revision) -> BTreeMap<ChangeKey, Revised> {
-        let mut entries = BTreeMap::new();
-        let known = self.history.iter().map(|(_, revised)| revised);
-        for revised in known.filter(|revised| revised.revision <= at) {
-            let key = revised.change.key();
-            if matches!(revised.change, Change::Gone(_)) {
-                entries.remove(&key);
-            } else {
-                entries.insert(key, revised.clone());
-            }
-        }
-        entries
-    }
-
-    fn listing(&self) -> Snapshot {
-        let at = self.at();
-        let entries = self.entries(at).into_values().collect();
-        let scope = SCOPE;
-        Snapshot { scope, at, entries }
-    }
-
-    fn later_than(&self, after: Revision) -> Vec<Revised> {
-        let known = self.history.iter().map(|(_, revised)| revised);
-        let later = known.filter(|revised| revised.revision > after);
-        later.cloned().collect()
-    }
-}
-
-fn names(fleet: &FleetState) -> Vec<ChangeKey> {
-    let ids = fleet.upstreams().map(|(record, _)| record.id.clone());
-    ids.map(ChangeKey::Upstream).collect()
-}
-
 #[test]
 fn an_older_account_that_comes_late_brings_nothing_back() {
-    let mut store = Store::default();
+    let mut store = RecordedStore::default();
     let (mut old, mut new) = (FleetState::default(), FleetState::default());
     store.add(1, "left");
     old.apply_snapshot(store.listing(), 1);
@@ -145,7 +78,7 @@
 #[derive(Default)]
 struct World {
     time: u64,
-    store: Store,
+    store: RecordedStore,
     boxes: [FleetState; BOXES],
     under_way: [Vec<Answer>; BOXES],
 }
@@ -250,8 +183,7 @@
                 let Some(newest) = fleet.newest(SCOPE) else {
                     continue;
                 };
-                let entries = world.store.entries(newest);
-                prop_assert_eq!(names(fleet), entries.into_keys().collect::<Vec<_>>());
+                prop_assert_eq!(names(fleet), world.store.names(newest));
                 if let Some(as_of) = fleet.whole_as_of(SCOPE) {
                     prop_assert!(newest >= world.store.at_time(as_of));
                 }
