--- a/crates/cli/src/commands/lab.rs
+++ b/crates/cli/src/commands/lab.rs
@@ -25,6 +25,7 @@
     Callers(LabCallers),
     Slopes(LabSlopes),
     Measure(LabMeasure),
+    Replay(LabReplay),
 }
 
 /// Run Kavach in small in one process, with load, a shift, a drain and a stop.
@@ -135,6 +136,23 @@
     json: bool,
 }
 
+/// Replay loads on the decisions of many boxes, without sockets; prints a line each.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "replay")]
+struct LabReplay {
+    /// replay only loads whose name starts so: calm, full, burst, callers-move, cold-zone
+    #[argh(positional, default = "String::new()")]
+    only: String,
+
+    /// sizes of the fleet, in boxes
+    #[argh(option, default = "String::from(\"30,100,300\")")]
+    boxes: String,
+
+    /// how many seeds of each
+    #[argh(option, default = "1")]
+    seeds: u64,
+}
+
 /// Carries the command out and gives its exit code.
 pub(crate) async fn run(command: LabCommand) -> Result<u8, LabError> {
     match command.command {
@@ -180,6 +198,16 @@
             brasswinch_lab::measure::run(&measure.only, measure.json).await?;
             Ok(EXIT_OK)
         }
+        LabSubcommand::Replay(replay) => {
+            let sizes = replay.boxes.split(',').map(|size| size.trim().parse());
+            let sizes: Result<Vec<usize>, _> = sizes.collect();
+            let Ok(sizes) = sizes else {
+                eprintln!("--boxes: not a list of numbers: {}", replay.boxes);
+                return Ok(EXIT_FAILED);
+            };
+            brasswinch_lab::replay::report(&replay.only, &sizes, replay.seeds);
+            Ok(EXIT_OK)
+        }
         LabSubcommand::Slopes(slopes) => {
             brasswinch_lab::slopes::run(&slopes.only, slopes.json, crate::allocated_bytes).await?;
             Ok(EXIT_OK)
--- /dev/null
+++ b/crates/edge/src/asking.rs
@@ -0,0 +1,252 @@
+//! Asks the keeper of an object's home before a request is sent, and tells it how that ended.
+//!
+//! One datagram each way, and one at the end. Nothing waits for a keeper for long and nothing
+//! is refused for lack of its answer: a box that hears none decides by what it knows itself.
+
+use crate::context::Context;
+use crate::datagram::Datagram;
+use brasswinch_observe::{Event, emit};
+use brasswinch_routing::{Advice, Ending, LoadReport, Question, UpstreamOutcome, Wanted};
+use brasswinch_types::{BoxId, Millis, UpstreamId};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::net::UdpSocket;
+use tokio::sync::oneshot;
+use tokio::time::{Instant, timeout};
+
+/// How long an answer is waited for. Boxes of a region are about 1 ms apart, there and back;
+/// the rest is for a busy processor. It is lost where the keeper is silent.
+const ANSWER_WAIT: Duration = Duration::from_millis(15);
+
+/// How long a keeper isn't asked after it left a question unanswered: it may be dead, and
+/// the membership needs a second or two to notice.
+const SILENT_FOR: Duration = Duration::from_millis(500);
+
+/// Most that an upstream's fullness can be believed to be, in multiples of its slots.
+const MOST_FULLNESS: f32 = 1_000.0;
+
+/// What this box has asked.
+#[derive(Debug)]
+pub(crate) struct Asking {
+    socket: Arc<UdpSocket>,
+    /// Who waits for an answer, by the question's number.
+    waiting: Mutex<HashMap<u64, oneshot::Sender<Advice>>>,
+    /// Keepers that didn't answer, and until when they aren't asked.
+    silent: Mutex<HashMap<BoxId, Instant>>,
+}
+
+impl Asking {
+    /// Asks from `socket`, whose datagrams the membership reads.
+    pub(crate) fn new(socket: Arc<UdpSocket>) -> Self {
+        Self {
+            socket,
+            waiting: Mutex::default(),
+            silent: Mutex::default(),
+        }
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// A question that was asked; tells the keeper how the request ended when it is dropped.
+pub(crate) struct Asked {
+    context: Arc<Context>,
+    /// Where the keeper is; `None` where it is this box.
+    keeper: Option<SocketAddr>,
+    ending: Ending,
+}
+
+impl Asked {
+    /// The request is sent to `upstream`.
+    pub(crate) fn sent_to(&mut self, upstream: &UpstreamId) {
+        self.ending.upstream = Some(upstream.clone());
+    }
+
+    /// The upstream told its load.
+    pub(crate) fn reported(&mut self, report: LoadReport) {
+        self.ending.report = Some(report);
+    }
+
+    /// How the request ended.
+    pub(crate) fn ended(&mut self, outcome: UpstreamOutcome) {
+        self.ending.outcome = outcome;
+    }
+}
+
+impl Drop for Asked {
+    fn drop(&mut self) {
+        match self.keeper {
+            None => self.context.hear_ending(&self.ending),
+            Some(keeper) => {
+                let ending = Datagram::Ending(self.ending.clone());
+                self.context.send_datagram(&ending, keeper);
+            }
+        }
+    }
+}
+
+/// Asks the keeper of the home of the object that `wanted` is about. Gives what has to be
+/// told at the end, and the answer if one came in time.
+pub(crate) async fn ask(
+    context: &Arc<Context>,
+    wanted: &Wanted<'_>,
+    left: Duration,
+) -> (Option<Asked>, Option<Advice>) {
+    let now = context.clock.now();
+    let left_ms = left.as_millis() as Millis;
+    let question = context
+        .placement()
+        .question(wanted, rand::random(), left_ms, now);
+    let Some((keeper, question)) = question else {
+        return (None, None);
+    };
+    let asked = |keeper| Asked {
+        context: Arc::clone(context),
+        keeper,
+        ending: Ending {
+            id: question.id,
+            service: question.service.clone(),
+            object: question.object,
+            upstream: None,
+            outcome: UpstreamOutcome::Abandoned,
+            report: None,
+        },
+    };
+    if keeper == context.settings.id {
+        let advice = context.placement().advise(&question, now);
+        return (Some(asked(None)), advice);
+    }
+    let Some(address) = context.peer_address(&keeper) else {
+        return (None, None);
+    };
+    if context.asking.is_silent(&keeper) {
+        // It may still learn what becomes of its upstreams' objects.
+        return (Some(asked(Some(address))), None);
+    }
+    let asked = asked(Some(address));
+    let advice = context.ask_other(&keeper, address, question).await;
+    (Some(asked), advice)
+}
+
+impl Asking {
+    fn is_silent(&self, keeper: &BoxId) -> bool {
+        let mut silent = lock(&self.silent);
+        silent.retain(|_, until| Instant::now() < *until);
+        silent.contains_key(keeper)
+    }
+
+    fn is_heard(&self, keeper: &BoxId) {
+        lock(&self.silent).remove(keeper);
+    }
+
+    fn was_silent(&self, keeper: &BoxId) {
+        let until = Instant::now() + SILENT_FOR;
+        lock(&self.silent).insert(keeper.clone(), until);
+    }
+
+    /// Waits for the answer to `question`.
+    fn wait(&self, question: u64) -> Waiting<'_> {
+        let (sender, answer) = oneshot::channel();
+        lock(&self.waiting).insert(question, sender);
+        Waiting {
+            asking: self,
+            question,
+            answer,
+        }
+    }
+
+    fn answered(&self, advice: Advice) {
+        // One that comes too late finds nobody.
+        if let Some(waiting) = lock(&self.waiting).remove(&advice.id) {
+            let _ = waiting.send(advice);
+        }
+    }
+}
+
+/// An answer that is waited for; given up when it is dropped.
+struct Waiting<'a> {
+    asking: &'a Asking,
+    question: u64,
+    answer: oneshot::Receiver<Advice>,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        lock(&self.asking.waiting).remove(&self.question);
+    }
+}
+
+impl Context {
+    async fn ask_other(
+        &self,
+        keeper: &BoxId,
+        address: SocketAddr,
+        question: Question,
+    ) -> Option<Advice> {
+        let mut waiting = self.asking.wait(question.id);
+        self.send_datagram(&Datagram::Question(question), address);
+        match timeout(ANSWER_WAIT, &mut waiting.answer).await {
+            Ok(Ok(advice)) => {
+                self.asking.is_heard(keeper);
+                Some(advice)
+            }
+            _ => {
+                self.asking.was_silent(keeper);
+                None
+            }
+        }
+    }
+
+    /// Answers another box's question.
+    pub(crate) fn hear_question(&self, question: &Question, from: SocketAddr) {
+        let now = self.clock.now();
+        let advice = self.placement().advise(question, now);
+        if let Some(advice) = advice {
+            self.send_datagram(&Datagram::Advice(advice), from);
+        }
+    }
+
+    /// Takes a keeper's answer.
+    pub(crate) fn hear_advice(&self, advice: Advice, from: SocketAddr) {
+        if !(0.0..=MOST_FULLNESS).contains(&advice.fullness) {
+            emit(
+                Event::PeerMalformed,
+                format_args!(
+                    "{from}: an upstream can't be {} times full",
+                    advice.fullness
+                ),
+            );
+            return;
+        }
+        self.asking.answered(advice);
+    }
+
+    /// Takes how a request ended that this box was asked about.
+    pub(crate) fn hear_ending(&self, ending: &Ending) {
+        let now = self.clock.now();
+        self.placement().ended_elsewhere(ending, now);
+    }
+
+    /// Sends one datagram, if it can be sent now.
+    fn send_datagram(&self, datagram: &Datagram, to: SocketAddr) {
+        let mut bytes = Vec::with_capacity(192);
+        if let Err(error) = ciborium::into_writer(datagram, &mut bytes) {
+            emit(
+                Event::PeerMalformed,
+                format_args!("a message of this box can't be written: {error}"),
+            );
+            return;
+        }
+        // A lost question is not waited for long, and a lost ending is forgotten in time.
+        let _ = self.asking.socket.try_send_to(&bytes, to);
+    }
+
+    fn peer_address(&self, id: &BoxId) -> Option<SocketAddr> {
+        let swim = self.swim();
+        swim.member(id).map(|member| member.record.peer_address)
+    }
+}
--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -1,5 +1,6 @@
 //! One try of a request at one upstream, and what is known of its end.
 
+use crate::asking::Asked;
 use crate::body::{AnyBody, BodyError, PassLimits, Passed, full, hold};
 use crate::connections::Connection;
 use crate::context::Context;
@@ -58,17 +59,30 @@
     TimeOver,
 }
 
+/// An upstream, and the question that it was chosen with.
+pub(crate) struct Chosen {
+    pub(crate) choice: Choice,
+    pub(crate) asked: Option<Asked>,
+}
+
 /// Counts the request at its upstream until it ends, whatever the way.
 pub(crate) struct Placed {
     context: Arc<Context>,
     choice: Choice,
+    /// The question that it was chosen with, to be ended with it.
+    asked: Option<Asked>,
     request_id: Option<HeaderValue>,
     outcome: UpstreamOutcome,
 }
 
 impl Placed {
-    pub(crate) fn new(context: &Arc<Context>, choice: Choice, headers: &HeaderMap) -> Self {
+    pub(crate) fn new(context: &Arc<Context>, chosen: Chosen, headers: &HeaderMap) -> Self {
+        let Chosen { choice, mut asked } = chosen;
+        if let Some(asked) = &mut asked {
+            asked.sent_to(&choice.upstream);
+        }
         Self {
+            asked,
             request_id: headers.get(&context.dialect.request_id).cloned(),
             context: Arc::clone(context),
             choice,
@@ -82,16 +96,20 @@
         let now = self.context.clock.now();
         let mut placement = self.context.placement();
         placement.ended(&self.choice, self.outcome, now);
+        drop(placement);
+        if let Some(asked) = &mut self.asked {
+            asked.ended(self.outcome);
+        }
     }
 }
 
 /// Sends a request to the chosen upstream and reads its answer.
 pub(crate) async fn attempt(
     context: &Arc<Context>,
-    choice: Choice,
+    chosen: Chosen,
     outgoing: Outgoing<'_>,
 ) -> AttemptEnd {
-    let mut placed = Placed::new(context, choice, &outgoing.parts.headers);
+    let mut placed = Placed::new(context, chosen, &outgoing.parts.headers);
     let longest_rest = if outgoing.is_repeatable {
         ANY_REST
     } else {
@@ -293,7 +311,7 @@
         }
     }
 
-    fn take_load(&self, headers: &HeaderMap) {
+    fn take_load(&mut self, headers: &HeaderMap) {
         let Some(value) = headers.get(&self.context.dialect.load) else {
             return;
         };
@@ -302,6 +320,9 @@
         };
         let now = self.context.clock.now();
         self.context.placement().reported(&self.choice, report, now);
+        if let Some(asked) = &mut self.asked {
+            asked.reported(report);
+        }
     }
 }
 
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -1,5 +1,6 @@
 //! The one value that is passed down: what every part of the box shares.
 
+use crate::asking::Asking;
 use crate::budgets::Budgets;
 use crate::clock::Clock;
 use crate::connections::ConnectionPool;
@@ -22,6 +23,7 @@
 use std::sync::atomic::{AtomicU64, AtomicUsize};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
+use tokio::net::UdpSocket;
 use tokio::sync::{Notify, watch};
 
 /// Boxes that each zone is taken to have before they are known, where budgets are shared.
@@ -101,6 +103,8 @@
     /// How old that view may become.
     pub(crate) view_limits: ViewLimits,
     pub(crate) watching: Watching,
+    /// What this box asks others before it sends a request.
+    pub(crate) asking: Asking,
     /// This box has something new to tell.
     pub(crate) has_news: Notify,
     lifecycle: watch::Sender<Lifecycle>,
@@ -127,7 +131,12 @@
 }
 
 impl Context {
-    pub(crate) fn new(settings: EdgeSettings, dialect: Dialect, swim: Swim) -> Self {
+    pub(crate) fn new(
+        settings: EdgeSettings,
+        dialect: Dialect,
+        swim: Swim,
+        socket: Arc<UdpSocket>,
+    ) -> Self {
         let heartbeat_ms = (settings.bounds.upstream_heartbeat_s * 1_000.0) as Millis;
         let placement = Placement::new(PlacementSettings {
             me: settings.id.clone(),
@@ -142,6 +151,7 @@
         Self {
             view_limits: ViewLimits::new(shortest_s),
             watching: Watching::new(&swim),
+            asking: Asking::new(socket),
             telling: Telling::default(),
             dialect,
             clock: Clock::new(),
@@ -271,14 +281,22 @@
             .map(|member| &member.record);
         let mut demand = DemandSample::default();
         let mut ids = Vec::new();
+        let mut keepers = Vec::new();
+        let region = self.settings.region();
         for record in others.chain([me]) {
             if let Some(region) = self.settings.zones.get(&record.zone) {
                 demand.add(region, record.requests_per_s);
             }
+            let is_near = self.settings.zones.get(&record.zone) == Some(&region);
+            if is_near && record.state == MemberState::Serving {
+                keepers.push(record.id.clone());
+            }
             ids.push(&record.id);
         }
-        self.placement()
-            .set_boxes(ids.into_iter(), demand.by_region());
+        let mut placement = self.placement();
+        placement.set_boxes(ids.into_iter(), demand.by_region());
+        placement.set_keepers(keepers);
+        drop(placement);
         drop(swim);
         self.update_watching();
     }
--- /dev/null
+++ b/crates/edge/src/datagram.rs
@@ -0,0 +1,21 @@
+//! What boxes send each other in datagrams, in CBOR.
+
+use brasswinch_routing::{Advice, Ending, Question, SwimMessage};
+use serde::{Deserialize, Serialize};
+
+/// One datagram.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Datagram {
+    /// Membership.
+    #[serde(rename = "s")]
+    Swim(SwimMessage),
+    /// Where should this request go?
+    #[serde(rename = "q")]
+    Question(Question),
+    /// There.
+    #[serde(rename = "a")]
+    Advice(Advice),
+    /// So it ended.
+    #[serde(rename = "e")]
+    Ending(Ending),
+}
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -4,14 +4,15 @@
 //! or it has an answer. The error that a client is told follows from that alone.
 
 use crate::answer::{error_answer, refusal};
-use crate::attempt::{AttemptEnd, Outgoing, OutgoingBody, attempt};
-use crate::body::{AnyBody, BodyError, Held, PassLimits, Passed, hold};
+use crate::asking;
+use crate::attempt::{AttemptEnd, Chosen, Outgoing, OutgoingBody, attempt};
+use crate::body::{AnyBody, BodyError, Held, PassLimits, Passed, hold, time_left};
 use crate::context::{Context, InForce};
 use crate::counted::{HeldBytes, InFlight};
 use crate::failure::{Decided, Failure, Tries};
 use crate::request::{RequestFacts, request_id};
 use brasswinch_observe::{Event, emit};
-use brasswinch_routing::{Choice, ConfigVersion, Refusal, Route, Wanted};
+use brasswinch_routing::{ConfigVersion, Refusal, Route, Wanted};
 use brasswinch_types::{ErrorKind, Ran, Service, UpstreamId};
 use http::request::Parts;
 use http::{Request, Response};
@@ -161,10 +162,11 @@
         let mut tries = Tries::new(&held);
         let mut body = Some(self.outgoing_body(held, in_force));
         loop {
-            let choice = self
+            let chosen = self
                 .next_upstream(&tries)
+                .await
                 .map_err(|failure| tries.truth(failure))?;
-            let decided = Decided::new(&choice);
+            let decided = Decided::new(&chosen.choice);
             tries.begin(decided.clone());
             let outgoing = Outgoing {
                 parts: self.parts,
@@ -175,7 +177,7 @@
                 answer_by: self.answer_by,
                 is_repeatable: self.route.kind.is_repeatable(),
             };
-            let kind = match attempt(self.context, choice, outgoing).await {
+            let kind = match attempt(self.context, chosen, outgoing).await {
                 AttemptEnd::Answer(answer) => {
                     let count = tries.upstreams.len();
                     self.report_served(&decided, answer.status().as_u16(), count);
@@ -199,14 +201,14 @@
     }
 
     /// The upstream of the next try, while there is time for one.
-    fn next_upstream(&self, tries: &Tries) -> Result<Choice, Failure> {
+    async fn next_upstream(&self, tries: &Tries) -> Result<Chosen, Failure> {
         if Instant::now() >= self.answer_by {
             return Err(ErrorKind::TimeoutBeforeSend.into());
         }
         if tries.unreachable >= MOST_UNREACHABLE {
             return Err(ErrorKind::NoUpstream.into());
         }
-        self.choose(&tries.upstreams)
+        self.choose(&tries.upstreams).await
     }
 
     /// Whether the request may be sent once more after a try that ended with `kind`.
@@ -247,7 +249,7 @@
         );
     }
 
-    fn choose(&self, tried: &[UpstreamId]) -> Result<Choice, Failure> {
+    async fn choose(&self, tried: &[UpstreamId]) -> Result<Chosen, Failure> {
         let wanted = Wanted {
             service: &self.service,
             object: self.facts.object,
@@ -255,9 +257,17 @@
             allowed_regions: &self.route.allowed_regions,
             tried,
         };
+        // A second try is rare, and its upstream is another than the keeper's.
+        let (asked, advice) = if tried.is_empty() {
+            asking::ask(self.context, &wanted, time_left(self.answer_by)).await
+        } else {
+            (None, None)
+        };
         let now = self.context.clock.now();
         let mut placement = self.context.placement();
-        let chosen = placement.choose(&wanted, rand::random(), now);
+        let chosen = placement.choose_advised(&wanted, advice.as_ref(), rand::random(), now);
+        drop(placement);
+        let chosen = chosen.map(|choice| Chosen { choice, asked });
         chosen.map_err(|refusal| match refusal {
             Refusal::NoUpstream => ErrorKind::NoUpstream.into(),
             Refusal::Busy {
--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -1,6 +1,7 @@
 //! Carries the membership protocol over datagrams, in CBOR.
 
 use crate::context::Context;
+use crate::datagram::Datagram;
 use brasswinch_observe::{Event, emit};
 use brasswinch_routing::{Liveness, SwimMessage};
 use brasswinch_types::{BoxId, Millis};
@@ -88,39 +89,40 @@
 }
 
 fn receive(context: &Context, datagram: &[u8], from: SocketAddr) -> Vec<(SocketAddr, SwimMessage)> {
-    match ciborium::from_reader::<SwimMessage, _>(datagram) {
-        Ok(message) => {
+    match ciborium::from_reader::<Datagram, _>(datagram) {
+        Ok(Datagram::Question(question)) => context.hear_question(&question, from),
+        Ok(Datagram::Advice(advice)) => context.hear_advice(advice, from),
+        Ok(Datagram::Ending(ending)) => context.hear_ending(&ending),
+        Ok(Datagram::Swim(message)) => {
             if let SwimMessage::Known { id, views } = &message {
                 context.hear_known(id, views);
             }
             let now = context.clock.now();
             let out = context.swim().receive(from, message, now, &mut rand::rng());
             context.heard.notify();
-            out
-        }
-        Err(error) => {
-            emit(Event::PeerMalformed, format_args!("{from}: {error}"));
-            Vec::new()
+            return out;
         }
+        Err(error) => emit(Event::PeerMalformed, format_args!("{from}: {error}")),
     }
+    Vec::new()
 }
 
 /// Tells other boxes how much this one knows, where that is due.
 async fn tell(context: &Context, socket: &UdpSocket) {
     if let Some((message, receivers)) = context.take_telling() {
-        send_to_all(socket, &message, &receivers).await;
+        send_to_all(socket, message, &receivers).await;
     }
 }
 
 async fn send(socket: &UdpSocket, out: Vec<(SocketAddr, SwimMessage)>) {
     for (to, message) in out {
-        send_to_all(socket, &message, &[to]).await;
+        send_to_all(socket, message, &[to]).await;
     }
 }
 
-async fn send_to_all(socket: &UdpSocket, message: &SwimMessage, receivers: &[SocketAddr]) {
+async fn send_to_all(socket: &UdpSocket, message: SwimMessage, receivers: &[SocketAddr]) {
     let mut datagram = Vec::with_capacity(512);
-    if let Err(error) = ciborium::into_writer(message, &mut datagram) {
+    if let Err(error) = ciborium::into_writer(&Datagram::Swim(message), &mut datagram) {
         emit(
             Event::PeerMalformed,
             format_args!("a message of this box can't be written: {error}"),
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -5,6 +5,7 @@
 //! names of headers ([`Dialect`]) and the store ([`FleetStore`]).
 
 mod answer;
+mod asking;
 mod attempt;
 mod body;
 mod budgets;
@@ -13,6 +14,7 @@
 mod connections;
 mod context;
 mod counted;
+mod datagram;
 mod dialect;
 mod exchange;
 mod failure;
@@ -34,6 +36,7 @@
 mod watching;
 
 pub use context::{Context, Lifecycle};
+pub use datagram::Datagram;
 pub use dialect::Dialect;
 pub use look_up::DirectoryAnswer;
 pub use settings::{EdgeAddresses, EdgeSettings, FleetBounds};
--- a/crates/edge/src/start.rs
+++ b/crates/edge/src/start.rs
@@ -73,7 +73,7 @@
         settings.seeds.clone(),
         SwimSettings::default(),
     );
-    let context = Arc::new(Context::new(settings, dialect, swim));
+    let context = Arc::new(Context::new(settings, dialect, swim, Arc::clone(&socket)));
     emit(Event::Started, format_args!("{}", addresses.clients));
     let store = Arc::new(store);
     for scope in SCOPES {
--- a/crates/edge/tests/common/know_all.rs
+++ b/crates/edge/tests/common/know_all.rs
@@ -1,5 +1,6 @@
 //! A member that says that it knows more than anybody.
 
+use brasswinch_edge::Datagram;
 use brasswinch_routing::{MemberRecord, MemberState, Revision, Swim, SwimSettings};
 use brasswinch_types::{BoxId, Zone};
 use std::net::SocketAddr;
@@ -41,15 +42,15 @@
     loop {
         let now = began.elapsed().as_millis() as u64 + 1;
         let out = match tokio::time::timeout(TICK, socket.recv_from(&mut buffer)).await {
-            Ok(Ok((length, from))) => {
-                let message = ciborium::from_reader(&buffer[..length]).unwrap();
-                swim.receive(from, message, now, &mut rand::rng())
-            }
+            Ok(Ok((length, from))) => match ciborium::from_reader(&buffer[..length]).unwrap() {
+                Datagram::Swim(message) => swim.receive(from, message, now, &mut rand::rng()),
+                _ => Vec::new(),
+            },
             _ => swim.tick(now, &mut rand::rng()),
         };
         for (to, message) in out {
             let mut datagram = Vec::new();
-            ciborium::into_writer(&message, &mut datagram).unwrap();
+            ciborium::into_writer(&Datagram::Swim(message), &mut datagram).unwrap();
             let _ = socket.send_to(&datagram, to).await;
         }
     }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod measure;
 pub mod memory_store;
 pub mod platform;
+pub mod replay;
 pub mod routed_upstream;
 pub mod slopes;
 pub mod upstream;
--- /dev/null
+++ b/crates/lab/src/replay/pattern.rs
@@ -0,0 +1,151 @@
+//! Loads that are replayed.
+
+/// A region of the modelled fleet: its zones, its part of the callers and of the upstreams.
+#[derive(Clone, Copy, Debug)]
+pub struct RegionShape {
+    /// The region.
+    pub name: &'static str,
+    /// Its part of the upstreams, of 1.
+    pub upstreams: f64,
+}
+
+/// Three regions that ask alike: a third of the callers lives next to a tenth of the
+/// upstreams.
+pub const REGIONS: [RegionShape; 3] = [
+    RegionShape {
+        name: "west",
+        upstreams: 0.1,
+    },
+    RegionShape {
+        name: "north",
+        upstreams: 0.41,
+    },
+    RegionShape {
+        name: "south",
+        upstreams: 0.49,
+    },
+];
+
+/// Zones of each region.
+pub(super) const ZONES: usize = 3;
+
+/// Something that befalls the fleet. Times are in seconds from the first request.
+#[derive(Clone, Copy, Debug)]
+pub enum Disturbance {
+    /// Callers everywhere ask `factor` times as often.
+    Burst {
+        /// From when.
+        at_s: f64,
+        /// How long.
+        for_s: f64,
+        /// How often.
+        factor: f64,
+    },
+    /// A part of one region's callers ask from another region's boxes.
+    CallersMove {
+        /// From when.
+        at_s: f64,
+        /// How long.
+        for_s: f64,
+        /// Their part.
+        part: f64,
+        /// From which of [`REGIONS`].
+        from: usize,
+        /// To which.
+        to: usize,
+    },
+    /// Boxes are started again, one after the other, and have forgotten what they knew.
+    BoxesRestart {
+        /// From when.
+        at_s: f64,
+        /// How long until the last one.
+        for_s: f64,
+        /// Their part.
+        part: f64,
+    },
+    /// The upstreams of a region's first zone are started again: cold, knowing no object.
+    ColdZone {
+        /// When.
+        at_s: f64,
+        /// In which of [`REGIONS`].
+        region: usize,
+    },
+}
+
+/// A load and the fleet that it falls on.
+#[derive(Clone, Debug)]
+pub struct LoadPattern {
+    /// Its name.
+    pub name: &'static str,
+    /// Boxes, in all.
+    pub boxes: usize,
+    /// Upstreams, in all.
+    pub upstreams: usize,
+    /// Requests a second for each upstream.
+    pub per_upstream: f64,
+    /// Objects for each upstream.
+    pub objects_per_upstream: f64,
+    /// How long callers ask, in seconds.
+    pub length_s: f64,
+    /// What befalls the fleet.
+    pub disturbances: Vec<Disturbance>,
+}
+
+impl LoadPattern {
+    /// The same load for each upstream, on a fleet of another size.
+    pub fn with_boxes(&self, boxes: usize) -> Self {
+        Self {
+            boxes,
+            upstreams: boxes * 2,
+            ..self.clone()
+        }
+    }
+}
+
+/// The loads that decisions are compared on, for a fleet of `boxes`.
+pub fn patterns(boxes: usize) -> Vec<LoadPattern> {
+    let calm = LoadPattern {
+        name: "calm",
+        boxes,
+        upstreams: boxes * 2,
+        per_upstream: 3.0,
+        objects_per_upstream: 10.0,
+        length_s: 20.0,
+        disturbances: Vec::new(),
+    };
+    let with = |name, per_upstream, disturbances| LoadPattern {
+        name,
+        per_upstream,
+        disturbances,
+        ..calm.clone()
+    };
+    let burst = Disturbance::Burst {
+        at_s: 8.0,
+        for_s: 3.0,
+        factor: 1.7,
+    };
+    let callers_move = Disturbance::CallersMove {
+        at_s: 8.0,
+        for_s: 6.0,
+        part: 0.8,
+        from: 1,
+        to: 0,
+    };
+    let cold_zone = Disturbance::ColdZone {
+        at_s: 8.0,
+        region: 2,
+    };
+    let restart = Disturbance::BoxesRestart {
+        at_s: 6.0,
+        for_s: 8.0,
+        part: 1.0,
+    };
+    vec![
+        calm.clone(),
+        with("full", 4.8, vec![]),
+        with("burst", 4.0, vec![burst]),
+        with("callers-move", 4.0, vec![callers_move]),
+        with("cold-zone", 4.0, vec![cold_zone]),
+        with("restarts", 4.0, vec![restart]),
+    ]
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -34,8 +34,8 @@
 pub use fleet_state::{CatchUp, Claim, FleetState, LostEntry, PatchMismatch};
 pub use news_source::{Candidate, Distance, NewsSources};
 pub use placement::{
-    Basis, Choice, Home, HomeState, KeptUpstream, Placement, PlacementSettings, Refusal,
-    ServiceStatus, UpstreamOutcome, Wanted,
+    Advice, Basis, Choice, Ending, Home, HomeState, KeptUpstream, Placement, PlacementSettings,
+    Question, Refusal, ServiceStatus, UpstreamOutcome, Wanted,
 };
 pub use region_plan::{RegionPlan, RegionRoom};
 pub use rendezvous::{object_hash, weighted_score};
--- a/crates/routing/src/placement/entry.rs
+++ b/crates/routing/src/placement/entry.rs
@@ -1,5 +1,6 @@
 //! One upstream as placement holds it.
 
+use super::shared_load::SharedLoad;
 use crate::cold_pacing::ColdPacing;
 use crate::upstream::{UpstreamRecord, UpstreamState};
 use crate::upstream_load::UpstreamLoad;
@@ -40,6 +41,10 @@
     pub(super) pacing: ColdPacing,
     /// Objects that it served lately for this box, newest last.
     pub(super) served: VecDeque<u64>,
+    /// Whether this box counts its requests for all boxes of the region.
+    pub(super) is_kept: bool,
+    /// The count, where other boxes asked for it.
+    pub(super) shared: SharedLoad,
 }
 
 impl Entry {
@@ -82,6 +87,16 @@
         now < self.cold_until
     }
 
+    /// Whether this box counts its requests for others, or did so lately.
+    pub(super) fn is_counted(&self) -> bool {
+        self.is_kept || self.shared.is_counting()
+    }
+
+    /// Requests there of all boxes of the region, in multiples of its slots.
+    pub(super) fn shared_fullness(&self, now: Millis) -> f64 {
+        self.shared.fullness(self.record.slots, now)
+    }
+
     /// Requests there, running and waiting, in multiples of its slots.
     pub(super) fn fullness(&self, now: Millis) -> f64 {
         let known = self.load.estimate(now);
--- /dev/null
+++ b/crates/routing/src/placement/homes.rs
@@ -0,0 +1,99 @@
+//! An object's homes, and how they stand.
+
+use super::Wanted;
+use super::advice::Advice;
+use super::service_upstreams::{ServiceUpstreams, is_usable, rendezvous_score};
+use crate::rendezvous::object_hash;
+use brasswinch_types::{Millis, Region};
+
+/// A home of an object, as seen when a request about it came.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct SeenHome {
+    /// Its place among the service's upstreams.
+    pub(super) index: usize,
+    /// Requests there, in multiples of its slots.
+    pub(super) fullness: f64,
+    /// Whether it has served a request about the object lately.
+    pub(super) has_served: bool,
+}
+
+impl Wanted<'_> {
+    /// The object as a hash; one drawn by `random`, from 0 to 1, where it names none.
+    pub(super) fn object_hash(&self, random: f64) -> u64 {
+        match self.object {
+            Some(object) => object_hash(self.service.as_str(), object),
+            None => (random * u64::MAX as f64) as u64,
+        }
+    }
+}
+
+impl ServiceUpstreams {
+    /// The object's homes, one of each region that has a usable warm upstream, in the order
+    /// of `regions`. In the first region a keeper's advice names it, where the upstream can
+    /// be used.
+    pub(super) fn seen_homes(
+        &self,
+        object: u64,
+        regions: &[Region],
+        wanted: &Wanted<'_>,
+        advice: Option<&Advice>,
+        now: Millis,
+    ) -> Vec<SeenHome> {
+        let advised = advice.and_then(|advice| self.advised(advice, regions, wanted, now));
+        let own = |region: &Region| {
+            let index = self.home_in(object, region, wanted, now)?;
+            let entry = &self.entries[index];
+            Some(SeenHome {
+                index,
+                fullness: entry.fullness(now),
+                has_served: entry.has_served(object),
+            })
+        };
+        let is_first = |place: usize| place == 0;
+        let homes = regions.iter().enumerate();
+        homes
+            .filter_map(|(place, region)| {
+                advised.filter(|_| is_first(place)).or_else(|| own(region))
+            })
+            .collect()
+    }
+
+    /// The home of an object in `region`: by rendezvous, among the warm upstreams that can
+    /// be used.
+    pub(super) fn home_in(
+        &self,
+        object: u64,
+        region: &Region,
+        wanted: &Wanted<'_>,
+        now: Millis,
+    ) -> Option<usize> {
+        let score = |index: &usize| rendezvous_score(object, &self.entries[*index]);
+        (0..self.entries.len())
+            .filter(|index| {
+                let entry = &self.entries[*index];
+                &entry.region == region && is_usable(entry, wanted, now) && !entry.is_cold(now)
+            })
+            .max_by(|a, b| score(a).total_cmp(&score(b)))
+    }
+
+    /// The upstream that a keeper advises, where this box may use it as well.
+    fn advised(
+        &self,
+        advice: &Advice,
+        regions: &[Region],
+        wanted: &Wanted<'_>,
+        now: Millis,
+    ) -> Option<SeenHome> {
+        let mut entries = self.entries.iter();
+        let index = entries.position(|entry| entry.record.id == advice.upstream)?;
+        let entry = &self.entries[index];
+        let is_allowed = regions.first() == Some(&entry.region)
+            && is_usable(entry, wanted, now)
+            && !entry.is_cold(now);
+        is_allowed.then_some(SeenHome {
+            index,
+            fullness: f64::from(advice.fullness),
+            has_served: advice.has_served,
+        })
+    }
+}
--- a/crates/routing/src/placement/mod.rs
+++ b/crates/routing/src/placement/mod.rs
@@ -12,10 +12,14 @@
 //!
 //! and where none of these takes it, it is refused at once.
 
+mod advice;
 mod basis;
 mod entry;
+mod homes;
+mod keeping;
 mod lost_entries;
 mod service_upstreams;
+mod shared_load;
 mod spill;
 mod status;
 mod warming;
@@ -26,10 +30,13 @@
 use crate::upstream::UpstreamRecord;
 use crate::upstream_load::LoadReport;
 use crate::{FleetState, SteeringConfig};
+pub use advice::{Advice, Ending, Question};
 pub use basis::{Basis, Home, HomeState};
 use brasswinch_types::{BoxId, Millis, Region, Service, UpstreamId, Zone};
 use entry::Entry;
+use keeping::Keepers;
 use lost_entries::Losses;
+use serde::{Deserialize, Serialize};
 use service_upstreams::ServiceUpstreams;
 pub use status::{KeptUpstream, ServiceStatus};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -107,7 +114,7 @@
 }
 
 /// How a request at an upstream ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum UpstreamOutcome {
     /// It answered.
     Answered,
@@ -130,6 +137,8 @@
     services: HashMap<Service, ServiceUpstreams>,
     /// Hashes of the boxes that serve, this one included.
     boxes: Vec<u64>,
+    /// The boxes of the region, which count its upstreams' requests.
+    keepers: Keepers,
     most_boxes: usize,
     demand: BTreeMap<Region, f64>,
     averaged_demand: AveragedDemand,
@@ -144,6 +153,7 @@
             settings,
             services: HashMap::new(),
             boxes: vec![me],
+            keepers: Keepers::default(),
             most_boxes: 1,
             demand: BTreeMap::new(),
             averaged_demand: AveragedDemand::default(),
@@ -241,10 +251,11 @@
         &self,
         record: &UpstreamRecord,
         learned_at: Millis,
-        held: Option<Entry>,
+        mut held: Option<Entry>,
         fleet: &FleetState,
         now: Millis,
     ) -> Entry {
+        let hash = object_hash("upstream", record.id.as_str().as_bytes());
         let region = self.settings.zones.get(&record.zone);
         let cold_ms = (record.cold_remaining_s * 1_000.0).ceil() as Millis;
         let margin = if cold_ms > 0 { COLD_MARGIN_MS } else { 0 };
@@ -254,7 +265,7 @@
         let cold_until = (learned_at + cold_ms + margin).max(after_evacuation);
         Entry {
             region: region.cloned().unwrap_or_else(|| Region::new("")),
-            hash: object_hash("upstream", record.id.as_str().as_bytes()),
+            hash,
             cold_until,
             lost: None,
             joined_at: held.as_ref().map_or(now, |held| held.joined_at),
@@ -268,7 +279,15 @@
             senders: held.as_ref().map_or(1.0, |held| held.senders),
             load: held.as_ref().map(|held| held.load).unwrap_or_default(),
             pacing: held.as_ref().map(|held| held.pacing).unwrap_or_default(),
-            served: held.map(|held| held.served).unwrap_or_default(),
+            is_kept: match &held {
+                Some(held) => held.is_kept,
+                None => self.keepers.is_mine(hash),
+            },
+            served: held
+                .as_mut()
+                .map(|held| std::mem::take(&mut held.served))
+                .unwrap_or_default(),
+            shared: held.map(|held| held.shared).unwrap_or_default(),
             record: record.clone(),
         }
     }
@@ -312,6 +331,18 @@
         wanted: &Wanted<'_>,
         random: f64,
         now: Millis,
+    ) -> Result<Choice, Refusal> {
+        self.choose_advised(wanted, None, random, now)
+    }
+
+    /// Chooses as [`Placement::choose`] does, given what the keeper of the object's home
+    /// said.
+    pub fn choose_advised(
+        &mut self,
+        wanted: &Wanted<'_>,
+        advice: Option<&Advice>,
+        random: f64,
+        now: Millis,
     ) -> Result<Choice, Refusal> {
         self.review_if_due(now);
         let boxes = std::mem::take(&mut self.boxes);
@@ -321,7 +352,7 @@
             random,
         };
         let chosen = match self.services.get_mut(wanted.service) {
-            Some(service) => service.choose(wanted, &warming, now),
+            Some(service) => service.choose(wanted, advice, &warming, now),
             None => Err(Refusal::NoUpstream),
         };
         self.boxes = boxes;
--- a/crates/routing/src/placement/service_upstreams.rs
+++ b/crates/routing/src/placement/service_upstreams.rs
@@ -1,7 +1,9 @@
 //! The upstreams of one service, and the choice among them.
 
+use super::advice::Advice;
 use super::basis::{Basis, Home, HomeState};
 use super::entry::Entry;
+use super::homes::SeenHome;
 use super::spill::SpillWindow;
 use super::warming::Warming;
 use super::{Choice, Refusal, Wanted};
@@ -60,23 +62,22 @@
     pub(super) fn choose(
         &mut self,
         wanted: &Wanted<'_>,
+        advice: Option<&Advice>,
         warming: &Warming<'_>,
         now: Millis,
     ) -> Result<Choice, Refusal> {
         self.is_in_use = true;
         self.spills.roll(now);
         self.spills.count_request();
-        let object = match wanted.object {
-            Some(object) => object_hash(wanted.service.as_str(), object),
-            None => (warming.random * u64::MAX as f64) as u64,
-        };
+        let object = wanted.object_hash(warming.random);
         let regions = self.ranked_regions(object, wanted, now);
+        let homes = self.seen_homes(object, &regions, wanted, advice, now);
         let basis = self.basis(object, &regions, wanted, now);
         let chosen = self
             .never_used(wanted, warming, now)
-            .or_else(|| self.at_home(object, &regions, wanted, now))
-            .or_else(|| self.free_elsewhere(object, &regions, wanted, now))
-            .or_else(|| self.in_queue(object, &regions, wanted, now))
+            .or_else(|| self.at_home(&homes, wanted, now))
+            .or_else(|| self.free_elsewhere(&homes))
+            .or_else(|| self.in_queue(&homes, wanted, now))
             .or_else(|| self.cold(wanted, warming, now));
         if chosen.is_none() && wanted.priority <= self.most_urgent {
             self.urgent_first_until = now + URGENT_FIRST_MS;
@@ -134,7 +135,12 @@
     }
 
     /// Regions with usable upstreams, the object's home first.
-    fn ranked_regions(&self, object: u64, wanted: &Wanted<'_>, now: Millis) -> Vec<Region> {
+    pub(super) fn ranked_regions(
+        &self,
+        object: u64,
+        wanted: &Wanted<'_>,
+        now: Millis,
+    ) -> Vec<Region> {
         let mut ranked: Vec<(f64, f64, &Region)> = Vec::new();
         for entry in &self.entries {
             let is_known = ranked.iter().any(|(_, _, region)| *region == &entry.region);
@@ -153,95 +159,50 @@
             .collect()
     }
 
-    /// The object's homes, one of each region that has a usable warm upstream, in the
-    /// order of `regions`.
-    fn homes<'a>(
-        &'a self,
-        object: u64,
-        regions: &'a [Region],
-        wanted: &'a Wanted<'_>,
-        now: Millis,
-    ) -> impl Iterator<Item = usize> + 'a {
-        let score = move |index: &usize| rendezvous_score(object, &self.entries[*index]);
-        regions.iter().filter_map(move |region| {
-            (0..self.entries.len())
-                .filter(|index| {
-                    let entry = &self.entries[*index];
-                    &entry.region == region && is_usable(entry, wanted, now) && !entry.is_cold(now)
-                })
-                .max_by(|a, b| score(a).total_cmp(&score(b)))
-        })
-    }
-
     /// The first home, where a slot is free or the wait is short.
-    fn at_home(
-        &self,
-        object: u64,
-        regions: &[Region],
-        wanted: &Wanted<'_>,
-        now: Millis,
-    ) -> Option<usize> {
-        let index = self.homes(object, regions, wanted, now).next()?;
-        let entry = &self.entries[index];
-        let most = if entry.has_served(object) {
+    fn at_home(&self, homes: &[SeenHome], wanted: &Wanted<'_>, now: Millis) -> Option<usize> {
+        let home = homes.first()?;
+        let most = if home.has_served {
             (QUEUE_BEFORE_LEAVING * self.queue_part(wanted, now)).max(1.0)
         } else {
             1.0
         };
-        (entry.fullness(now) < most).then_some(index)
+        (home.fullness < most).then_some(home.index)
     }
 
     /// A home in another region with a free slot, where the spill window allows.
-    fn free_elsewhere(
-        &mut self,
-        object: u64,
-        regions: &[Region],
-        wanted: &Wanted<'_>,
-        now: Millis,
-    ) -> Option<usize> {
+    fn free_elsewhere(&mut self, homes: &[SeenHome]) -> Option<usize> {
         if !self.spills.may_spill() {
             return None;
         }
-        let mut elsewhere = self.homes(object, regions, wanted, now).skip(1);
-        let free = elsewhere.find(|index| self.entries[*index].fullness(now) < 1.0);
-        drop(elsewhere);
-        if free.is_some() {
-            self.spills.count_spill();
-        }
-        free
+        let mut elsewhere = homes.iter().skip(1);
+        let free = elsewhere.find(|home| home.fullness < 1.0)?;
+        self.spills.count_spill();
+        Some(free.index)
     }
 
     /// The first home whose queue is short enough, as far as the spill window allows; else
     /// the first of all, up to its longest queue.
-    fn in_queue(
-        &mut self,
-        object: u64,
-        regions: &[Region],
-        wanted: &Wanted<'_>,
-        now: Millis,
-    ) -> Option<usize> {
+    fn in_queue(&mut self, homes: &[SeenHome], wanted: &Wanted<'_>, now: Millis) -> Option<usize> {
         let part = self.queue_part(wanted, now);
         let may_leave = self.is_disturbed(now) || self.spills.may_queue_elsewhere();
-        let homes: Vec<usize> = self.homes(object, regions, wanted, now).collect();
-        let first = *homes.first()?;
-        let has_room = |index: &usize| {
-            let entry = &self.entries[*index];
-            let queue = if entry.has_served(object) {
+        let first = homes.first()?;
+        let has_room = |home: &&SeenHome| {
+            let queue = if home.has_served {
                 MOST_QUEUE
             } else {
                 MOST_QUEUE_UNSERVED
             };
-            entry.fullness(now) < queue * part
+            home.fullness < queue * part
         };
         let reachable = if may_leave { homes.len() } else { 1 };
-        let found = homes[..reachable].iter().copied().find(has_room);
-        if found.is_some_and(|index| index != first) {
+        let found = homes[..reachable].iter().find(has_room);
+        if found.is_some_and(|home| home.index != first.index) {
             self.spills.count_spill();
         }
-        found.or_else(|| {
-            let fullness = self.entries[first].fullness(now);
-            (fullness < LONGEST_QUEUE * part).then_some(first)
-        })
+        found
+            .or_else(|| (first.fullness < LONGEST_QUEUE * part).then_some(first))
+            .map(|home| home.index)
     }
 
     /// The part of each queue that the request may use. A free slot is for everybody.
@@ -276,7 +237,7 @@
 }
 
 /// How well the upstream suits the object, by its slots.
-fn rendezvous_score(object: u64, entry: &Entry) -> f64 {
+pub(super) fn rendezvous_score(object: u64, entry: &Entry) -> f64 {
     weighted_score(object, entry.hash, f64::from(entry.record.slots.max(1)))
 }
 
--- /dev/null
+++ b/crates/routing/src/placement/shared_load.rs
@@ -0,0 +1,103 @@
+//! The load of an upstream as its keeper counts it for all boxes of a region.
+
+use crate::upstream_load::{LoadReport, UpstreamLoad};
+use brasswinch_types::Millis;
+use std::collections::{HashMap, VecDeque};
+
+/// Objects that a keeper remembers for one upstream.
+const MOST_OBJECTS: usize = 64;
+
+/// Longest time that a request is counted whose end was never told: its box died, or the
+/// message was lost.
+const LONGEST_COUNT_MS: Millis = 10_000;
+
+/// Counts an upstream's requests, and remembers which objects it was chosen for.
+#[derive(Clone, Debug, Default)]
+pub(super) struct SharedLoad {
+    load: UpstreamLoad,
+    /// When each request is forgotten, by its question.
+    counted: HashMap<u64, Millis>,
+    /// Objects that it was chosen for lately, newest last, and whether it has served them.
+    objects: VecDeque<(u64, bool)>,
+}
+
+impl SharedLoad {
+    /// Counts a request about `object`, for at most `left_ms`.
+    pub(super) fn begin(&mut self, question: u64, object: u64, left_ms: Millis, now: Millis) {
+        let until = now + left_ms.min(LONGEST_COUNT_MS);
+        if self.counted.insert(question, until).is_none() {
+            self.load.started();
+        }
+        self.remember(object, false);
+    }
+
+    /// The request has ended; whether it was counted.
+    pub(super) fn end(&mut self, question: u64) -> bool {
+        let was_counted = self.counted.remove(&question).is_some();
+        if was_counted {
+            self.load.ended();
+        }
+        was_counted
+    }
+
+    /// It has served a request about `object`.
+    pub(super) fn served(&mut self, object: u64) {
+        self.remember(object, true);
+    }
+
+    /// It was not sent the request about `object` that it was chosen for.
+    pub(super) fn not_used(&mut self, object: u64) {
+        self.objects
+            .retain(|(held, has_served)| *held != object || *has_served);
+    }
+
+    /// It told its load while the request that brings the report was still counted.
+    pub(super) fn reported(&mut self, report: LoadReport, now: Millis) {
+        self.load.reported(report, now);
+    }
+
+    /// Forgets requests whose time is over.
+    pub(super) fn forget_overdue(&mut self, now: Millis) {
+        let before = self.counted.len();
+        self.counted.retain(|_, until| now < *until);
+        for _ in self.counted.len()..before {
+            self.load.ended();
+        }
+    }
+
+    /// Whether requests are counted.
+    pub(super) fn is_counting(&self) -> bool {
+        !self.counted.is_empty()
+    }
+
+    /// Whether it was chosen for `object` lately.
+    pub(super) fn is_chosen_for(&self, object: u64) -> bool {
+        self.objects.iter().any(|(held, _)| *held == object)
+    }
+
+    /// Whether it has served a request about `object` lately.
+    pub(super) fn has_served(&self, object: u64) -> bool {
+        self.objects.contains(&(object, true))
+    }
+
+    /// How many objects it was chosen for lately.
+    pub(super) fn objects(&self) -> usize {
+        self.objects.len()
+    }
+
+    /// Requests there, in multiples of `slots`.
+    pub(super) fn fullness(&self, slots: u32, now: Millis) -> f64 {
+        self.load.estimate(now) / f64::from(slots.max(1))
+    }
+
+    fn remember(&mut self, object: u64, has_served: bool) {
+        let held = self.objects.iter().position(|(held, _)| *held == object);
+        let had_served = held
+            .and_then(|place| self.objects.remove(place))
+            .is_some_and(|(_, had_served)| had_served);
+        self.objects.push_back((object, has_served || had_served));
+        if self.objects.len() > MOST_OBJECTS {
+            self.objects.pop_front();
+        }
+    }
+}
--- a/crates/routing/src/upstream_load.rs
+++ b/crates/routing/src/upstream_load.rs
@@ -5,6 +5,7 @@
 //! time that doubles, after which one request at a time tries it.
 
 use brasswinch_types::Millis;
+use serde::{Deserialize, Serialize};
 
 /// A report of others' requests loses half of its weight in this time.
 const REPORT_HALF_LIFE_MS: f64 = 1_000.0;
@@ -19,7 +20,7 @@
 const FAILURES_TO_EJECT: u32 = 2;
 
 /// What an upstream says of its load in an answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadReport {
     /// Requests that it works on.
     pub running: u32,
@@ -63,7 +64,7 @@
     /// The upstream reported its load in an answer to a request that still counts as in
     /// flight here, although the report no longer holds it.
     pub fn reported(&mut self, report: LoadReport, now: Millis) {
-        let total = f64::from(report.running + report.waiting);
+        let total = f64::from(report.running) + f64::from(report.waiting);
         let mine = f64::from(self.in_flight.saturating_sub(1));
         self.others = (total - mine).max(0.0);
         self.reported_at = now;
--- /dev/null
+++ b/crates/routing/tests/keeping.rs
@@ -0,0 +1,308 @@
+//! One box of a region counts each upstream's requests and is asked before one is sent.
+#![allow(clippy::unwrap_used, clippy::expect_used)]
+
+mod common;
+
+use brasswinch_routing::{
+    Advice, Change, Ending, LoadReport, Placement, PlacementSettings, Question, UpstreamOutcome,
+    UpstreamState,
+};
+use brasswinch_types::{BoxId, Region, UpstreamId};
+use common::{SLOTS, config, fleet, revised, service, settings_in, upstream, wanted};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// How long each request may take, in milliseconds.
+const LEFT_MS: u64 = 5_000;
+
+/// The boxes of one region, each with a placement of its own.
+struct Boxes {
+    ids: Vec<BoxId>,
+    placements: BTreeMap<BoxId, Placement>,
+    next_question: u64,
+}
+
+impl Boxes {
+    fn new(count: usize) -> Self {
+        let ids: Vec<BoxId> = (0..count)
+            .map(|number| BoxId::new(format!("box-{number}")))
+            .collect();
+        let placements = ids.iter().map(|id| (id.clone(), placement(id, &ids)));
+        Self {
+            placements: placements.collect(),
+            next_question: 1,
+            ids,
+        }
+    }
+
+    fn at(&mut self, id: &BoxId) -> &mut Placement {
+        self.placements.get_mut(id).unwrap()
+    }
+
+    /// What the box of that number asks about an object, and whom.
+    fn question(&mut self, number: usize, object: &str, now: u64) -> (BoxId, Question) {
+        let id = self.ids[number % self.ids.len()].clone();
+        let question = self.next_question;
+        self.next_question += 1;
+        let (service, anywhere) = (service(), BTreeSet::new());
+        let wanted = wanted(&service, object.as_bytes(), &anywhere, &[]);
+        let asked = self.at(&id).question(&wanted, question, LEFT_MS, now);
+        asked.unwrap()
+    }
+
+    /// The box of that number asks about an object and is answered.
+    fn ask(&mut self, number: usize, object: &str, now: u64) -> (BoxId, Question, Advice) {
+        let (keeper, question) = self.question(number, object, now);
+        let advice = self.at(&keeper).advise(&question, now).unwrap();
+        (keeper, question, advice)
+    }
+
+    fn end(&mut self, keeper: &BoxId, ending: &Ending, now: u64) {
+        self.at(keeper).ended_elsewhere(ending, now);
+    }
+}
+
+fn placement(id: &BoxId, all: &[BoxId]) -> Placement {
+    let mut placement = Placement::new(PlacementSettings {
+        me: id.clone(),
+        ..settings_in("west")
+    });
+    placement.set_keepers(all.to_vec());
+    placement.update(&fleet(3), &config(1), 1);
+    placement
+}
+
+fn ending(question: &Question, upstream: Option<&UpstreamId>, outcome: UpstreamOutcome) -> Ending {
+    Ending {
+        id: question.id,
+        service: question.service.clone(),
+        object: question.object,
+        upstream: upstream.cloned(),
+        outcome,
+        report: None,
+    }
+}
+
+fn answered(question: &Question, advice: &Advice) -> Ending {
+    let upstream = Some(&advice.upstream);
+    ending(question, upstream, UpstreamOutcome::Answered)
+}
+
+#[test]
+fn all_boxes_ask_the_same_one_about_an_object() {
+    let mut boxes = Boxes::new(9);
+    for object in 0..50 {
+        let object = object.to_string();
+        let asked: BTreeSet<BoxId> = (0..9)
+            .map(|number| boxes.question(number, &object, 2).0)
+            .collect();
+        assert_eq!(asked.len(), 1, "{object}");
+    }
+}
+
+#[test]
+fn a_request_of_any_box_counts_for_all_until_it_ends() {
+    let mut boxes = Boxes::new(9);
+    let mut under_way = Vec::new();
+    for number in 0..SLOTS as usize {
+        let (keeper, question, advice) = boxes.ask(number, "7", 2);
+        let expected = number as f32 / SLOTS as f32;
+        assert!((advice.fullness - expected).abs() < 0.01, "{advice:?}");
+        under_way.push((keeper, question, advice));
+    }
+    for (keeper, question, advice) in &under_way {
+        boxes.end(keeper, &answered(question, advice), 3);
+    }
+    let (_, _, advice) = boxes.ask(8, "7", 3);
+    assert!(advice.fullness < 0.01, "{advice:?}");
+    assert!(
+        advice.has_served,
+        "another box's request was answered there"
+    );
+}
+
+#[test]
+fn an_object_stays_where_it_was_first_sent() {
+    let mut boxes = Boxes::new(4);
+    let mut first = BTreeMap::new();
+    for round in 0..5 {
+        for object in 0..40 {
+            let object = object.to_string();
+            let (keeper, question, advice) = boxes.ask(round + object.len(), &object, 2);
+            let held = first
+                .entry(object)
+                .or_insert_with(|| advice.upstream.clone());
+            assert_eq!(held, &advice.upstream);
+            boxes.end(&keeper, &answered(&question, &advice), 2);
+        }
+    }
+}
+
+/// The load that it answers: at the start, and when upstreams return, almost all requests
+/// are first runs, each takes three times as long as a later one, and by hashes alone one
+/// upstream gets twice as many as the next.
+#[test]
+fn first_runs_are_spread_over_the_upstreams_that_a_box_keeps() {
+    let mut boxes = Boxes::new(1);
+    let mut per_upstream: BTreeMap<UpstreamId, usize> = BTreeMap::new();
+    let mut by_home: BTreeMap<UpstreamId, usize> = BTreeMap::new();
+    for object in 0..48 {
+        let (_, question, advice) = boxes.ask(0, &object.to_string(), 2);
+        assert_eq!(question.region, Region::new("west"));
+        *per_upstream.entry(advice.upstream).or_default() += 1;
+        *by_home.entry(question.home).or_default() += 1;
+    }
+    let spread = |counts: &BTreeMap<UpstreamId, usize>| {
+        counts.values().max().unwrap() - counts.values().min().unwrap()
+    };
+    assert_eq!(per_upstream.len(), 6);
+    assert!(spread(&per_upstream) <= 2, "{per_upstream:?}");
+    assert!(spread(&by_home) >= 4, "hashes alone: {by_home:?}");
+}
+
+#[test]
+fn an_object_leaves_a_full_upstream_only_for_one_with_a_free_slot() {
+    let mut boxes = Boxes::new(1);
+    let (_, _, first) = boxes.ask(0, "7", 2);
+    let mut last = first.clone();
+    for _ in 0..30 {
+        let (_, _, advice) = boxes.ask(0, "7", 2);
+        if advice.upstream != last.upstream {
+            assert!(last.fullness >= 1.5, "left at {}", last.fullness);
+            assert!(advice.fullness < 1.0, "for one at {}", advice.fullness);
+        }
+        last = advice;
+    }
+    assert_ne!(
+        first.upstream, last.upstream,
+        "30 requests fill more than one"
+    );
+}
+
+#[test]
+fn a_request_whose_end_is_never_told_is_forgotten() {
+    let mut boxes = Boxes::new(3);
+    for number in 0..5 {
+        boxes.ask(number, "7", 2);
+    }
+    let (_, _, advice) = boxes.ask(0, "7", 2 + LEFT_MS + 1);
+    assert!(advice.fullness < 0.01, "{advice:?}");
+}
+
+#[test]
+fn what_was_never_sent_to_the_advised_upstream_counts_no_more() {
+    let mut boxes = Boxes::new(3);
+    let (keeper, question, _) = boxes.ask(0, "7", 2);
+    let nowhere = ending(&question, None, UpstreamOutcome::Abandoned);
+    boxes.end(&keeper, &nowhere, 3);
+    let (_, _, advice) = boxes.ask(1, "7", 3);
+    assert!(advice.fullness < 0.01, "{advice:?}");
+    assert!(!advice.has_served);
+}
+
+#[test]
+fn the_same_end_told_twice_and_one_of_an_unknown_question_change_nothing() {
+    let mut boxes = Boxes::new(2);
+    let (keeper, question, advice) = boxes.ask(0, "7", 2);
+    boxes.ask(0, "7", 2);
+    let told = answered(&question, &advice);
+    boxes.end(&keeper, &told, 3);
+    boxes.end(&keeper, &told, 3);
+    let unknown = Ending { id: 9_999, ..told };
+    boxes.end(&keeper, &unknown, 3);
+    let (_, _, advice) = boxes.ask(1, "7", 3);
+    let one = 1.0 / SLOTS as f32;
+    assert!((advice.fullness - one).abs() < 0.01, "{advice:?}");
+}
+
+#[test]
+fn a_report_with_any_numbers_leaves_the_load_finite() {
+    let mut boxes = Boxes::new(1);
+    let (keeper, question, advice) = boxes.ask(0, "7", 2);
+    let mut told = answered(&question, &advice);
+    told.report = Some(LoadReport {
+        running: u32::MAX,
+        waiting: u32::MAX,
+        slots: 0,
+    });
+    boxes.end(&keeper, &told, 3);
+    let (_, _, advice) = boxes.ask(0, "7", 60_000);
+    assert!(advice.fullness.is_finite(), "{advice:?}");
+}
+
+/// A keeper that starts again has forgotten everything; objects are found at home.
+#[test]
+fn a_keeper_that_knows_nothing_advises_the_home() {
+    let mut boxes = Boxes::new(6);
+    for object in 0..30 {
+        let (keeper, question) = boxes.question(object, &object.to_string(), 2);
+        let mut restarted = placement(&keeper, &boxes.ids);
+        let advice = restarted.advise(&question, 2).unwrap();
+        assert_eq!(advice.upstream, question.home);
+        assert!(!advice.has_served);
+    }
+}
+
+/// Two boxes may believe that they keep the same upstream: one asks the one, another the
+/// other. Each counts what it was asked, and nothing is refused for it.
+#[test]
+fn two_that_keep_the_same_both_answer() {
+    let mut boxes = Boxes::new(4);
+    let (keeper, question) = boxes.question(0, "7", 2);
+    for id in boxes.ids.clone() {
+        let advice = boxes.at(&id).advise(&question, 2).unwrap();
+        if id == keeper {
+            continue;
+        }
+        assert_eq!(advice.upstream, question.home, "{id} keeps others");
+    }
+}
+
+#[test]
+fn a_keeper_advises_nothing_that_leaves() {
+    let mut boxes = Boxes::new(1);
+    let (_, question, advice) = boxes.ask(0, "7", 2);
+    let mut fleet = fleet(3);
+    let mut record = upstream(advice.upstream.as_str(), "west-a", 1);
+    record.state = UpstreamState::Draining;
+    fleet.apply(revised(9_000, Change::Upstream(record)), 3);
+    let keeper = boxes.ids[0].clone();
+    boxes.at(&keeper).update(&fleet, &config(1), 3);
+    let (_, _, later) = boxes.ask(0, "7", 4);
+    assert_ne!(later.upstream, advice.upstream);
+    assert!(!later.has_served);
+    let again = boxes.at(&keeper).advise(&question, 4);
+    assert!(again.is_none_or(|again| again.upstream != advice.upstream));
+}
+
+#[test]
+fn a_box_takes_no_advice_for_an_upstream_that_it_may_not_use() {
+    let mut boxes = Boxes::new(2);
+    let (_, question, mut advice) = boxes.ask(0, "7", 2);
+    let (service, anywhere) = (service(), BTreeSet::new());
+    let wanted = wanted(&service, b"7", &anywhere, &[]);
+    let id = boxes.ids[0].clone();
+    for wrong in ["unknown", "north-a-0"] {
+        advice.upstream = UpstreamId::new(wrong);
+        let chosen = boxes
+            .at(&id)
+            .choose_advised(&wanted, Some(&advice), 0.5, 2)
+            .unwrap();
+        assert_eq!(chosen.upstream, question.home, "{wrong}");
+    }
+}
+
+#[test]
+fn without_an_answer_a_box_decides_as_if_it_had_asked_nobody() {
+    let mut asking = Boxes::new(5);
+    let mut alone = Boxes::new(5);
+    let (service, anywhere) = (service(), BTreeSet::new());
+    for object in 0..60 {
+        let object = object.to_string();
+        let wanted = wanted(&service, object.as_bytes(), &anywhere, &[]);
+        let id = asking.ids[0].clone();
+        asking.question(0, &object, 2);
+        let asked = asking.at(&id).choose_advised(&wanted, None, 0.5, 2);
+        let own = alone.at(&id).choose(&wanted, 0.5, 2);
+        assert_eq!(asked, own);
+    }
+}
