Two boxes follow the store, one of each zone tells it; boxes that start hear from others first; in an outage few try

Change: two boxes of the fleet follow the store, whatever its zones; one box of each zone is told by them and tells its zone, and asks the store where it isn't told in time. A duty is taken up and laid down after it has lasted a second. Boxes with a duty register, not all. A box that the store fails says so; others leave it 1.2 s to those that try.

The bound on news is kept by the age of the view as before (routing/bound.rs, gaps.rs, late_answers.rs unchanged).

Tried: duties taken up at once: 45 calls where 16 boxes start; a duty laid down at once, or none held from the start: nobody follows for a second, and a box that never answers was asked 7 times, not 3 (edge/boxes.rs).

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -7,7 +7,7 @@
 use brasswinch_routing::Scope;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 /// How long a watch waits at the store: each one that waits in vain is a call more. That an
 /// answer is lost shows by the age of the view, long before this time is over.
@@ -20,6 +20,10 @@
 /// Changes that come within this time of each other are fetched with one call.
 const GATHER: Duration = Duration::from_millis(250);
 
+/// How long a box that the store failed comes after others where boxes are chosen that
+/// follow it. It doesn't ask meanwhile, so that nothing else shows that it is reached again.
+const FAILED_FOR: Duration = Duration::from_secs(10);
+
 /// First pause after a failed call.
 pub(crate) const FIRST_PAUSE: Duration = Duration::from_millis(150);
 
@@ -53,7 +57,7 @@
     loop {
         if !context.watches_store() {
             context.set_following(scope, Following::Not);
-            context.is_to_watch().await;
+            is_to_watch(&context).await;
         }
         context.set_following(scope, Following::Busy);
         let wait = if is_reached { WATCH_WAIT } else { TRIAL_WAIT };
@@ -71,6 +75,9 @@
         context.set_following(scope, Following::Busy);
         let is_answered = matches!(told, Ok(_) | Err(StoreFailure::HistoryGone));
         context.set_reaches_store(is_answered);
+        if !is_answered {
+            context.tell_failing();
+        }
         if is_answered != is_reached {
             is_reached = is_answered;
             report(scope, &told);
@@ -103,6 +110,14 @@
     }
 }
 
+/// Waits until this box is to follow the store.
+async fn is_to_watch(context: &Context) {
+    if timeout(FAILED_FOR, context.is_to_watch()).await.is_err() {
+        context.set_reaches_store(true);
+        context.is_to_watch().await;
+    }
+}
+
 pub(crate) fn longest_pause(boxes: usize) -> Duration {
     let boxes = u32::try_from(boxes).unwrap_or(u32::MAX);
     LONGEST_PAUSE.max(PAUSE_PER_BOX.saturating_mul(boxes))
--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -42,6 +42,7 @@
         let out = tokio::select! {
             _ = ticks.tick() => {
                 load.measure(&context);
+                context.settle_duty();
                 let now = context.clock.now();
                 context.swim().tick(now, &mut rand::rng())
             }
@@ -94,8 +95,8 @@
         Ok(Datagram::Advice(advice)) => context.hear_advice(advice, from),
         Ok(Datagram::Ending(ending)) => context.hear_ending(&ending),
         Ok(Datagram::Swim(message)) => {
-            if let SwimMessage::Known { id, views } = &message {
-                context.hear_known(id, views);
+            if let SwimMessage::Known { id, views, failing } = &message {
+                context.hear_known(id, views, *failing);
             }
             let now = context.clock.now();
             let out = context.swim().receive(from, message, now, &mut rand::rng());
--- a/crates/edge/src/registry.rs
+++ b/crates/edge/src/registry.rs
@@ -7,7 +7,7 @@
 use crate::context::{Context, Lifecycle};
 use crate::store::{BoxRegistry, LeaseId, Registration, StoreFailure};
 use brasswinch_observe::{Event, emit};
-use brasswinch_routing::Liveness;
+use brasswinch_routing::{Liveness, StoreDuty};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::sleep;
@@ -24,6 +24,12 @@
 /// Longest pause after failed calls.
 const LONGEST_PAUSE: Duration = Duration::from_secs(8);
 
+/// Between two looks at whether this box is one of those that are listed.
+const DUTY_POLL: Duration = Duration::from_secs(1);
+
+/// How many looks in a row have to say so: boxes that start know few others at first.
+const DUTY_LOOKS: u32 = 3;
+
 /// Between two looks at the list of boxes, in a small fleet.
 const LOOK_AFTER: Duration = Duration::from_secs(20);
 
@@ -33,11 +39,15 @@
 /// How long a box that hears nobody waits for its seeds before it looks.
 const ALONE_FOR: Duration = Duration::from_secs(2);
 
-/// Keeps the box registered from when it serves until it leaves.
+/// Keeps the box registered from when it serves until it leaves, if it is one of those that
+/// follow the store or pass news on: a few boxes of each zone are enough to meet at.
 pub(crate) async fn stay_registered<S: BoxRegistry>(context: Arc<Context>, store: Arc<S>) {
     context.reached(Lifecycle::Serving).await;
     let mut pause = FIRST_PAUSE;
     while context.lifecycle() == Lifecycle::Serving {
+        if !has_duty(&context).await {
+            continue;
+        }
         let registration = own_registration(&context);
         match store.register(&registration, LEASE_TTL).await {
             Ok(lease) => {
@@ -53,6 +63,18 @@
     }
 }
 
+/// Whether the box has a duty for others for as long as `DUTY_LOOKS` take.
+async fn has_duty(context: &Context) -> bool {
+    for _ in 0..DUTY_LOOKS {
+        if context.duty() == StoreDuty::Hears {
+            sleep(around(DUTY_POLL)).await;
+            return false;
+        }
+        sleep(DUTY_POLL).await;
+    }
+    context.lifecycle() == Lifecycle::Serving
+}
+
 /// Renews `lease` until it is over or the box leaves.
 async fn hold<S: BoxRegistry>(context: &Context, store: &S, lease: LeaseId) {
     loop {
--- a/crates/edge/src/start.rs
+++ b/crates/edge/src/start.rs
@@ -83,6 +83,8 @@
         tokio::spawn(refreshing);
         tokio::spawn(catch_up::catch_up(Arc::clone(&context), scope));
     }
+    let hearing = Arc::clone(&context);
+    tokio::spawn(async move { hearing.hear_first().await });
     tokio::spawn(registry::stay_registered(
         Arc::clone(&context),
         Arc::clone(&store),
--- a/crates/edge/src/telling.rs
+++ b/crates/edge/src/telling.rs
@@ -18,8 +18,10 @@
 struct Due {
     /// Whether the boxes of the own zone are to be told, at least.
     is_due: bool,
-    /// Whether the others that follow the store are as well.
+    /// Whether the others that follow the store or pass news on are as well.
     to_followers: bool,
+    /// Whether the store does not answer, and this box, or one that it heard, tries again.
+    is_failing: bool,
     /// When anybody was last told, in milliseconds.
     told_at: Millis,
     /// The revisions that were told then.
@@ -56,6 +58,12 @@
         self.tell(false);
     }
 
+    /// The store has not answered a box that tries again.
+    pub(crate) fn tell_failing(&self) {
+        self.telling.due().is_failing = true;
+        self.tell(self.duty().follows_store());
+    }
+
     fn tell(&self, to_followers: bool) {
         let mut due = self.telling.due();
         due.is_due = true;
@@ -76,10 +84,11 @@
         if due.told == revisions && now.saturating_sub(due.told_at) < LEAST_APART_MS {
             return None;
         }
-        let to_followers = due.to_followers;
+        let (to_followers, failing) = (due.to_followers, due.is_failing);
         *due = Due {
             is_due: false,
             to_followers: false,
+            is_failing: false,
             told_at: now,
             told: revisions,
         };
@@ -95,11 +104,11 @@
             receivers.dedup();
         }
         let id = self.settings.id.clone();
-        Some((SwimMessage::Known { id, views }, receivers))
+        Some((SwimMessage::Known { id, views, failing }, receivers))
     }
 
-    /// Takes how much another box knows.
-    pub(crate) fn hear_known(&self, id: &BoxId, views: &[KnownView]) {
+    /// Takes how much another box knows, and whether the store fails it.
+    pub(crate) fn hear_known(&self, id: &BoxId, views: &[KnownView], failing: bool) {
         let Some(zone) = self.zone_of(id) else {
             return;
         };
@@ -107,8 +116,17 @@
         for view in views {
             is_younger |= self.hear_view(view);
         }
+        if failing {
+            self.is_being_tried();
+        }
         let is_from_elsewhere = zone != self.settings.zone;
-        if is_younger && is_from_elsewhere && self.duty() != StoreDuty::Hears {
+        if !is_from_elsewhere || self.duty() == StoreDuty::Hears {
+            return;
+        }
+        if failing {
+            self.telling.due().is_failing = true;
+        }
+        if failing || is_younger {
             self.tell_zone();
         }
     }
--- /dev/null
+++ b/crates/edge/tests/store_calls.rs
@@ -0,0 +1,142 @@
+//! How often a fleet calls the store, with real boxes in one process.
+#![allow(clippy::unwrap_used, clippy::expect_used)]
+
+mod common;
+
+use brasswinch_edge::{Dialect, EdgeHandle, start};
+use brasswinch_lab::memory_store::{MemoryStore, StoreFault};
+use brasswinch_routing::{Change, ChangeKey, RouteKind};
+use brasswinch_types::{Region, UpstreamId, Zone};
+use common::{call, config, eventually, request, route, settings};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Boxes of the fleet.
+const BOXES: usize = 16;
+
+/// How long calls are counted.
+const COUNTED: Duration = Duration::from_secs(4);
+
+struct Fleet {
+    store: MemoryStore,
+    boxes: Vec<(EdgeHandle, MemoryStore)>,
+}
+
+/// Boxes that are all told to ask the first one, and start at the same moment.
+async fn fleet() -> Fleet {
+    let store = MemoryStore::default();
+    store.write(Change::Config(Arc::new(config(1))));
+    let mut boxes: Vec<(EdgeHandle, MemoryStore)> = Vec::new();
+    for number in 0..BOXES {
+        let seeds = boxes.first().map(|(first, _)| first.addresses().peers);
+        let access = store.handle();
+        let settings = settings(&format!("box-{number}"), seeds.into_iter().collect());
+        let edge = start(settings, Dialect::default(), access.clone());
+        boxes.push((edge.await.unwrap(), access));
+    }
+    let fleet = Fleet { store, boxes };
+    for (edge, _) in &fleet.boxes {
+        let context = Arc::clone(edge.context());
+        eventually("the box is ready", || context.is_ready()).await;
+        let knows_all = || {
+            let answer = context.directory_answer(&Zone::new("west-a"), &Region::new("west"));
+            answer.addresses.len() == BOXES
+        };
+        eventually("the box knows all", knows_all).await;
+    }
+    fleet
+}
+
+impl Fleet {
+    fn set_fault(&self, fault: StoreFault) {
+        for (_, access) in &self.boxes {
+            access.set_fault(fault);
+        }
+    }
+
+    /// Calls while clients ask every box, again and again.
+    async fn calls_under_load(&self) -> u64 {
+        const EVERY: Duration = Duration::from_millis(250);
+        let before = self.store.calls();
+        let began = tokio::time::Instant::now();
+        while began.elapsed() < COUNTED {
+            for (edge, _) in &self.boxes {
+                call(edge.addresses().clients, request("GET", "/none/1", ""))
+                    .await
+                    .unwrap();
+            }
+            tokio::time::sleep(EVERY).await;
+        }
+        self.store.calls() - before
+    }
+}
+
+#[tokio::test]
+async fn boxes_that_start_at_once_learn_from_the_first_what_the_store_holds() {
+    let fleet = fleet().await;
+    // Each by itself: two listings, two watches and a registration.
+    let calls = fleet.store.calls();
+    assert!(calls <= 2 * BOXES as u64, "{calls} calls of {BOXES} boxes");
+}
+
+#[tokio::test]
+async fn a_fleet_that_starts_again_asks_as_little() {
+    let fleet = fleet().await;
+    let before = fleet.store.calls();
+    let seeds = vec![fleet.boxes[0].0.addresses().peers];
+    for number in 0..8 {
+        let settings = settings(&format!("late-{number}"), seeds.clone());
+        let edge = start(settings, Dialect::default(), fleet.store.handle());
+        let edge = edge.await.unwrap();
+        let context = Arc::clone(edge.context());
+        eventually("the box is ready", || context.is_ready()).await;
+    }
+    let calls = fleet.store.calls() - before;
+    assert!(calls <= 24, "{calls} calls for 8 boxes more");
+}
+
+#[tokio::test]
+async fn changes_are_fetched_by_two_boxes_whatever_the_fleet() {
+    let fleet = fleet().await;
+    tokio::time::sleep(COUNTED).await;
+    let before = fleet.store.calls();
+    for number in 0..10 {
+        let gone = ChangeKey::Upstream(UpstreamId::new(format!("gone-{number}")));
+        fleet.store.write(Change::Gone(gone));
+        tokio::time::sleep(Duration::from_millis(300)).await;
+    }
+    let calls = fleet.store.calls() - before;
+    // Two for each change, and what confirms that nothing was missed.
+    assert!(calls <= 36, "{calls} calls for 10 changes");
+}
+
+#[tokio::test]
+async fn in_an_outage_few_boxes_try_and_all_learn_that_it_is_over() {
+    let fleet = fleet().await;
+    tokio::time::sleep(COUNTED).await;
+    fleet.set_fault(StoreFault::TurnedAway);
+    let calls = fleet.calls_under_load().await;
+    // Two boxes, two scopes, about three tries a second, and those that step in for them.
+    assert!(calls <= 110, "{calls} calls in the outage");
+    let mut newer = config(2);
+    newer
+        .routes
+        .push(route("/new/", RouteKind::Repeatable, "desk"));
+    fleet.store.write(Change::Config(Arc::new(newer)));
+    fleet.set_fault(StoreFault::None);
+    for (edge, _) in &fleet.boxes {
+        let clients = edge.addresses().clients;
+        let mut tries = 0;
+        // There are no upstreams: 503 is the route's answer.
+        while call(clients, request("GET", "/new/1", ""))
+            .await
+            .unwrap()
+            .status
+            != 503
+        {
+            tries += 1;
+            assert!(tries < 1_000, "the outage's end is never learned");
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -48,4 +48,4 @@
 pub use upstream::{UpstreamRecord, UpstreamState};
 pub use upstream_load::{LoadReport, UpstreamLoad};
 pub use view_limits::ViewLimits;
-pub use watchers::{StoreDuty, Watchers, watches_store};
+pub use watchers::{StoreDuty, Watchers};
--- a/crates/routing/src/swim/message.rs
+++ b/crates/routing/src/swim/message.rs
@@ -56,6 +56,10 @@
         /// Each scope that it knows.
         #[serde(rename = "v")]
         views: Vec<KnownView>,
+        /// Whether the store does not answer the sender, or the box that it speaks for,
+        /// which goes on trying.
+        #[serde(rename = "f", default)]
+        failing: bool,
     },
 }
 
--- a/crates/routing/src/swim/mod.rs
+++ b/crates/routing/src/swim/mod.rs
@@ -237,7 +237,7 @@
                     Vec::new()
                 }
             }
-            SwimMessage::Known { id, views } => {
+            SwimMessage::Known { id, views, .. } => {
                 self.hear_known(&id, &views);
                 Vec::new()
             }
--- a/crates/routing/src/view_limits.rs
+++ b/crates/routing/src/view_limits.rs
@@ -25,7 +25,8 @@
 /// has what it learns a tenth of a second later: 0.08 of the whole at 1.2 s.
 const CONFIRM_PART: f64 = 0.6;
 
-/// The same for the others that follow the store, where nothing was confirmed to them.
+/// The same for the others that follow the store or pass news on, where nothing was
+/// confirmed to them.
 const FOLLOWERS_PART: f64 = 0.8;
 
 /// The same for all others: drawn from here to the whole, so that one of them asks first
@@ -52,7 +53,7 @@
     pub fn limit_ms(&self, duty: StoreDuty, random: f64) -> Millis {
         let part = match duty {
             StoreDuty::Confirms => CONFIRM_PART,
-            StoreDuty::Follows => FOLLOWERS_PART,
+            StoreDuty::Follows | StoreDuty::PassesOn => FOLLOWERS_PART,
             StoreDuty::Hears => OTHERS_PART + (1.0 - OTHERS_PART) * random,
         };
         (self.oldest_ms * part) as Millis
--- a/crates/routing/src/watchers.rs
+++ b/crates/routing/src/watchers.rs
@@ -1,9 +1,11 @@
-//! Which boxes follow the store themselves. The others hear from them.
+//! Which boxes follow the store themselves, and which pass on to their zone what they hear.
 //!
-//! One box of each zone does, and never fewer than a few in all, so that the store's
-//! calls grow with the zones and not with the boxes, and no single loss leaves the fleet
-//! without news. Boxes with fast links come first: the store tells a change of the
-//! configuration by the whole of it, up to a megabyte, and the fleet waits for that.
+//! Two boxes of the fleet follow the store, so that its calls grow neither with boxes nor
+//! with zones, and the loss of one leaves nobody without news. One box of each zone is told
+//! by them and tells the others there; where it isn't told in time it asks the store for its
+//! zone ([`ViewLimits`](crate::ViewLimits)). Boxes with fast links come first: the store
+//! tells a change of the configuration by the whole of it, up to a megabyte, and the fleet
+//! waits for that.
 
 use crate::rendezvous::{object_hash, weighted_score};
 use crate::swim::{Liveness, MemberRecord, MemberState, Swim};
@@ -13,8 +15,8 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
-/// Fewest boxes that follow the store, where there are as many.
-const LEAST_WATCHERS: usize = 4;
+/// Boxes that follow the store, where there are as many.
+const FOLLOWERS: usize = 2;
 
 /// What a box does to know of the store's changes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -23,22 +25,30 @@
     Confirms,
     /// Follows the store.
     Follows,
+    /// Is told by the box that confirms, and tells its zone.
+    PassesOn,
     /// Hears from others.
     Hears,
 }
 
-/// The boxes that follow the store, as one box sees them.
+impl StoreDuty {
+    /// Whether a box with this duty follows the store itself.
+    pub fn follows_store(self) -> bool {
+        matches!(self, Self::Confirms | Self::Follows)
+    }
+}
+
+/// The boxes with a duty for others, as one box sees them.
 #[derive(Clone, Debug)]
 pub struct Watchers {
     /// What this box does.
     pub duty: StoreDuty,
-    /// Where the others that follow the store are reached.
+    /// Where the others that follow the store or pass news on are reached.
     pub others: Vec<SocketAddr>,
 }
 
 impl Watchers {
-    /// Boxes that the store doesn't answer count as none, so that others step in; they go
-    /// on trying all the same.
+    /// Boxes that the store doesn't answer come last, so that others step in.
     pub fn of(swim: &Swim) -> Self {
         let me = swim.me();
         let members = swim
@@ -49,36 +59,29 @@
         let mut ranked: Vec<Ranked<'_>> = candidates.map(Ranked::of).collect();
         ranked.sort_by(|a, b| b.compare(a));
         let mut zones: BTreeSet<&str> = BTreeSet::new();
-        let mut duty = if may_follow(me) {
-            StoreDuty::Hears
-        } else {
-            StoreDuty::Follows
-        };
+        let mut duty = StoreDuty::Hears;
         let mut others = Vec::new();
         for (place, Ranked { record, .. }) in ranked.into_iter().enumerate() {
             let is_first_of_zone = zones.insert(record.zone.as_str());
-            if place >= LEAST_WATCHERS && !is_first_of_zone {
+            if place >= FOLLOWERS && !is_first_of_zone {
                 continue;
             }
             if record.id != me.id {
                 others.push(record.peer_address);
-            } else if place == 0 {
-                duty = StoreDuty::Confirms;
-            } else {
-                duty = StoreDuty::Follows;
+                continue;
             }
+            duty = match place {
+                0 => StoreDuty::Confirms,
+                place if place < FOLLOWERS => StoreDuty::Follows,
+                _ => StoreDuty::PassesOn,
+            };
         }
         Self { duty, others }
     }
 }
 
-/// Whether this box follows the store itself.
-pub fn watches_store(swim: &Swim) -> bool {
-    Watchers::of(swim).duty != StoreDuty::Hears
-}
-
 fn may_follow(record: &MemberRecord) -> bool {
-    record.reaches_store && record.state == MemberState::Serving
+    record.state == MemberState::Serving
 }
 
 /// A box and its rank, which is worked out once: a large fleet is sorted each time that a
@@ -96,8 +99,12 @@
 
     /// Which of two boxes is the better one to follow the store.
     fn compare(&self, other: &Self) -> Ordering {
-        let by_link = self.record.link_mbps.cmp(&other.record.link_mbps);
-        by_link.then_with(|| self.rank.total_cmp(&other.rank))
+        let (mine, others) = (self.record, other.record);
+        let by_reach = mine.reaches_store.cmp(&others.reaches_store);
+        let by_link = mine.link_mbps.cmp(&others.link_mbps);
+        by_reach
+            .then(by_link)
+            .then_with(|| self.rank.total_cmp(&other.rank))
     }
 }
 
