An upstream is its id and its start; entries that can't be read name none

Cause: all that boxes know of an upstream hung on its id. One that starts again under it was taken for the earlier life: objects known, load, cold pacing, ejections, idle connections, other boxes' endings. An entry that couldn't be read was dropped, so the upstream that had been there stayed in use; an unknown state counted as leaving.

Change: records carry the start; a new one begins anew, in placement, at keepers (endings and advice name the life) and in the connection pool. An earlier life's late entry doesn't undo the later one. Unreadable entries are a change of their own, told to other boxes, and never kept as lost ones are. Told of once for each write.

Not done: upstreams of the soak don't restart under their id yet.

--- a/crates/edge/src/asking.rs
+++ b/crates/edge/src/asking.rs
@@ -6,8 +6,8 @@
 use crate::context::Context;
 use crate::datagram::Datagram;
 use brasswinch_observe::{Event, emit};
-use brasswinch_routing::{Advice, Ending, LoadReport, Question, UpstreamOutcome, Wanted};
-use brasswinch_types::{BoxId, Millis, UpstreamId};
+use brasswinch_routing::{Advice, Choice, Ending, LoadReport, Question, UpstreamOutcome, Wanted};
+use brasswinch_types::{BoxId, Millis};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -57,9 +57,10 @@
 }
 
 impl Asked {
-    /// The request is sent to `upstream`.
-    pub(crate) fn sent_to(&mut self, upstream: &UpstreamId) {
-        self.ending.upstream = Some(upstream.clone());
+    /// The request is sent to the upstream of `choice`.
+    pub(crate) fn sent_to(&mut self, choice: &Choice) {
+        self.ending.upstream = Some(choice.upstream.clone());
+        self.ending.started = choice.started;
     }
 
     /// The upstream told its load.
@@ -108,6 +109,7 @@
             service: question.service.clone(),
             object: question.object,
             upstream: None,
+            started: None,
             outcome: UpstreamOutcome::Abandoned,
             report: None,
         },
--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -90,7 +90,7 @@
     pub(crate) fn new(context: &Arc<Context>, chosen: Chosen, headers: &HeaderMap) -> Self {
         let Chosen { choice, mut asked } = chosen;
         if let Some(asked) = &mut asked {
-            asked.sent_to(&choice.upstream);
+            asked.sent_to(&choice);
         }
         Self {
             asked,
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -260,8 +260,13 @@
                 keys,
             })));
         }
-        let kept = self.placement().update(&fleet, config, self.clock.now());
+        let updated = self.placement().update(&fleet, config, self.clock.now());
         drop(fleet);
+        for restarted in &updated.restarted {
+            self.pool.close(restarted);
+            emit(Event::UpstreamRestarted, format_args!("{restarted}"));
+        }
+        let kept = updated.kept;
         if !kept.is_empty() {
             emit(Event::EntriesKept, format_args!("{}", KeptUpstreams(&kept)));
         }
--- a/crates/edge/tests/common/mod.rs
+++ b/crates/edge/tests/common/mod.rs
@@ -110,6 +110,7 @@
 
 pub fn record(upstream: &Upstream) -> UpstreamRecord {
     UpstreamRecord {
+        started: None,
         id: UpstreamId::new(&upstream.id),
         service: Service::new("desk"),
         address: upstream.address,
--- a/crates/lab/src/replay/fleet.rs
+++ b/crates/lab/src/replay/fleet.rs
@@ -187,6 +187,7 @@
 fn record(id: &UpstreamId, index: usize, place: Place, cold_remaining_s: f64) -> UpstreamRecord {
     let port = u16::try_from(1_024 + index).unwrap_or(u16::MAX);
     UpstreamRecord {
+        started: None,
         id: id.clone(),
         service: Service::new(SERVICE),
         address: SocketAddr::from(([127, 0, 0, 1], port)),
--- a/crates/lab/src/replay/play.rs
+++ b/crates/lab/src/replay/play.rs
@@ -531,6 +531,7 @@
         };
         let object = self.requests[request].object.to_le_bytes();
         let ending = Ending {
+            started: None,
             id,
             service: self.fleet.service.clone(),
             object: object_hash(self.fleet.service.as_str(), &object),
--- a/crates/observe/src/events.rs
+++ b/crates/observe/src/events.rs
@@ -82,6 +82,7 @@
     410 Warn WorkspaceAtQuota "A workspace has used up its quota; boxes ask its keeper before they send." "None, unless the workspace should have more.";
     500 Warn UpstreamFailed "An upstream could not be reached or broke off." "Check the upstream.";
     501 Info UpstreamLeaving "An upstream said that it is leaving." "None.";
+    502 Info UpstreamRestarted "An upstream has started again under its name; nothing known of it before holds." "None, unless it repeats.";
     310 Info MemberHeard "Another box is heard again, or for the first time." "None.";
     311 Warn MemberSilent "Another box is no longer heard." "Check the box and the network between the zones.";
     510 Info RequestServed "A routed request got an upstream's answer." "None.";
--- a/crates/routing/src/change.rs
+++ b/crates/routing/src/change.rs
@@ -55,6 +55,8 @@
     Evacuated(Zone),
     /// An upstream wrote its entry.
     Upstream(UpstreamRecord),
+    /// An upstream's entry was written, and it names no upstream that can be used.
+    Unreadable(UpstreamId),
     /// The key is no longer there.
     Gone(ChangeKey),
 }
@@ -66,6 +68,7 @@
             Self::Config(_) | Self::ConfigPatched(_) => ChangeKey::Config,
             Self::Evacuated(zone) => ChangeKey::Evacuation(zone.clone()),
             Self::Upstream(record) => ChangeKey::Upstream(record.id.clone()),
+            Self::Unreadable(id) => ChangeKey::Upstream(id.clone()),
             Self::Gone(key) => key.clone(),
         }
     }
--- a/crates/routing/src/fleet_state/mod.rs
+++ b/crates/routing/src/fleet_state/mod.rs
@@ -80,6 +80,7 @@
             Change::ConfigPatched(patches) => self.config.patch(&patches, revision),
             Change::Evacuated(zone) => self.evacuations.begin(zone, revision),
             Change::Upstream(record) => self.upstreams.insert(record, revision, now),
+            Change::Unreadable(id) => self.upstreams.make_unreadable(&id, revision, now),
             Change::Gone(key) => self.apply_gone(&key, revision, now),
         }
     }
--- a/crates/routing/src/fleet_state/upstream_entries.rs
+++ b/crates/routing/src/fleet_state/upstream_entries.rs
@@ -20,6 +20,8 @@
 #[derive(Clone, Copy, Debug)]
 struct GoneUpstream {
     revision: Revision,
+    /// It is there, and names no upstream that can be used.
+    is_unreadable: bool,
     gone_at: Millis,
     /// The last moment as of which the entry is known to have been there, where it was
     /// held.
@@ -48,6 +50,14 @@
         {
             return false;
         }
+        if let Some(held) = self.held.get_mut(&record.id)
+            && held.record.started > record.started
+            && record.started.is_some()
+        {
+            // An earlier life's word came late; what the later one said holds.
+            held.revision = revision;
+            return false;
+        }
         let held = HeldUpstream {
             record,
             revision,
@@ -73,10 +83,14 @@
         let was_held = self.held.remove(id).is_some();
         let gone = self.gone.entry(id.clone()).or_insert(GoneUpstream {
             revision,
+            is_unreadable: false,
             gone_at: now,
             present_as_of,
         });
-        gone.revision = gone.revision.max(revision);
+        if revision >= gone.revision {
+            gone.revision = revision;
+            gone.is_unreadable = false;
+        }
         if was_held {
             gone.gone_at = now;
             gone.present_as_of = present_as_of;
@@ -84,8 +98,27 @@
         was_held
     }
 
+    /// Takes that an entry names no upstream any more; says whether it did. Unlike one that
+    /// is lost it isn't kept in use: somebody wrote it.
+    pub(super) fn make_unreadable(
+        &mut self,
+        id: &UpstreamId,
+        revision: Revision,
+        now: Millis,
+    ) -> bool {
+        let was_held = self.remove(id, revision, now, None);
+        let is_held = self.held.contains_key(id);
+        if let Some(gone) = self.gone.get_mut(id).filter(|_| !is_held)
+            && gone.revision <= revision
+        {
+            gone.is_unreadable = true;
+        }
+        was_held
+    }
+
     pub(super) fn gone_present_as_of(&self, id: &UpstreamId) -> Option<Option<Millis>> {
-        self.gone.get(id).map(|gone| gone.present_as_of)
+        let gone = self.gone.get(id).filter(|gone| !gone.is_unreadable);
+        gone.map(|gone| gone.present_as_of)
     }
 
     /// Forgets what went away long ago; returns the last revision that is forgotten.
@@ -122,7 +155,11 @@
     pub(super) fn gone_entries(&self) -> Vec<Revised> {
         let entry = |(id, gone): (&UpstreamId, &GoneUpstream)| Revised {
             revision: gone.revision,
-            change: Change::Gone(ChangeKey::Upstream(id.clone())),
+            change: if gone.is_unreadable {
+                Change::Unreadable(id.clone())
+            } else {
+                Change::Gone(ChangeKey::Upstream(id.clone()))
+            },
         };
         self.gone.iter().map(entry).collect()
     }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -39,7 +39,7 @@
 pub use news_source::{Candidate, Distance, NewsSources};
 pub use placement::{
     Advice, AdvisedHome, Basis, Choice, Ending, Home, HomeState, KeptUpstream, Placement,
-    PlacementSettings, Question, Refusal, ServiceStatus, UpstreamOutcome, Wanted,
+    PlacementSettings, Question, Refusal, ServiceStatus, Updated, UpstreamOutcome, Wanted,
 };
 pub use quota::{
     Admission, QuotaBounds, QuotaBox, QuotaCount, QuotaStatus, QuotaWord, Quotas, ToKeeper,
@@ -52,7 +52,7 @@
 pub use swim::{
     KnownView, Liveness, Member, MemberRecord, MemberState, Swim, SwimMessage, SwimSettings,
 };
-pub use upstream::{UpstreamRecord, UpstreamState};
+pub use upstream::{UpstreamRecord, UpstreamStart, UpstreamState};
 pub use upstream_load::{LoadReport, UpstreamLoad};
 pub use view_limits::ViewLimits;
 pub use watchers::{StoreDuty, Watchers};
--- a/crates/routing/src/placement/advice.rs
+++ b/crates/routing/src/placement/advice.rs
@@ -8,6 +8,7 @@
 //! goes by what it knows itself.
 
 use super::UpstreamOutcome;
+use crate::upstream::UpstreamStart;
 use crate::upstream_load::LoadReport;
 use brasswinch_types::{Millis, Region, Service, UpstreamId};
 use serde::{Deserialize, Serialize};
@@ -45,6 +46,9 @@
     /// The upstream that suits best.
     #[serde(rename = "u")]
     pub upstream: UpstreamId,
+    /// Which of its lives.
+    #[serde(rename = "b", default)]
+    pub started: Option<UpstreamStart>,
     /// Requests there without this one, in multiples of its slots.
     #[serde(rename = "f")]
     pub fullness: f32,
@@ -68,6 +72,9 @@
     /// Where it was sent; `None` where it went to an upstream of another region, or nowhere.
     #[serde(rename = "u")]
     pub upstream: Option<UpstreamId>,
+    /// Which of its lives.
+    #[serde(rename = "b", default)]
+    pub started: Option<UpstreamStart>,
     /// How it ended there.
     #[serde(rename = "e")]
     pub outcome: UpstreamOutcome,
--- a/crates/routing/src/placement/entry.rs
+++ b/crates/routing/src/placement/entry.rs
@@ -60,6 +60,11 @@
         }
     }
 
+    /// Whether `record` is of the same life of the upstream.
+    pub(super) fn is_same_life(&self, record: &UpstreamRecord) -> bool {
+        self.record.started == record.started
+    }
+
     pub(super) fn takes_requests(&self, now: Millis) -> bool {
         self.record.state == UpstreamState::Ready
             && !self.is_evacuated
--- a/crates/routing/src/placement/homes.rs
+++ b/crates/routing/src/placement/homes.rs
@@ -87,7 +87,8 @@
         let mut entries = self.entries.iter();
         let index = entries.position(|entry| entry.record.id == advice.upstream)?;
         let entry = &self.entries[index];
-        let is_allowed = regions.first() == Some(&entry.region)
+        let is_allowed = entry.record.started == advice.started
+            && regions.first() == Some(&entry.region)
             && is_usable(entry, wanted, now)
             && !entry.is_cold(now);
         is_allowed.then_some(SeenHome {
--- a/crates/routing/src/placement/keeping.rs
+++ b/crates/routing/src/placement/keeping.rs
@@ -142,6 +142,7 @@
         let advice = Advice {
             id: question.id,
             upstream: entry.record.id.clone(),
+            started: entry.record.started,
             fullness: entry.shared_fullness(now) as f32,
             has_served: entry.shared.has_served(question.object),
         };
@@ -213,7 +214,8 @@
 
     fn ended_elsewhere(&mut self, ending: &Ending, now: Millis) {
         for entry in self.entries.iter_mut().filter(|entry| entry.is_counted()) {
-            let is_sent_there = Some(&entry.record.id) == ending.upstream.as_ref();
+            let is_sent_there = Some(&entry.record.id) == ending.upstream.as_ref()
+                && entry.record.started == ending.started;
             if is_sent_there {
                 if let Some(report) = ending.report {
                     entry.shared.reported(report, now);
--- a/crates/routing/src/placement/mod.rs
+++ b/crates/routing/src/placement/mod.rs
@@ -27,7 +27,7 @@
 use crate::demand::AveragedDemand;
 use crate::region_plan::RegionRoom;
 use crate::rendezvous::object_hash;
-use crate::upstream::UpstreamRecord;
+use crate::upstream::{UpstreamRecord, UpstreamStart};
 use crate::upstream_load::LoadReport;
 use crate::workspace::{Rank, RegionLimits};
 use crate::{FleetState, SteeringConfig};
@@ -93,6 +93,8 @@
     pub basis: Basis,
     /// The upstream.
     pub upstream: UpstreamId,
+    /// Which of its lives.
+    pub started: Option<UpstreamStart>,
     /// Its service.
     pub service: Service,
     /// Where it listens.
@@ -102,6 +104,15 @@
     pub lost_ms: Option<Millis>,
 }
 
+/// What an update of the upstreams brought.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Updated {
+    /// Upstreams whose entries were lost since the last time and that stay in use for now.
+    pub kept: Vec<UpstreamId>,
+    /// Upstreams that started again under their name.
+    pub restarted: Vec<UpstreamId>,
+}
+
 /// Why no upstream was chosen.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Refusal {
@@ -183,27 +194,29 @@
         self.most_boxes
     }
 
-    /// Takes what is known of upstreams. Returns those whose entries were lost since the
-    /// last time and that stay in use for now.
-    pub fn update(
-        &mut self,
-        fleet: &FleetState,
-        config: &SteeringConfig,
-        now: Millis,
-    ) -> Vec<UpstreamId> {
+    /// Takes what is known of upstreams; returns what operators and connections have to know.
+    pub fn update(&mut self, fleet: &FleetState, config: &SteeringConfig, now: Millis) -> Updated {
         let mut held: HashMap<UpstreamId, Entry> = HashMap::new();
         for service in self.services.values_mut() {
             let entries = std::mem::take(&mut service.entries);
             held.extend(entries.into_iter().map(|e| (e.record.id.clone(), e)));
         }
         let mut addresses = BTreeSet::new();
+        let mut restarted = Vec::new();
         for (record, learned_at) in fleet.upstreams() {
             addresses.insert(record.address);
-            let entry = self.entry(record, learned_at, held.remove(&record.id), fleet, now);
+            let mut same = held.remove(&record.id);
+            if same.as_ref().is_some_and(|held| !held.is_same_life(record)) {
+                // It holds and knows nothing of before.
+                restarted.push(record.id.clone());
+                same = None;
+            }
+            let entry = self.entry(record, learned_at, same, fleet, now);
             self.service(&record.service).entries.push(entry);
         }
         let vanished = held
             .into_values()
+            .filter(|entry| fleet.lost_entry(&entry.record.id).is_some())
             .filter(|entry| entry.takes_requests(now) && !addresses.contains(&entry.record.address))
             .collect();
         let kept = self.keep_lost_entries(vanished, fleet, now);
@@ -215,7 +228,7 @@
         self.services
             .retain(|_, service| !service.entries.is_empty());
         self.review(now);
-        kept
+        Updated { kept, restarted }
     }
 
     /// Keeps upstreams whose entries were lost together, for as long as writing them again
@@ -392,6 +405,8 @@
     fn held(&mut self, choice: &Choice) -> Option<&mut Entry> {
         let service = self.services.get_mut(&choice.service)?;
         let mut entries = service.entries.iter_mut();
-        entries.find(|entry| entry.record.id == choice.upstream)
+        entries.find(|entry| {
+            entry.record.id == choice.upstream && entry.record.started == choice.started
+        })
     }
 }
--- a/crates/routing/src/placement/service_upstreams.rs
+++ b/crates/routing/src/placement/service_upstreams.rs
@@ -101,6 +101,7 @@
         Choice {
             basis,
             upstream: entry.record.id.clone(),
+            started: entry.record.started,
             service: entry.record.service.clone(),
             address: entry.record.address,
             lost_ms: entry.lost_ms(now),
--- a/crates/routing/src/upstream.rs
+++ b/crates/routing/src/upstream.rs
@@ -4,6 +4,12 @@
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
+/// When an upstream's process began, in milliseconds since 1970 by its own clock. It tells one
+/// life of an upstream from the next, and nothing is reckoned with it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct UpstreamStart(pub u64);
+
 /// What an upstream says of itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum UpstreamState {
@@ -16,8 +22,10 @@
 /// An upstream's own entry.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct UpstreamRecord {
-    /// This incarnation.
+    /// Its name.
     pub id: UpstreamId,
+    /// Which of its lives this is, if it says so: one that starts again may keep its name.
+    pub started: Option<UpstreamStart>,
     /// The service it belongs to.
     pub service: Service,
     /// Where it listens.
--- a/crates/routing/tests/common/mod.rs
+++ b/crates/routing/tests/common/mod.rs
@@ -29,6 +29,7 @@
 
 pub fn upstream(id: &str, zone: &str, port: u16) -> UpstreamRecord {
     UpstreamRecord {
+        started: None,
         id: UpstreamId::new(id),
         service: service(),
         address: ([127, 0, 0, 1], port).into(),
--- a/crates/routing/tests/keeping.rs
+++ b/crates/routing/tests/keeping.rs
@@ -73,6 +73,7 @@
 
 fn ending(question: &Question, upstream: Option<&UpstreamId>, outcome: UpstreamOutcome) -> Ending {
     Ending {
+        started: None,
         id: question.id,
         service: question.service.clone(),
         object: question.object,
