--- a/crates/edge/tests/asking.rs
+++ b/crates/edge/tests/asking.rs
@@ -129,6 +129,7 @@
     let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
     for fullness in [f32::NAN, f32::INFINITY, -1.0, 1e9, 0.5] {
         let advice = Datagram::Advice(Advice {
+            started: None,
             id: 1,
             upstream: UpstreamId::new("upstream-0"),
             fullness,
