--- a/crates/routing/tests/placement.rs
+++ b/crates/routing/tests/placement.rs
@@ -551,5 +551,8 @@
     assert_eq!(at_home, 2 * SLOTS as usize);
     let (ninth, tenth) = (test.choose("1", 6), test.choose("1", 6));
     assert_eq!(ninth.upstream, home);
-    assert_ne!(tenth.upstream, home, "its wait is longer than a run elsewhere");
+    assert_ne!(
+        tenth.upstream, home,
+        "its wait is longer than a run elsewhere"
+    );
 }
