Log lines of failed tries name the request by a digest, and how long the try had run

Cause: BW511 named neither path nor body, so that the first broken try of a request could not be tied to those of its repeats at other boxes.

--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -14,7 +14,8 @@
 use crate::request::{RequestFacts, request_id};
 use brasswinch_observe::{Event, emit};
 use brasswinch_routing::{
-    ConfigVersion, KnownWorkspace, Rank, Refusal, RegionLimits, Route, Wanted,
+    ConfigVersion, KnownWorkspace, Rank, Refusal, RegionLimits, RequestDigest, RequestIdentity,
+    Route, Wanted,
 };
 use brasswinch_types::{ErrorKind, Ran, Service, UpstreamId};
 use http::request::Parts;
@@ -70,7 +71,9 @@
     let config = config.as_ref().map_or(0, |held| held.config.version.0);
     let told = format!("id={id} path={path} config={config} cause={kind} ms={took}");
     match failure {
-        Failure::AtUpstream { decided, .. } => emit(event, format_args!("{told} {decided}")),
+        Failure::AtUpstream {
+            decided, digest, ..
+        } => emit(event, format_args!("{told} digest={digest} {decided}")),
         Failure::Refused {
             retry_after_ms,
             basis,
@@ -255,13 +258,29 @@
                 AttemptEnd::Lost => ErrorKind::UpstreamBroken,
             };
             tries.count_sent(kind);
+            let digest = self.digest(&tries);
             if !self.may_retry(&tries, kind) {
                 return Err(tries.truth(tries.last_failure(kind)));
             }
-            self.report_retry(&decided, kind);
+            self.report_retry(&tries, digest, &decided, kind);
         }
     }
 
+    /// What the request is told by when it comes again.
+    fn digest(&self, tries: &Tries) -> RequestDigest {
+        let path = self.parts.uri.path_and_query();
+        let of = || {
+            RequestDigest::of(&RequestIdentity {
+                workspace: self.workspace.map(|held| &held.name),
+                method: self.parts.method.as_str(),
+                host: self.facts.host,
+                path: path.map_or("", |path| path.as_str()),
+                body: &tries.whole,
+            })
+        };
+        *tries.digest.get_or_init(of)
+    }
+
     /// The upstream of the next try, while there is time for one.
     async fn next_upstream(&self, tries: &Tries) -> Result<Chosen, Failure> {
         if Instant::now() >= self.answer_by {
@@ -302,13 +321,21 @@
         );
     }
 
-    fn report_retry(&self, decided: &Decided, cause: ErrorKind) {
+    fn report_retry(
+        &self,
+        tries: &Tries,
+        digest: RequestDigest,
+        decided: &Decided,
+        cause: ErrorKind,
+    ) {
         let id = request_id(self.parts, &self.context.dialect);
         let (route, service, config) = (&self.route.name, &self.service, self.config.0);
+        let tried_ms = tries.began.elapsed().as_millis();
         emit(
             Event::RequestRetried,
             format_args!(
-                "id={id} route={route} service={service} config={config} cause={cause} {decided}"
+                "id={id} route={route} service={service} config={config} cause={cause} \
+                 digest={digest} tried_ms={tried_ms} {decided}"
             ),
         );
     }
--- a/crates/edge/src/failure.rs
+++ b/crates/edge/src/failure.rs
@@ -1,10 +1,12 @@
 //! What is known of a request's tries, and the failure that follows from it.
 
 use crate::body::Held;
-use brasswinch_routing::{Basis, Choice};
+use brasswinch_routing::{Basis, Choice, RequestDigest};
 use brasswinch_types::{ErrorKind, Millis, Ran, UpstreamId, Workspace};
 use bytes::Bytes;
 use std::fmt;
+use std::sync::OnceLock;
+use tokio::time::Instant;
 
 /// A choice as the log tells it, after the try has taken the choice itself.
 #[derive(Clone)]
@@ -42,6 +44,8 @@
     AtUpstream {
         kind: ErrorKind,
         decided: Box<Decided>,
+        /// Tells the request when it comes again.
+        digest: RequestDigest,
     },
     /// Its workspace has no room in its quota.
     OverQuota {
@@ -84,6 +88,10 @@
     /// Tries in which nothing was sent.
     pub(crate) unreachable: u32,
     pub(crate) may_have_run: bool,
+    /// When the last of them began.
+    pub(crate) began: Instant,
+    /// What the request is told by when it comes again, once that was needed.
+    pub(crate) digest: OnceLock<RequestDigest>,
 }
 
 impl Tries {
@@ -96,6 +104,8 @@
             sent: 0,
             unreachable: 0,
             may_have_run: false,
+            began: Instant::now(),
+            digest: OnceLock::new(),
         }
     }
 
@@ -103,16 +113,18 @@
     pub(crate) fn begin(&mut self, decided: Decided) {
         self.upstreams.push(decided.upstream.clone());
         self.last = Some(decided);
+        self.began = Instant::now();
     }
 
     /// The failure of the last try, which ended with `kind`.
     pub(crate) fn last_failure(&self, kind: ErrorKind) -> Failure {
-        match &self.last {
-            Some(decided) => Failure::AtUpstream {
+        match (&self.last, self.digest.get()) {
+            (Some(decided), Some(digest)) => Failure::AtUpstream {
                 kind,
                 decided: Box::new(decided.clone()),
+                digest: *digest,
             },
-            None => kind.into(),
+            _ => kind.into(),
         }
     }
 
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -16,6 +16,7 @@
 mod quota;
 mod region_plan;
 mod rendezvous;
+mod request_digest;
 mod retry_budget;
 mod route_table;
 mod split;
@@ -46,6 +47,7 @@
 };
 pub use region_plan::{RegionPlan, RegionRoom};
 pub use rendezvous::{object_hash, weighted_score};
+pub use request_digest::{RequestDigest, RequestIdentity};
 pub use retry_budget::{RetryBudget, RetryBudgetSettings};
 pub use route_table::RouteTable;
 pub use split::WeightedSplit;
