--- a/crates/lab/src/routed_upstream.rs
+++ b/crates/lab/src/routed_upstream.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 
 /// What the upstream does with a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -44,6 +45,8 @@
     Hang,
     /// Answers and says that it will close the connection.
     AnswerAndLeave,
+    /// Runs it for a while and ends under it: all its connections break and its port closes.
+    CrashAfter(Duration),
 }
 
 /// A request that reached the upstream.
@@ -69,6 +72,8 @@
 struct State {
     script: VecDeque<Behaviour>,
     usual: Option<Behaviour>,
+    /// What it does with requests whose path begins so, before all else.
+    by_path: Vec<(String, Behaviour)>,
     seen: Vec<Seen>,
     connections: usize,
     closed_early: usize,
@@ -83,6 +88,7 @@
     pub address: SocketAddr,
     dialect: Arc<Dialect>,
     state: Arc<Mutex<State>>,
+    has_crashed: Arc<watch::Sender<bool>>,
 }
 
 impl Seen {
@@ -104,21 +110,49 @@
             address: listener.local_addr()?,
             dialect: Arc::new(dialect.clone()),
             state: Arc::default(),
+            has_crashed: Arc::new(watch::Sender::new(false)),
         };
         let serving = upstream.clone();
         tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let upstream = serving.clone();
-                upstream.lock().connections += 1;
-                tokio::spawn(async move {
-                    // A caller that breaks off is counted where it matters.
-                    let _ = upstream.serve(stream).await;
-                });
+            tokio::select! {
+                () = serving.accept(listener) => {}
+                () = serving.crashed() => {}
             }
         });
         Ok(upstream)
     }
 
+    async fn accept(&self, listener: TcpListener) {
+        while let Ok((stream, _)) = listener.accept().await {
+            let upstream = self.clone();
+            upstream.lock().connections += 1;
+            tokio::spawn(async move {
+                tokio::select! {
+                    // A caller that breaks off is counted where it matters.
+                    _ = upstream.serve(stream) => {}
+                    () = upstream.crashed() => {}
+                }
+            });
+        }
+    }
+
+    /// Waits until a request has ended it.
+    pub async fn crashed(&self) {
+        let mut changes = self.has_crashed.subscribe();
+        // The sender lives as long as the upstream.
+        let _ = changes.wait_for(|has_crashed| *has_crashed).await;
+    }
+
+    /// Whether a request has ended it.
+    pub fn has_crashed(&self) -> bool {
+        *self.has_crashed.borrow()
+    }
+
+    /// What it does with requests whose path begins with `prefix`, whatever else it was told.
+    pub fn on_path(&self, prefix: &str, behaviour: Behaviour) {
+        self.lock().by_path.push((prefix.to_owned(), behaviour));
+    }
+
     /// What it does with the next requests; after them it answers 200.
     pub fn script(&self, behaviours: impl IntoIterator<Item = Behaviour>) {
         self.lock().script.extend(behaviours);
@@ -148,8 +182,13 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn next_behaviour(&self) -> Behaviour {
+    fn next_behaviour(&self, head: &str) -> Behaviour {
         let mut state = self.lock();
+        let path = head.split(' ').nth(1).unwrap_or_default();
+        let mut by_path = state.by_path.iter();
+        if let Some((_, told)) = by_path.find(|(prefix, _)| path.starts_with(prefix)) {
+            return told.clone();
+        }
         let usual = state.usual.clone().unwrap_or(Behaviour::Answer(200));
         state.script.pop_front().unwrap_or(usual)
     }
@@ -158,7 +197,7 @@
         let mut buffer = Vec::new();
         let mut is_kept = false;
         while let Some(head) = read_head(&mut stream, &mut buffer).await? {
-            let behaviour = self.next_behaviour();
+            let behaviour = self.next_behaviour(&head);
             if behaviour == Behaviour::CloseWhenKept && is_kept {
                 return Ok(());
             }
@@ -258,6 +297,11 @@
                 stream.write_all(closing.as_bytes()).await?;
                 return Ok(false);
             }
+            Behaviour::CrashAfter(time) => {
+                tokio::time::sleep(*time).await;
+                self.has_crashed.send_replace(true);
+                return Ok(false);
+            }
         }
         Ok(true)
     }
