Requests under which upstreams end are told to all boxes and held back

Cause: a box knew a request only until its answer. Each repeat, at whatever box, had tries of its own, and what a broken connection says about the request was thrown away.

Ruled out: more tries of one arrival than its route allows (no id has more than two); upstreams that end for load (0.0 to 0.7 of their slots where they broke).

Change: a run that ends with its upstream's connection is told to two boxes that count the request by its digest. Two runs, one after the other and none answered, are told to all boxes: the request is then placed by its digest rather than its object, away from the innocent, and an answer clears it. Three shut it out everywhere, for 5 minutes, doubled by each run beyond; it is told shut_out (503, not run) at once, without an upstream, a retry or its quota. Runs that overlap count once, so that upstreams that end together speak against nobody. Answers that are wrong, time-outs and requests of which nothing was sent speak against nobody either. Boxes that start are told by those that count. Events BW520 to BW523, a figure, and lines in status.

Found on the way by its own tests: a request let out again was never shut out again (a full list of runs took no more), and reports that waited in a queue made runs seem to overlap.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -59,13 +59,18 @@
 /// How a try ended.
 pub(crate) enum AttemptEnd {
     /// A whole answer, or one that is on its way.
-    Answer(Response<AnyBody>),
+    Answer {
+        response: Response<AnyBody>,
+        is_whole: bool,
+    },
     /// The upstream said that it did not run it.
     Refused,
     /// Nothing was sent.
     NotSent(OutgoingBody),
-    /// It was sent, and there is no answer that can be used.
-    Lost,
+    /// It was sent, and the upstream's connection ended under it.
+    Broken,
+    /// It was sent, and there is an answer that can't be used.
+    Unusable,
     /// The time is over; it was sent.
     TimeOver,
 }
@@ -153,9 +158,13 @@
                 placed.outcome = UpstreamOutcome::Unreachable;
                 return AttemptEnd::NotSent(unsent);
             }
-            Exchanged::Lost => {
+            Exchanged::Broken => {
                 placed.outcome = UpstreamOutcome::Unanswered;
-                return AttemptEnd::Lost;
+                return AttemptEnd::Broken;
+            }
+            Exchanged::Unusable => {
+                placed.outcome = UpstreamOutcome::Unanswered;
+                return AttemptEnd::Unusable;
             }
             Exchanged::TimeOver => {
                 placed.outcome = UpstreamOutcome::Unanswered;
@@ -189,7 +198,8 @@
 enum Exchanged {
     Answer(Response<Incoming>, Connection),
     NotSent(OutgoingBody),
-    Lost,
+    Broken,
+    Unusable,
     TimeOver,
 }
 
@@ -211,7 +221,9 @@
         Ok(Err(mut failure)) => match (failure.take_message(), whole) {
             (Some(_), Some(bytes)) => Exchanged::NotSent(OutgoingBody::Whole(bytes)),
             (Some(request), None) => Exchanged::NotSent(OutgoingBody::Passed(request.into_body())),
-            (None, _) => Exchanged::Lost,
+            // An upstream that sends something, whatever it is, has not ended.
+            (None, _) if failure.error().is_parse() => Exchanged::Unusable,
+            (None, _) => Exchanged::Broken,
         },
         Err(_) => Exchanged::TimeOver,
     }
@@ -270,7 +282,7 @@
     let context = Arc::clone(&placed.context);
     let (parts, body) = answer.into_parts();
     if !placed.belongs(&parts.headers) {
-        return AttemptEnd::Lost;
+        return AttemptEnd::Unusable;
     }
     placed.take_load(&parts.headers);
     if let Some(seconds) = keep_alive_seconds(&parts.headers) {
@@ -280,11 +292,11 @@
     let refused = replaced || parts.headers.contains_key(&context.dialect.not_run);
     let signed = parts.headers.contains_key(&context.dialect.signature);
     if !refused && parts.status.is_success() && !signed {
-        return AttemptEnd::Lost;
+        return AttemptEnd::Unusable;
     }
     let held = match timeout_at(answer_by, hold(body, MOST_HELD_ANSWER)).await {
         Ok(Ok(held)) => held,
-        Ok(Err(_)) => return AttemptEnd::Lost,
+        Ok(Err(_)) => return AttemptEnd::Broken,
         Err(_) => return AttemptEnd::TimeOver,
     };
     placed.outcome = UpstreamOutcome::Answered;
@@ -300,6 +312,7 @@
         return AttemptEnd::Refused;
     }
     let mut headers = end_to_end(&parts.headers);
+    let is_whole = held.is_whole();
     let body = match held.rest {
         None => {
             connection.reuse();
@@ -322,7 +335,7 @@
     let mut response = Response::new(body);
     *response.status_mut() = parts.status;
     *response.headers_mut() = headers;
-    AttemptEnd::Answer(response)
+    AttemptEnd::Answer { response, is_whole }
 }
 
 impl Placed {
--- a/crates/edge/src/clock.rs
+++ b/crates/edge/src/clock.rs
@@ -1,6 +1,7 @@
 //! The monotonic clock of the process.
 
 use brasswinch_types::Millis;
+use std::time::Duration;
 use tokio::time::Instant;
 
 /// Counts from its creation.
@@ -18,6 +19,11 @@
 
     /// Milliseconds since the process started. Never 0, which stands for "never".
     pub(crate) fn now(&self) -> Millis {
-        self.origin.elapsed().as_millis() as Millis + 1
+        Self::millis(self.origin.elapsed()) + 1
+    }
+
+    /// A span as the clock counts it.
+    pub(crate) fn millis(span: Duration) -> Millis {
+        span.as_millis() as Millis
     }
 }
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -6,6 +6,7 @@
 use crate::connections::ConnectionPool;
 use crate::dialect::Dialect;
 use crate::figures::Figures;
+use crate::quarantine::QuarantineTasks;
 use crate::quotas::QuotaTasks;
 use crate::settings::EdgeSettings;
 use crate::store_calls::StoreCalls;
@@ -118,6 +119,8 @@
     pub(crate) asking: Asking,
     /// The workspaces' quotas.
     pub(crate) quotas: QuotaTasks,
+    /// Requests that end upstreams.
+    pub(crate) quarantine: QuarantineTasks,
     /// This box has something new to tell.
     pub(crate) has_news: Notify,
     lifecycle: watch::Sender<Lifecycle>,
@@ -167,6 +170,7 @@
             watching: Watching::new(&settings, &swim),
             asking: Asking::new(socket),
             quotas: QuotaTasks::new(settings.id.clone(), settings.bounds.quota),
+            quarantine: QuarantineTasks::new(settings.id.clone()),
             telling: Telling::default(),
             dialect,
             clock: Clock::new(),
@@ -327,6 +331,7 @@
         drop(placement);
         drop(swim);
         self.set_quota_boxes();
+        self.set_quarantine_boxes();
         self.update_watching();
     }
 
--- a/crates/edge/src/datagram.rs
+++ b/crates/edge/src/datagram.rs
@@ -1,6 +1,6 @@
 //! What boxes send each other in datagrams, in CBOR.
 
-use brasswinch_routing::{Advice, Ending, Question, QuotaCount, QuotaWord, SwimMessage};
+use brasswinch_routing::{Advice, Ending, Question, QuotaCount, QuotaWord, RunReport, SwimMessage};
 use serde::{Deserialize, Serialize};
 
 /// One datagram.
@@ -24,4 +24,7 @@
     /// What the quota's keeper says.
     #[serde(rename = "w")]
     QuotaWord(QuotaWord),
+    /// Upstreams ended under this request, or one of its runs was answered.
+    #[serde(rename = "r")]
+    RunReport(RunReport),
 }
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -10,14 +10,15 @@
 use crate::context::{Context, InForce};
 use crate::counted::{HeldBytes, InFlight};
 use crate::failure::{Decided, Failure, Tries};
+use crate::quarantine::UpstreamLife;
 use crate::quotas::Permit;
 use crate::request::{RequestFacts, request_id};
 use brasswinch_observe::{Event, emit};
 use brasswinch_routing::{
     ConfigVersion, KnownWorkspace, Rank, Refusal, RegionLimits, RequestDigest, RequestIdentity,
-    Route, Wanted,
+    RequestShape, Route, Suspect, Verdict, Wanted,
 };
-use brasswinch_types::{ErrorKind, Ran, Service, UpstreamId};
+use brasswinch_types::{ErrorKind, Ran, Service};
 use http::request::Parts;
 use http::{Request, Response};
 use http_body_util::BodyExt;
@@ -54,6 +55,9 @@
                 Failure::Refused { retry_after_ms, .. } => {
                     refusal(ErrorKind::AtCapacity, retry_after_ms)
                 }
+                Failure::ShutOut { retry_after_ms, .. } => {
+                    refusal(ErrorKind::ShutOut, retry_after_ms)
+                }
             }
         }
     }
@@ -88,6 +92,13 @@
             event,
             format_args!("{told} upstream=- workspace={workspace} retry_after_ms={retry_after_ms}"),
         ),
+        Failure::ShutOut {
+            retry_after_ms,
+            digest,
+        } => emit(
+            event,
+            format_args!("{told} upstream=- digest={digest} retry_after_ms={retry_after_ms}"),
+        ),
         Failure::Kind(_) => emit(event, format_args!("{told} upstream=-")),
     }
 }
@@ -212,6 +223,10 @@
         let mut tries = Tries::new(&held);
         let mut body = Some(self.outgoing_body(held, in_force));
         loop {
+            // A request that comes again is new to the box that it comes to: of 40 repeats each
+            // would reach two upstreams. Upstreams that end under it: 31 to 36 without, 3 or 4 with.
+            self.look_up_quarantine(&mut tries)
+                .map_err(|failure| tries.truth(failure))?;
             let chosen = self
                 .next_upstream(&tries)
                 .await
@@ -234,11 +249,15 @@
             if let Some(permit) = permit.as_deref_mut() {
                 permit.runs();
             }
+            let life = UpstreamLife::from(&chosen.choice);
             let kind = match attempt(self.context, chosen, outgoing).await {
-                AttemptEnd::Answer(answer) => {
+                AttemptEnd::Answer { response, is_whole } => {
                     let count = tries.upstreams.len();
-                    self.report_served(&decided, answer.status().as_u16(), count);
-                    return Ok(answer);
+                    self.report_served(&decided, response.status().as_u16(), count);
+                    if let Some(digest) = tries.digest.get().filter(|_| is_whole) {
+                        self.context.run_answered(*digest);
+                    }
+                    return Ok(response);
                 }
                 AttemptEnd::NotSent(unsent) => {
                     if let Some(permit) = permit.as_deref_mut() {
@@ -255,7 +274,13 @@
                     }
                     ErrorKind::UpstreamRefused
                 }
-                AttemptEnd::Lost => ErrorKind::UpstreamBroken,
+                AttemptEnd::Broken => {
+                    let suspect = self.suspect(&tries);
+                    let digest = self.digest(&tries);
+                    self.context.run_broke(digest, &suspect, &life, tries.began);
+                    ErrorKind::UpstreamBroken
+                }
+                AttemptEnd::Unusable => ErrorKind::UpstreamBroken,
             };
             tries.count_sent(kind);
             let digest = self.digest(&tries);
@@ -266,21 +291,51 @@
         }
     }
 
+    fn identity<'a>(&'a self, tries: &'a Tries) -> RequestIdentity<'a> {
+        let path = self.parts.uri.path_and_query();
+        RequestIdentity {
+            workspace: self.workspace.map(|held| &held.name),
+            method: self.parts.method.as_str(),
+            host: self.facts.host,
+            path: path.map_or("", |path| path.as_str()),
+            body: &tries.whole,
+        }
+    }
+
     /// What the request is told by when it comes again.
     fn digest(&self, tries: &Tries) -> RequestDigest {
-        let path = self.parts.uri.path_and_query();
-        let of = || {
-            RequestDigest::of(&RequestIdentity {
-                workspace: self.workspace.map(|held| &held.name),
-                method: self.parts.method.as_str(),
-                host: self.facts.host,
-                path: path.map_or("", |path| path.as_str()),
-                body: &tries.whole,
-            })
-        };
+        let of = || RequestDigest::of(&self.identity(tries));
         *tries.digest.get_or_init(of)
     }
 
+    fn suspect(&self, tries: &Tries) -> Suspect {
+        Suspect {
+            workspace: self.workspace.map(|held| held.name.clone()),
+            service: self.service.clone(),
+            shape: RequestShape::of(&self.identity(tries)),
+        }
+    }
+
+    /// Looks up whether upstreams end under the request, here or at other boxes.
+    fn look_up_quarantine(&self, tries: &mut Tries) -> Result<(), Failure> {
+        let shape = RequestShape::of(&self.identity(tries));
+        if !self.context.may_be_quarantined(shape) {
+            return Ok(());
+        }
+        let digest = self.digest(tries);
+        match self.context.quarantine_verdict(digest) {
+            Verdict::Unknown => Ok(()),
+            Verdict::Suspect => {
+                tries.placed_as = Some(digest.to_bytes());
+                Ok(())
+            }
+            Verdict::ShutOut { for_ms } => Err(Failure::ShutOut {
+                retry_after_ms: for_ms,
+                digest,
+            }),
+        }
+    }
+
     /// The upstream of the next try, while there is time for one.
     async fn next_upstream(&self, tries: &Tries) -> Result<Chosen, Failure> {
         if Instant::now() >= self.answer_by {
@@ -289,7 +344,7 @@
         if tries.unreachable >= MOST_UNREACHABLE {
             return Err(ErrorKind::NoUpstream.into());
         }
-        self.choose(&tries.upstreams).await
+        self.choose(tries).await
     }
 
     /// Whether the request may be sent once more after a try that ended with `kind`.
@@ -303,9 +358,16 @@
             && tries.can_repeat
             && tries.sent < self.route.max_attempts
             && Instant::now() < self.answer_by
+            && !self.is_shut_out(tries)
             && self.context.spend_retry(&self.service)
     }
 
+    fn is_shut_out(&self, tries: &Tries) -> bool {
+        let verdict = |digest: &RequestDigest| self.context.quarantine_verdict(*digest);
+        let verdict = tries.digest.get().map(verdict);
+        matches!(verdict, Some(Verdict::ShutOut { .. }))
+    }
+
     fn report_served(&self, decided: &Decided, status: u16, tries: usize) {
         let id = request_id(self.parts, &self.context.dialect);
         let (route, service, config) = (&self.route.name, &self.service, self.config.0);
@@ -340,10 +402,14 @@
         );
     }
 
-    async fn choose(&self, tried: &[UpstreamId]) -> Result<Chosen, Failure> {
+    async fn choose(&self, tries: &Tries) -> Result<Chosen, Failure> {
+        let tried = tries.upstreams.as_slice();
+        // A suspect goes to a home of its own, so that others about its object are not there
+        // when the upstream ends.
+        let placed_as = tries.placed_as.as_ref().map(|digest| digest.as_slice());
         let wanted = Wanted {
             service: &self.service,
-            object: self.facts.object,
+            object: placed_as.or(self.facts.object),
             rank: Rank {
                 workspace: self.workspace.map_or(0, |held| held.config.priority),
                 route: self.route.priority,
--- a/crates/edge/src/failure.rs
+++ b/crates/edge/src/failure.rs
@@ -52,6 +52,11 @@
         workspace: Workspace,
         retry_after_ms: Millis,
     },
+    /// Upstreams end under it.
+    ShutOut {
+        retry_after_ms: Millis,
+        digest: RequestDigest,
+    },
     /// For lack of room, with a time to come back.
     Refused {
         retry_after_ms: u64,
@@ -64,6 +69,7 @@
         match self {
             Self::Kind(kind) | Self::AtUpstream { kind, .. } => *kind,
             Self::OverQuota { .. } => ErrorKind::OverQuota,
+            Self::ShutOut { .. } => ErrorKind::ShutOut,
             Self::Refused { .. } => ErrorKind::AtCapacity,
         }
     }
@@ -92,6 +98,8 @@
     pub(crate) began: Instant,
     /// What the request is told by when it comes again, once that was needed.
     pub(crate) digest: OnceLock<RequestDigest>,
+    /// What it is placed by, in the place of its object, where upstreams ended under it.
+    pub(crate) placed_as: Option<[u8; 16]>,
 }
 
 impl Tries {
@@ -106,6 +114,7 @@
             may_have_run: false,
             began: Instant::now(),
             digest: OnceLock::new(),
+            placed_as: None,
         }
     }
 
--- a/crates/edge/src/figures.rs
+++ b/crates/edge/src/figures.rs
@@ -103,6 +103,7 @@
             }
         }
         self.write_quotas(&mut text);
+        self.write_quarantine(&mut text);
         for (labels, count) in self.store_calls.by_label() {
             line(&mut text, "store_calls_total", &labels, count as f64);
         }
@@ -115,6 +116,22 @@
 }
 
 impl Context {
+    /// How many requests are suspected and shut out, by service.
+    fn write_quarantine(&self, text: &mut String) {
+        let mut counts: BTreeMap<(Service, &'static str), u64> = BTreeMap::new();
+        for held in self.quarantine_status() {
+            let state = match held.shut_out_for_ms {
+                Some(_) => "shut_out",
+                None => "suspected",
+            };
+            *counts.entry((held.service, state)).or_default() += 1;
+        }
+        for ((service, state), count) in counts.into_iter().take(MOST_SERVICES) {
+            let labels = format!("service=\"{service}\",state=\"{state}\"");
+            line(text, "quarantined_requests", &labels, count as f64);
+        }
+    }
+
     /// The workspaces that were refused most, by what their quota let through and refused.
     fn write_quotas(&self, text: &mut String) {
         let mut quotas = self.quota_status();
--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -44,6 +44,7 @@
                 load.measure(&context);
                 context.settle_duty();
                 context.tick_quotas();
+                context.tick_quarantine();
                 let now = context.clock.now();
                 context.swim().tick(now, &mut rand::rng())
             }
@@ -97,6 +98,7 @@
         Ok(Datagram::Ending(ending)) => context.hear_ending(&ending),
         Ok(Datagram::QuotaCount(count)) => context.hear_quota_count(&count, from),
         Ok(Datagram::QuotaWord(word)) => context.hear_quota_word(word),
+        Ok(Datagram::RunReport(report)) => context.hear_run_report(&report, from),
         Ok(Datagram::Swim(message)) => {
             if let SwimMessage::Known { id, views, failing } = &message {
                 context.hear_known(id, views, *failing);
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -23,6 +23,7 @@
 mod follow;
 mod gossip;
 mod look_up;
+mod quarantine;
 mod quotas;
 mod refresh;
 mod registry;
--- /dev/null
+++ b/crates/edge/src/quarantine.rs
@@ -0,0 +1,177 @@
+//! Holds back requests that end upstreams, at this box and with the others; [`Quarantine`]
+//! decides.
+
+use crate::clock::Clock;
+use crate::context::Context;
+use crate::datagram::Datagram;
+use brasswinch_observe::{Event, emit};
+use brasswinch_routing::{
+    BrokenRun, Choice, Liveness, MemberState, Quarantine, QuarantineBox, QuarantineChange,
+    QuarantineNews, RequestDigest, RequestShape, RunReport, ShutOutStatus, Suspect, Verdict,
+};
+use brasswinch_types::BoxId;
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use tokio::time::Instant;
+
+/// This box's part in holding requests back.
+#[derive(Debug)]
+pub(crate) struct QuarantineTasks {
+    quarantine: Mutex<Quarantine>,
+}
+
+impl QuarantineTasks {
+    pub(crate) fn new(me: BoxId) -> Self {
+        Self {
+            quarantine: Mutex::new(Quarantine::new(me)),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Quarantine> {
+        self.quarantine
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Context {
+    /// Whether something may be known of a request of this shape.
+    pub(crate) fn may_be_quarantined(&self, shape: RequestShape) -> bool {
+        self.quarantine.lock().may_know(shape)
+    }
+
+    /// What is known of a request.
+    pub(crate) fn quarantine_verdict(&self, digest: RequestDigest) -> Verdict {
+        let now = self.clock.now();
+        self.quarantine.lock().verdict(digest, now)
+    }
+
+    /// The upstream of `choice` broke the connection under the request that was sent at
+    /// `began`.
+    pub(crate) fn run_broke(
+        &self,
+        digest: RequestDigest,
+        suspect: &Suspect,
+        choice: &UpstreamLife,
+        began: Instant,
+    ) {
+        let now = self.clock.now();
+        let run = BrokenRun {
+            upstream: choice.upstream.clone(),
+            started: choice.started,
+            began: now.saturating_sub(Clock::millis(began.elapsed())),
+            ended: now,
+        };
+        self.quarantine.lock().broke(digest, suspect, run, now);
+        self.send_run_reports();
+    }
+
+    /// An upstream answered the request.
+    pub(crate) fn run_answered(&self, digest: RequestDigest) {
+        let now = self.clock.now();
+        self.quarantine.lock().answered(digest, now);
+        self.send_run_reports();
+    }
+
+    /// Takes what another box tells of a request.
+    pub(crate) fn hear_run_report(&self, report: &RunReport, from: SocketAddr) {
+        let now = self.clock.now();
+        let heard = self.quarantine.lock().hear(report, now);
+        match heard {
+            Ok(()) => self.send_run_reports(),
+            Err(error) => emit(Event::PeerMalformed, format_args!("{from}: {error}")),
+        }
+    }
+
+    /// Looks at what time has changed.
+    pub(crate) fn tick_quarantine(&self) {
+        let now = self.clock.now();
+        self.quarantine.lock().tick(now);
+        self.send_run_reports();
+    }
+
+    /// Takes the boxes that serve.
+    pub(crate) fn set_quarantine_boxes(&self) {
+        let swim = self.swim();
+        let alive = swim
+            .members()
+            .filter(|member| member.liveness == Liveness::Alive);
+        let serving = alive.filter(|member| member.record.state == MemberState::Serving);
+        let boxes = serving
+            .map(|member| QuarantineBox {
+                id: member.record.id.clone(),
+                incarnation: member.record.incarnation,
+                address: member.record.peer_address,
+            })
+            .collect();
+        drop(swim);
+        let now = self.clock.now();
+        self.quarantine.lock().set_boxes(boxes, now);
+        self.send_run_reports();
+    }
+
+    /// What operators see of requests that end upstreams.
+    pub(crate) fn quarantine_status(&self) -> Vec<ShutOutStatus> {
+        let now = self.clock.now();
+        self.quarantine.lock().status(now)
+    }
+
+    fn send_run_reports(&self) {
+        let now = self.clock.now();
+        let mut quarantine = self.quarantine.lock();
+        let reports = quarantine.take_reports(now);
+        let news = quarantine.take_news();
+        drop(quarantine);
+        for (to, report) in reports {
+            self.send_datagram(&Datagram::RunReport(report), to);
+        }
+        news.iter().for_each(report_news);
+    }
+}
+
+/// One life of an upstream.
+#[derive(Clone, Debug)]
+pub(crate) struct UpstreamLife {
+    upstream: brasswinch_types::UpstreamId,
+    started: Option<brasswinch_routing::UpstreamStart>,
+}
+
+impl From<&Choice> for UpstreamLife {
+    fn from(choice: &Choice) -> Self {
+        Self {
+            upstream: choice.upstream.clone(),
+            started: choice.started,
+        }
+    }
+}
+
+fn report_news(news: &QuarantineNews) {
+    let event = match news.change {
+        QuarantineChange::Suspected => Event::RequestSuspected,
+        QuarantineChange::ShutOut => Event::RequestShutOut,
+        QuarantineChange::Cleared => Event::RequestCleared,
+        QuarantineChange::LetOut => Event::RequestLetOut,
+    };
+    let (digest, service) = (news.digest, &news.suspect.service);
+    let workspace = news.suspect.workspace.as_ref();
+    let workspace = workspace.map_or("-", |workspace| workspace.as_str());
+    let runs = Runs(&news.runs);
+    emit(
+        event,
+        format_args!("digest={digest} service={service} workspace={workspace} {runs}"),
+    );
+}
+
+/// Broken runs in a log line: each upstream, and how long the run took.
+struct Runs<'a>(&'a [BrokenRun]);
+
+impl fmt::Display for Runs<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "upstreams={}", self.0.len())?;
+        self.0.iter().try_for_each(|run| {
+            let ran_ms = run.ended.saturating_sub(run.began);
+            write!(f, " {}:{ran_ms}ms", run.upstream)
+        })
+    }
+}
--- a/crates/edge/src/status.rs
+++ b/crates/edge/src/status.rs
@@ -1,7 +1,7 @@
 //! What a box believes, for operators: as JSON by `serde`, as text by [`Display`](fmt::Display).
 
 use crate::context::{Context, Lifecycle, SCOPES};
-use brasswinch_routing::{Liveness, QuotaStatus, Scope, ServiceStatus, StoreDuty};
+use brasswinch_routing::{Liveness, QuotaStatus, Scope, ServiceStatus, ShutOutStatus, StoreDuty};
 use brasswinch_types::{BoxId, Millis, Service, Zone};
 use serde::{Deserialize, Serialize};
 use std::fmt;
@@ -33,6 +33,8 @@
     pub knows_quota_keepers: bool,
     /// The quotas of workspaces that sent requests here.
     pub quotas: Vec<QuotaStatus>,
+    /// Requests under which upstreams ended, suspected or shut out.
+    pub quarantine: Vec<ShutOutStatus>,
     /// Other boxes that are heard.
     pub boxes_heard: usize,
     /// Other boxes that are not, and were within the last minute.
@@ -87,6 +89,7 @@
             repeats_left: self.repeats_left(),
             knows_quota_keepers: self.knows_quota_keepers(),
             quotas: self.quota_status(),
+            quarantine: self.quarantine_status(),
             boxes_heard,
             boxes_silent,
         }
@@ -136,6 +139,9 @@
         self.quotas
             .iter()
             .try_for_each(|quota| writeln!(f, "quota of {quota}"))?;
+        self.quarantine
+            .iter()
+            .try_for_each(|held| writeln!(f, "request {held}"))?;
         writeln!(f, "boxes heard: {}", self.boxes_heard)?;
         for silent in &self.boxes_silent {
             writeln!(f, "box silent: {silent}")?;
--- a/crates/observe/src/events.rs
+++ b/crates/observe/src/events.rs
@@ -89,6 +89,10 @@
     511 Warn RequestRetried "A routed request goes to another upstream." "Check the upstream, if one stands out.";
     512 Warn RequestRefused "A routed request was refused; it has not run." "Compare the service's load with its upstreams.";
     513 Warn RequestFailed "A routed request failed after it may have run." "Check the upstream.";
+    520 Warn RequestSuspected "Upstreams ended under a request twice, one after the other; the line names them." "Look at what they logged as they ended.";
+    521 Error RequestShutOut "Upstreams ended under a request again and again; no box sends it any more for a time." "Find out what in the request ends them; status lists how long it is held back.";
+    522 Info RequestCleared "A suspected request was answered by an upstream." "None.";
+    523 Info RequestLetOut "A request that was shut out may be sent again; one more upstream that ends under it shuts it out for longer." "None.";
     600 Warn CallerCut "An answer or an upload was cut short." "Check the upstream and the caller's network.";
     601 Warn ClaimLost "A claim's outcome is not known; the request was not run." "Check the platform's store.";
     700 Warn MetricsFailed "Metrics could not be sent." "Check the metrics address.";
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -13,6 +13,7 @@
 mod look_up;
 mod news_source;
 mod placement;
+mod quarantine;
 mod quota;
 mod region_plan;
 mod rendezvous;
@@ -42,12 +43,16 @@
     Advice, AdvisedHome, Basis, Choice, Ending, Home, HomeState, KeptUpstream, Placement,
     PlacementSettings, Question, Refusal, ServiceStatus, Updated, UpstreamOutcome, Wanted,
 };
+pub use quarantine::{
+    BrokenRun, Quarantine, QuarantineBox, QuarantineChange, QuarantineNews, ReportError, RunReport,
+    ShutOutStatus, Suspect, ToldRun, Verdict,
+};
 pub use quota::{
     Admission, QuotaBounds, QuotaBox, QuotaCount, QuotaStatus, QuotaWord, Quotas, ToKeeper,
 };
 pub use region_plan::{RegionPlan, RegionRoom};
 pub use rendezvous::{object_hash, weighted_score};
-pub use request_digest::{RequestDigest, RequestIdentity};
+pub use request_digest::{RequestDigest, RequestIdentity, RequestShape};
 pub use retry_budget::{RetryBudget, RetryBudgetSettings};
 pub use route_table::RouteTable;
 pub use split::WeightedSplit;
--- a/crates/routing/src/request_digest.rs
+++ b/crates/routing/src/request_digest.rs
@@ -4,6 +4,7 @@
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 use std::fmt;
+use xxhash_rust::xxh3::Xxh3;
 
 /// What makes two requests the same: an upstream that runs both does the same work.
 #[derive(Clone, Copy, Debug)]
@@ -20,6 +21,33 @@
     pub body: &'a [u8],
 }
 
+/// A short hash of a request without what its body holds: where no known request has it, the
+/// digest need not be computed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct RequestShape(u64);
+
+impl RequestShape {
+    /// The shape of a request.
+    pub fn of(request: &RequestIdentity<'_>) -> Self {
+        let mut hasher = Xxh3::new();
+        for part in request.head() {
+            hasher.update(&(part.len() as u64).to_be_bytes());
+            hasher.update(part);
+        }
+        hasher.update(&(request.body.len() as u64).to_be_bytes());
+        Self(hasher.digest())
+    }
+}
+
+impl<'a> RequestIdentity<'a> {
+    /// All parts but the body.
+    fn head(&self) -> [&'a [u8]; 4] {
+        let workspace = self.workspace.map_or("", Workspace::as_str);
+        [workspace, self.method, self.host, self.path].map(str::as_bytes)
+    }
+}
+
 /// The first 128 bits of the SHA-256 of a [`RequestIdentity`]: what boxes tell each other and
 /// what stands in logs, so that nobody learns a path or a body from it.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -30,16 +58,8 @@
     /// The digest of a request. Its parts are hashed with their lengths, so that none can
     /// pass for another.
     pub fn of(request: &RequestIdentity<'_>) -> Self {
-        let workspace = request.workspace.map_or("", Workspace::as_str);
-        let parts = [
-            workspace.as_bytes(),
-            request.method.as_bytes(),
-            request.host.as_bytes(),
-            request.path.as_bytes(),
-            request.body,
-        ];
         let mut hasher = Sha256::new();
-        for part in parts {
+        for part in request.head().into_iter().chain([request.body]) {
             hasher.update((part.len() as u64).to_be_bytes());
             hasher.update(part);
         }
--- a/crates/types/src/errors.rs
+++ b/crates/types/src/errors.rs
@@ -116,6 +116,8 @@
     BodyTooLarge,
     /// No upstream of the service can take it now.
     NoUpstream,
+    /// Upstreams have ended under this request, one after another, whoever sent it.
+    ShutOut,
     /// The time allowed was over before it was sent to an upstream.
     TimeoutBeforeSend,
     /// The time allowed was over after it may have arrived at an upstream.
@@ -126,7 +128,7 @@
 
 impl ErrorKind {
     /// Every kind, in the order of the table.
-    pub const ALL: [ErrorKind; 31] = [
+    pub const ALL: [ErrorKind; 32] = [
         E::MalformedRequest,
         E::Unauthenticated,
         E::Forbidden,
@@ -156,6 +158,7 @@
         E::NoRoute,
         E::BodyTooLarge,
         E::NoUpstream,
+        E::ShutOut,
         E::TimeoutBeforeSend,
         E::TimeoutAfterSend,
     ];
@@ -192,6 +195,7 @@
             E::NoRoute => "no_route",
             E::BodyTooLarge => "body_too_large",
             E::NoUpstream => "no_upstream",
+            E::ShutOut => "shut_out",
             E::TimeoutBeforeSend => "timeout_before_send",
             E::TimeoutAfterSend => "timeout_after_send",
         }
@@ -339,6 +343,12 @@
             E::NoRoute => row(404, NotRun, Never, "No route takes this host and path."),
             E::BodyTooLarge => row(413, NotRun, Never, "The body is too long."),
             E::NoUpstream => row(503, NotRun, After(150), "No upstream can take it now."),
+            E::ShutOut => row(
+                503,
+                NotRun,
+                After(300_000),
+                "Upstreams have ended under this request; it is held back.",
+            ),
             E::TimeoutBeforeSend => row(
                 503,
                 NotRun,
