Requests that are shut out are kept in the store; frozen, starting and cut-off boxes learn of them

Cause: the mend held what it knew in memory only. A fleet that lost all its boxes would have counted anew, a box that was frozen while others were told would have sent the request once more, and one that is cut off from the others but not from the store counted by itself.

Change: the two boxes that count a request write it to the store under a lease that ends with the time it is shut out. A box that tells less than is known is answered with all of it.

--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -24,6 +24,7 @@
 mod gossip;
 mod look_up;
 mod quarantine;
+mod quarantine_store;
 mod quotas;
 mod refresh;
 mod registry;
@@ -46,4 +47,6 @@
 pub use settings::{EdgeAddresses, EdgeSettings, FleetBounds, KEEPER_WAIT};
 pub use start::{EdgeError, EdgeHandle, start};
 pub use status::{BoxStatus, RepeatsLeft, ViewStatus};
-pub use store::{Begun, BoxRegistry, FleetStore, LeaseId, Registration, StoreFailure, Watched};
+pub use store::{
+    Begun, BoxRegistry, FleetStore, LeaseId, QuarantineStore, Registration, StoreFailure, Watched,
+};
--- a/crates/edge/src/quarantine.rs
+++ b/crates/edge/src/quarantine.rs
@@ -13,18 +13,23 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 /// This box's part in holding requests back.
 #[derive(Debug)]
 pub(crate) struct QuarantineTasks {
     quarantine: Mutex<Quarantine>,
+    /// Something is to be confirmed in the store.
+    pub(crate) has_unconfirmed: Notify,
 }
 
 impl QuarantineTasks {
     pub(crate) fn new(me: BoxId) -> Self {
         Self {
             quarantine: Mutex::new(Quarantine::new(me)),
+            has_unconfirmed: Notify::new(),
         }
     }
 
@@ -77,7 +82,7 @@
     /// Takes what another box tells of a request.
     pub(crate) fn hear_run_report(&self, report: &RunReport, from: SocketAddr) {
         let now = self.clock.now();
-        let heard = self.quarantine.lock().hear(report, now);
+        let heard = self.quarantine.lock().hear(report, from, now);
         match heard {
             Ok(()) => self.send_run_reports(),
             Err(error) => emit(Event::PeerMalformed, format_args!("{from}: {error}")),
@@ -111,6 +116,26 @@
         self.send_run_reports();
     }
 
+    /// Requests that were shut out and have to be confirmed in the store, each with how long.
+    pub(crate) fn take_unconfirmed(&self) -> Vec<(RunReport, Duration)> {
+        let now = self.clock.now();
+        let unconfirmed = self.quarantine.lock().take_unconfirmed(now);
+        let spans = unconfirmed.into_iter();
+        spans
+            .map(|(report, for_ms)| (report, Duration::from_millis(for_ms)))
+            .collect()
+    }
+
+    /// Takes what the store holds of a request.
+    pub(crate) fn hear_confirmed(&self, report: &RunReport) {
+        let now = self.clock.now();
+        let heard = self.quarantine.lock().confirmed(report, now);
+        match heard {
+            Ok(()) => self.send_run_reports(),
+            Err(error) => emit(Event::ConfigMalformed, format_args!("quarantine: {error}")),
+        }
+    }
+
     /// What operators see of requests that end upstreams.
     pub(crate) fn quarantine_status(&self) -> Vec<ShutOutStatus> {
         let now = self.clock.now();
@@ -127,6 +152,12 @@
             self.send_datagram(&Datagram::RunReport(report), to);
         }
         news.iter().for_each(report_news);
+        if news
+            .iter()
+            .any(|news| news.change == QuarantineChange::ShutOut)
+        {
+            self.quarantine.has_unconfirmed.notify_one();
+        }
     }
 }
 
--- a/crates/edge/src/start.rs
+++ b/crates/edge/src/start.rs
@@ -3,8 +3,8 @@
 use crate::context::{Context, Lifecycle, SCOPES};
 use crate::dialect::Dialect;
 use crate::settings::{EdgeAddresses, EdgeSettings};
-use crate::store::{BoxRegistry, FleetStore};
-use crate::{catch_up, follow, gossip, refresh, registry, relay, server};
+use crate::store::{BoxRegistry, FleetStore, QuarantineStore};
+use crate::{catch_up, follow, gossip, quarantine_store, refresh, registry, relay, server};
 use brasswinch_observe::{Event, emit};
 use brasswinch_routing::{MemberRecord, MemberState, Revision, Scope, Swim, SwimSettings};
 use std::net::SocketAddr;
@@ -55,7 +55,7 @@
 }
 
 /// Starts a box on the current runtime.
-pub async fn start<S: FleetStore + BoxRegistry>(
+pub async fn start<S: FleetStore + BoxRegistry + QuarantineStore>(
     settings: EdgeSettings,
     dialect: Dialect,
     store: S,
@@ -89,6 +89,14 @@
         Arc::clone(&context),
         Arc::clone(&store),
     ));
+    tokio::spawn(quarantine_store::confirm(
+        Arc::clone(&context),
+        Arc::clone(&store),
+    ));
+    tokio::spawn(quarantine_store::look(
+        Arc::clone(&context),
+        Arc::clone(&store),
+    ));
     tokio::spawn(registry::find_strangers(Arc::clone(&context), store));
     tokio::spawn(gossip::take_part(Arc::clone(&context), Arc::clone(&socket)));
     tokio::spawn(relay::serve(Arc::clone(&context), relay_listener));
--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -1,6 +1,6 @@
 //! What the product needs from the store that holds configuration and upstreams.
 
-use brasswinch_routing::{Revised, Revision, Scope, Snapshot};
+use brasswinch_routing::{Revised, Revision, RunReport, Scope, Snapshot};
 use brasswinch_types::BoxId;
 use serde::{Deserialize, Serialize};
 use std::future::Future;
@@ -79,6 +79,19 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct LeaseId(pub u64);
 
+/// Requests that are shut out, so that boxes which start or were cut off know of them.
+pub trait QuarantineStore: Send + Sync + 'static {
+    /// Keeps what is known of a request, under a new lease that runs for `ttl`.
+    fn confirm(
+        &self,
+        report: &RunReport,
+        ttl: Duration,
+    ) -> impl Future<Output = Result<LeaseId, StoreFailure>> + Send;
+
+    /// All requests that are kept.
+    fn confirmed(&self) -> impl Future<Output = Result<Vec<RunReport>, StoreFailure>> + Send;
+}
+
 /// The store's list of boxes. A registration goes when its lease does.
 pub trait BoxRegistry: Send + Sync + 'static {
     /// Lists the box under a new lease that runs for `ttl` unless it is renewed.
--- a/crates/edge/src/store_calls.rs
+++ b/crates/edge/src/store_calls.rs
@@ -18,6 +18,10 @@
     Withdraw,
     /// The boxes that are listed.
     Registered,
+    /// That a request is kept as shut out.
+    Confirm,
+    /// The requests that are.
+    Confirmed,
 }
 
 /// Why a call is made.
@@ -31,6 +35,8 @@
     Gap,
     /// So that boxes meet.
     Meet,
+    /// So that what is shut out stays so.
+    Quarantine,
 }
 
 impl StoreCall {
@@ -42,6 +48,8 @@
             Self::Renew => "renew",
             Self::Withdraw => "withdraw",
             Self::Registered => "registered",
+            Self::Confirm => "confirm",
+            Self::Confirmed => "confirmed",
         }
     }
 }
@@ -53,6 +61,7 @@
             Self::ViewOld => "view_old",
             Self::Gap => "gap",
             Self::Meet => "meet",
+            Self::Quarantine => "quarantine",
         }
     }
 }
--- a/crates/edge/tests/crashing_requests.rs
+++ b/crates/edge/tests/crashing_requests.rs
@@ -11,15 +11,16 @@
 
 mod common;
 
-use brasswinch_edge::{Dialect, EdgeHandle, start};
+use brasswinch_edge::{Dialect, EdgeHandle, QuarantineStore, start};
 use brasswinch_lab::memory_store::MemoryStore;
 use brasswinch_lab::routed_upstream::{Behaviour, Upstream};
-use brasswinch_routing::{Change, ChangeKey};
+use brasswinch_routing::{Change, ChangeKey, RunReport};
 use brasswinch_types::{Region, UpstreamId, Zone};
-use common::{call, config, eventually, record, request, settings};
+use common::{PATIENCE, call, config, eventually, record, request, settings};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
+use tokio::runtime::Runtime;
 use tokio::task::JoinHandle;
 
 const BOXES: usize = 3;
@@ -185,3 +186,85 @@
         }
     }
 }
+
+/// Repeats the crashing request at `clients` in turn; returns upstreams that ended meanwhile.
+async fn repeat(service: &Service, clients: &[SocketAddr], times: usize) -> usize {
+    let before = service.crashes();
+    for repeat in 0..times {
+        let to = clients[repeat % clients.len()];
+        let answer = call(to, request("GET", CRASHING, "")).await.unwrap();
+        assert_ne!(answer.status, 200);
+        tokio::time::sleep(COMES_AGAIN).await;
+    }
+    service.crashes() - before
+}
+
+#[tokio::test]
+async fn boxes_that_all_start_again_still_hold_it_back() {
+    let store = MemoryStore::default().handle();
+    store.write(Change::Config(Arc::new(config(1))));
+    let service = Service::start(&store).await;
+    // Boxes of their own runtime end with it, without a word.
+    let first = Runtime::new().unwrap();
+    let starting = store.clone();
+    let started = first.spawn(async move { boxes(&starting).await });
+    let started = started.await.unwrap();
+    let clients: Vec<SocketAddr> = started
+        .iter()
+        .map(|held| held.addresses().clients)
+        .collect();
+    repeat(&service, &clients, 12).await;
+    let keeper = store.clone();
+    let confirmed = || keeper.kept_requests() == 1;
+    eventually("the store holds it", confirmed).await;
+    first.shutdown_background();
+    drop(started);
+    let again = boxes(&store).await;
+    let clients: Vec<SocketAddr> = again.iter().map(|held| held.addresses().clients).collect();
+    let held_back = |handle: &EdgeHandle| !handle.context().status().quarantine.is_empty();
+    eventually("all know it again", || again.iter().all(held_back)).await;
+    assert_eq!(repeat(&service, &clients, 12).await, 0);
+}
+
+#[tokio::test]
+async fn a_box_that_hears_nobody_learns_from_the_store_what_is_held_back() {
+    let store = MemoryStore::default().handle();
+    store.write(Change::Config(Arc::new(config(1))));
+    let service = Service::start(&store).await;
+    let others = Runtime::new().unwrap();
+    let starting = store.clone();
+    let first = others.spawn(async move { boxes(&starting).await });
+    let first = first.await.unwrap();
+    let seed = first[0].addresses().peers;
+    let cut = start(
+        settings("box-cut", vec![seed]),
+        Dialect::default(),
+        store.handle(),
+    );
+    let cut = cut.await.unwrap();
+    let knows = || cut.context().status().boxes_heard == BOXES;
+    eventually("it knows the others", knows).await;
+    others.shutdown_background();
+    drop(first);
+    let hears_nobody = || cut.context().status().boxes_heard == 0;
+    eventually("it hears nobody", hears_nobody).await;
+    let kept = shut_out_elsewhere().await;
+    assert_eq!(kept.len(), 1);
+    store.confirm(&kept[0], PATIENCE).await.unwrap();
+    let held_back = || !cut.context().status().quarantine.is_empty();
+    eventually("it knows what they hold back", held_back).await;
+    let clients = [cut.addresses().clients];
+    assert_eq!(repeat(&service, &clients, 6).await, 0);
+}
+
+/// What the store of another fleet holds after that has shut the request out.
+async fn shut_out_elsewhere() -> Vec<RunReport> {
+    let store = MemoryStore::default().handle();
+    store.write(Change::Config(Arc::new(config(1))));
+    let service = Service::start(&store).await;
+    let boxes = boxes(&store).await;
+    let clients: Vec<SocketAddr> = boxes.iter().map(|held| held.addresses().clients).collect();
+    repeat(&service, &clients, 12).await;
+    eventually("the store holds it", || store.kept_requests() == 1).await;
+    store.confirmed().await.unwrap()
+}
--- a/crates/lab/src/memory_store.rs
+++ b/crates/lab/src/memory_store.rs
@@ -4,9 +4,11 @@
 //! away, forgets its history, and loses the answers of watches.
 
 use brasswinch_edge::{
-    Begun, BoxRegistry, FleetStore, LeaseId, Registration, StoreFailure, Watched,
+    Begun, BoxRegistry, FleetStore, LeaseId, QuarantineStore, Registration, StoreFailure, Watched,
+};
+use brasswinch_routing::{
+    Change, ChangeKey, RequestDigest, Revised, Revision, RunReport, Scope, Snapshot,
 };
-use brasswinch_routing::{Change, ChangeKey, Revised, Revision, Scope, Snapshot};
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -21,6 +23,7 @@
     calls: u64,
     next_lease: u64,
     registrations: BTreeMap<u64, Registration>,
+    quarantine: BTreeMap<RequestDigest, RunReport>,
 }
 
 #[derive(Default)]
@@ -176,6 +179,11 @@
         self.state().registrations.clear();
     }
 
+    /// Requests that are kept as shut out.
+    pub fn kept_requests(&self) -> usize {
+        self.state().quarantine.len()
+    }
+
     /// How long the watches of this box were to wait, oldest first.
     pub fn waits(&self) -> Vec<Duration> {
         self.lock_waits().clone()
@@ -318,3 +326,18 @@
         Ok(self.state().registrations.values().cloned().collect())
     }
 }
+
+impl QuarantineStore for MemoryStore {
+    async fn confirm(&self, report: &RunReport, _ttl: Duration) -> Result<LeaseId, StoreFailure> {
+        self.fail_if_told(Duration::ZERO).await?;
+        let mut state = self.state();
+        state.next_lease += 1;
+        state.quarantine.insert(report.digest, report.clone());
+        Ok(LeaseId(state.next_lease))
+    }
+
+    async fn confirmed(&self) -> Result<Vec<RunReport>, StoreFailure> {
+        self.fail_if_told(Duration::ZERO).await?;
+        Ok(self.state().quarantine.values().cloned().collect())
+    }
+}
--- a/crates/routing/src/quarantine/mod.rs
+++ b/crates/routing/src/quarantine/mod.rs
@@ -70,6 +70,8 @@
     /// Of all records; may hold some of records that are gone.
     shapes: HashSet<RequestShape>,
     teller: Teller,
+    /// Requests that this box counts and that were shut out.
+    unconfirmed: Vec<RequestDigest>,
     news: Vec<QuarantineNews>,
 }
 
@@ -80,6 +82,7 @@
             records: BTreeMap::new(),
             shapes: HashSet::new(),
             teller: Teller::new(me),
+            unconfirmed: Vec::new(),
             news: Vec::new(),
         }
     }
@@ -111,20 +114,61 @@
         }
     }
 
-    /// Takes another box's word.
+    /// Takes the word of the box at `from`, and tells it what it doesn't know: it may have
+    /// been frozen, or cut off, while others were told.
     ///
     /// # Errors
     ///
     /// Refuses a report that can't be true; nothing of it is taken.
-    pub fn hear(&mut self, report: &RunReport, now: Millis) -> Result<(), ReportError> {
+    pub fn hear(
+        &mut self,
+        report: &RunReport,
+        from: SocketAddr,
+        now: Millis,
+    ) -> Result<(), ReportError> {
+        report.check()?;
+        let digest = report.digest;
+        let record = self.record(digest, &report.suspect);
+        let is_changed = record.merge(report, now);
+        let knows_less = report.runs.len() < record.runs().len();
+        if knows_less && record.level(now) >= Level::LetOut {
+            let whole = record.report(digest, now);
+            self.teller.answer(from, whole, now);
+        }
+        if is_changed {
+            self.changed(digest, false, now);
+        }
+        Ok(())
+    }
+
+    /// Takes what the platform's store holds, and tells all boxes what is new in it.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a report that can't be true; nothing of it is taken.
+    pub fn confirmed(&mut self, report: &RunReport, now: Millis) -> Result<(), ReportError> {
         report.check()?;
         let record = self.record(report.digest, &report.suspect);
         if record.merge(report, now) {
-            self.changed(report.digest, false, now);
+            self.changed(report.digest, true, now);
         }
         Ok(())
     }
 
+    /// Requests that were shut out since the last time and that this box has to confirm in the
+    /// platform's store, each with how long.
+    pub fn take_unconfirmed(&mut self, now: Millis) -> Vec<(RunReport, Millis)> {
+        let unconfirmed = std::mem::take(&mut self.unconfirmed);
+        let shut_out = unconfirmed.into_iter().filter_map(|digest| {
+            let record = self.records.get(&digest)?;
+            match record.verdict(now) {
+                Verdict::ShutOut { for_ms } => Some((record.report(digest, now), for_ms)),
+                _ => None,
+            }
+        });
+        shut_out.collect()
+    }
+
     /// Takes the boxes that serve.
     pub fn set_boxes(&mut self, boxes: Vec<QuarantineBox>, now: Millis) {
         let newcomers = self.teller.set_boxes(boxes);
@@ -197,9 +241,13 @@
             self.teller.tell_counters(&report, now);
         }
         if let Some(change) = change {
-            if is_mine || self.teller.counts(digest) {
+            let counts = self.teller.counts(digest);
+            if is_mine || counts {
                 self.teller.tell_all(&report, now);
             }
+            if counts && change == QuarantineChange::ShutOut {
+                self.unconfirmed.push(digest);
+            }
             self.note(digest, change);
         }
     }
--- a/crates/routing/src/quarantine/teller.rs
+++ b/crates/routing/src/quarantine/teller.rs
@@ -111,6 +111,15 @@
         }));
     }
 
+    /// Answers the box at `to`.
+    pub(super) fn answer(&mut self, to: SocketAddr, report: RunReport, now: Millis) {
+        self.queue.push_back(Outgoing {
+            to,
+            report,
+            made_at: now,
+        });
+    }
+
     /// Tells all boxes, and again a little later.
     pub(super) fn tell_all(&mut self, report: &RunReport, now: Millis) {
         let others = self.others.clone();
--- a/crates/routing/tests/quarantine.rs
+++ b/crates/routing/tests/quarantine.rs
@@ -80,16 +80,20 @@
     fn settle(&mut self, deaf: &[usize], now: Millis) {
         loop {
             let mut out = Vec::new();
-            for held in &mut self.boxes {
-                out.extend(held.take_reports(now));
+            for (place, held) in self.boxes.iter_mut().enumerate() {
+                let from = place as u16;
+                let told = held.take_reports(now).into_iter();
+                out.extend(told.map(|(to, report)| (from, to, report)));
             }
             if out.is_empty() {
                 return;
             }
-            for (to, report) in out {
+            for (from, to, report) in out {
                 let number = usize::from(to.port() - 1_000);
                 if !deaf.contains(&number) {
-                    self.boxes[number].hear(&report, now).unwrap();
+                    self.boxes[number]
+                        .hear(&report, address(from), now)
+                        .unwrap();
                 }
             }
         }
@@ -361,7 +365,58 @@
     ];
     let mut quarantine = alone();
     for (report, error) in refused {
-        assert_eq!(quarantine.hear(&report, 1_000), Err(error));
+        assert_eq!(quarantine.hear(&report, address(9), 1_000), Err(error));
     }
     assert!(!quarantine.may_know(suspect_of("/a", None).shape));
 }
+
+#[test]
+fn a_box_that_was_frozen_is_told_by_the_first_that_it_tells() {
+    for frozen in 0..12 {
+        let mut fleet = Fleet::new(12);
+        for number in 0..3 {
+            let began = 1_000 + 200 * number as Millis;
+            let at = (frozen + 1 + number) % 12;
+            fleet.broke(
+                at,
+                "/a",
+                run(&format!("upstream-{number}"), began, began + 100),
+            );
+            fleet.settle(&[frozen], began + 101);
+        }
+        // What was sent to it meanwhile is lost.
+        fleet.settle(&[frozen], 5_000);
+        let before = fleet.boxes[frozen].verdict(digest("/a"), 5_000);
+        assert!(!matches!(before, Verdict::ShutOut { .. }));
+        fleet.broke(frozen, "/a", run("upstream-9", 5_000, 5_100));
+        fleet.settle(&[], 5_130);
+        assert_eq!(fleet.shut_out("/a", 5_130), 12, "box {frozen}");
+    }
+}
+
+#[test]
+fn what_the_store_holds_is_told_to_all_boxes() {
+    let mut fleet = Fleet::new(6);
+    for number in 0..3 {
+        let began = 1_000 + 200 * number as Millis;
+        fleet.broke(
+            0,
+            "/a",
+            run(&format!("upstream-{number}"), began, began + 100),
+        );
+    }
+    fleet.settle(&[], 1_501);
+    let mut kept = Vec::new();
+    for held in &mut fleet.boxes {
+        kept.extend(held.take_unconfirmed(1_501));
+    }
+    assert_eq!(kept.len(), 2, "both that count keep it");
+    assert!(
+        kept.iter()
+            .all(|(_, for_ms)| *for_ms > 0 && *for_ms <= LONGEST)
+    );
+    let mut started = Fleet::new(6);
+    started.boxes[3].confirmed(&kept[0].0, 1_000).unwrap();
+    started.settle(&[], 1_000);
+    assert_eq!(started.shut_out("/a", 1_000), 6);
+}
