A box that was suspended goes by the time that has passed

Cause: every age and deadline was read from the steady clock, which stands still while a machine is suspended.

Change: one clock for edge, passed in with the settings, reads the boot-time clock through rustix; routing gets it as now, as before. Deadlines of requests are moments of that clock, and a timer is set by what is left of one; how long a connection rested is counted by it.

Ruled out: the steady clock for the membership alone. A freeze, in which the steady clock goes on, is borne with all spans counted, and a suspension is now the same to it.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -2,6 +2,7 @@
 
 use crate::asking::Asked;
 use crate::body::{AnyBody, BodyError, PassLimits, Passed, full, hold};
+use crate::clock::Deadline;
 use crate::connections::Connection;
 use crate::context::Context;
 use crate::request::end_to_end;
@@ -13,7 +14,7 @@
 use hyper::body::Incoming;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::timeout_at;
 
 /// Answers up to this length are held whole before a byte goes to the client.
 const MOST_HELD_ANSWER: usize = 256 * 1024;
@@ -33,7 +34,7 @@
     pub(crate) parts: &'a http::request::Parts,
     pub(crate) body: OutgoingBody,
     /// When the client must have its answer.
-    pub(crate) answer_by: Instant,
+    pub(crate) answer_by: &'a Deadline,
     /// Whether it may run more than once.
     pub(crate) is_repeatable: bool,
     pub(crate) identity: Identity<'a>,
@@ -177,11 +178,11 @@
 async fn connect(
     context: &Arc<Context>,
     placed: &mut Placed,
-    answer_by: Instant,
+    answer_by: &Deadline,
 ) -> Option<Connection> {
     let choice = &placed.choice;
     let connecting = context.pool.connect(&choice.upstream, choice.address);
-    let connection = timeout_at(answer_by, connecting).await.ok()?;
+    let connection = timeout_at(answer_by.timer(), connecting).await.ok()?;
     if connection.is_err() {
         placed.outcome = UpstreamOutcome::Unreachable;
         context.pool.close(&placed.choice.upstream);
@@ -191,7 +192,7 @@
 
 struct Head<'a> {
     parts: &'a http::request::Parts,
-    answer_by: Instant,
+    answer_by: &'a Deadline,
     identity: Identity<'a>,
 }
 
@@ -216,7 +217,7 @@
     };
     let request = upstream_request(head, body, placed);
     let sending = connection.sender().try_send_request(request);
-    match timeout_at(head.answer_by, sending).await {
+    match timeout_at(head.answer_by.timer(), sending).await {
         Ok(Ok(answer)) => Exchanged::Answer(answer, connection),
         Ok(Err(mut failure)) => match (failure.take_message(), whole) {
             (Some(_), Some(bytes)) => Exchanged::NotSent(OutgoingBody::Whole(bytes)),
@@ -241,7 +242,7 @@
     if let Some(workspace) = head.identity.workspace {
         headers.insert(&dialect.workspace, header_text(workspace));
     }
-    let left = crate::body::time_left(head.answer_by).as_millis() as u64;
+    let left = head.answer_by.left().as_millis() as u64;
     headers.insert(&dialect.deadline_ms, HeaderValue::from(left));
     if let Ok(id) = HeaderValue::from_str(placed.choice.upstream.as_str()) {
         headers.insert(&dialect.intended_upstream, id);
@@ -276,7 +277,7 @@
     answer: Response<Incoming>,
     mut connection: Connection,
     mut placed: Placed,
-    answer_by: Instant,
+    answer_by: &Deadline,
 ) -> AttemptEnd {
     placed.outcome = UpstreamOutcome::Unanswered;
     let context = Arc::clone(&placed.context);
@@ -294,7 +295,7 @@
     if !refused && parts.status.is_success() && !signed {
         return AttemptEnd::Unusable;
     }
-    let held = match timeout_at(answer_by, hold(body, MOST_HELD_ANSWER)).await {
+    let held = match timeout_at(answer_by.timer(), hold(body, MOST_HELD_ANSWER)).await {
         Ok(Ok(held)) => held,
         Ok(Err(_)) => return AttemptEnd::Broken,
         Err(_) => return AttemptEnd::TimeOver,
@@ -322,7 +323,7 @@
         Some(rest) => {
             let limits = PassLimits {
                 most_bytes: MOST_ANSWER_BYTES,
-                until: answer_by,
+                until: answer_by.timer(),
             };
             let guard = (connection, placed);
             Passed::new(held.bytes, rest, limits, guard, |(connection, _)| {
--- a/crates/edge/src/body.rs
+++ b/crates/edge/src/body.rs
@@ -6,7 +6,6 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use std::pin::Pin;
 use std::task::{Context, Poll};
-use std::time::Duration;
 use tokio::time::{Instant, Sleep};
 
 /// The body of an answer to a client, or of a request to an upstream.
@@ -178,8 +177,3 @@
         }
     }
 }
-
-/// The time left until `until`; zero if it has passed.
-pub(crate) fn time_left(until: Instant) -> Duration {
-    until.saturating_duration_since(Instant::now())
-}
--- a/crates/edge/src/connections.rs
+++ b/crates/edge/src/connections.rs
@@ -2,7 +2,8 @@
 //! whole exchange, so that bytes of one answer can never reach another request.
 
 use crate::body::AnyBody;
-use brasswinch_types::UpstreamId;
+use crate::clock::Clock;
+use brasswinch_types::{Millis, UpstreamId};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
@@ -12,7 +13,6 @@
 use std::time::Duration;
 use tokio::net::TcpSocket;
 use tokio::task::AbortHandle;
-use tokio::time::Instant;
 
 /// Longest time for a connection to come up.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
@@ -60,7 +60,7 @@
 #[derive(Debug)]
 struct Idle {
     link: Link,
-    since: Instant,
+    since: Millis,
     limit: Duration,
 }
 
@@ -69,14 +69,16 @@
 pub(crate) struct ConnectionPool {
     idle: Mutex<HashMap<UpstreamId, Vec<Idle>>>,
     local: IpAddr,
+    clock: Clock,
 }
 
 impl ConnectionPool {
     /// Connects from `local`.
-    pub(crate) fn new(local: IpAddr) -> Self {
+    pub(crate) fn new(local: IpAddr, clock: Clock) -> Self {
         Self {
             idle: Mutex::default(),
             local,
+            clock,
         }
     }
 
@@ -89,7 +91,7 @@
         let mut idle = self.lock();
         let rested = idle.get_mut(upstream)?;
         while let Some(last) = rested.pop() {
-            let rest = last.since.elapsed();
+            let rest = self.rest(&last);
             if rest > longest_rest.min(last.limit) || !last.link.sender.is_ready() {
                 continue;
             }
@@ -155,7 +157,7 @@
     pub(crate) fn sweep(&self, is_known: impl Fn(&UpstreamId) -> bool) {
         let mut idle = self.lock();
         idle.retain(|upstream, rested| {
-            rested.retain(|idle| idle.since.elapsed() < idle.limit);
+            rested.retain(|idle| self.rest(idle) < idle.limit);
             !rested.is_empty() && is_known(upstream)
         });
     }
@@ -165,6 +167,11 @@
         self.lock().remove(upstream);
     }
 
+    /// How long a connection has rested.
+    fn rest(&self, idle: &Idle) -> Duration {
+        Duration::from_millis(self.clock.now().saturating_sub(idle.since))
+    }
+
     fn keep(&self, upstream: &UpstreamId, idle: Idle) {
         let mut all = self.lock();
         let rested = all.entry(upstream.clone()).or_default();
@@ -198,7 +205,7 @@
         }
         let idle = Idle {
             link: self.link,
-            since: Instant::now(),
+            since: self.pool.clock.now(),
             limit: self.idle_limit,
         };
         self.pool.keep(&self.upstream, idle);
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -6,7 +6,8 @@
 use crate::answer::{error_answer, refusal};
 use crate::asking;
 use crate::attempt::{AttemptEnd, Chosen, Identity, Outgoing, OutgoingBody, attempt};
-use crate::body::{AnyBody, BodyError, Held, PassLimits, Passed, hold, time_left};
+use crate::body::{AnyBody, BodyError, Held, PassLimits, Passed, hold};
+use crate::clock::Deadline;
 use crate::context::{Context, InForce};
 use crate::counted::{HeldBytes, InFlight};
 use crate::failure::{Decided, Failure, Tries};
@@ -117,7 +118,7 @@
     /// The configuration that the route is of.
     config: ConfigVersion,
     arrived: Instant,
-    answer_by: Instant,
+    answer_by: Deadline,
 }
 
 async fn run(
@@ -128,7 +129,7 @@
 ) -> Result<Response<AnyBody>, Failure> {
     let in_force = context.in_force.load_full();
     let in_force = in_force.ok_or(ErrorKind::NotConfigured)?;
-    let facts = RequestFacts::read(parts, &context.dialect, arrived)?;
+    let facts = RequestFacts::read(parts, &context.dialect)?;
     let route = in_force.routes.find(facts.host, facts.path);
     let route = route.ok_or(ErrorKind::NoRoute)?;
     let workspace = workspace(context, &in_force, route, &facts)?;
@@ -142,7 +143,7 @@
     let routed = Routed {
         config: in_force.config.version,
         arrived,
-        answer_by: facts.answer_by(arrived, route.timeout_s),
+        answer_by: facts.answer_by(&context.clock, route.timeout_s),
         hides_credential: in_force.keys.has_workspaces(),
         workspace: workspace.map(Arc::as_ref),
         context,
@@ -206,7 +207,7 @@
     }
 
     async fn read_body(&self, body: Incoming) -> Result<Held, Failure> {
-        match timeout_at(self.answer_by, hold(body, MOST_HELD_BODY)).await {
+        match timeout_at(self.answer_by.timer(), hold(body, MOST_HELD_BODY)).await {
             Ok(Ok(held)) => Ok(held),
             Ok(Err(_)) => Err(ErrorKind::MalformedRequest.into()),
             Err(_) => Err(ErrorKind::TimeoutBeforeSend.into()),
@@ -239,7 +240,7 @@
                     Some(body) => body,
                     None => OutgoingBody::Whole(tries.whole.clone()),
                 },
-                answer_by: self.answer_by,
+                answer_by: &self.answer_by,
                 is_repeatable: self.route.kind.is_repeatable(),
                 identity: Identity {
                     workspace: self.workspace.map(|workspace| &workspace.name),
@@ -338,7 +339,7 @@
 
     /// The upstream of the next try, while there is time for one.
     async fn next_upstream(&self, tries: &Tries) -> Result<Chosen, Failure> {
-        if Instant::now() >= self.answer_by {
+        if self.answer_by.is_over() {
             return Err(ErrorKind::TimeoutBeforeSend.into());
         }
         if tries.unreachable >= MOST_UNREACHABLE {
@@ -357,7 +358,7 @@
         may_run_again
             && tries.can_repeat
             && tries.sent < self.route.max_attempts
-            && Instant::now() < self.answer_by
+            && !self.answer_by.is_over()
             && !self.is_shut_out(tries)
             && self.context.spend_retry(&self.service)
     }
@@ -422,7 +423,7 @@
         };
         // A second try is rare, and its upstream is another than the keeper's.
         let (asked, advice) = if tried.is_empty() {
-            asking::ask(self.context, &wanted, time_left(self.answer_by)).await
+            asking::ask(self.context, &wanted, self.answer_by.left()).await
         } else {
             (None, None)
         };
@@ -449,7 +450,7 @@
         };
         let limits = PassLimits {
             most_bytes: in_force.config.limits.max_body_bytes,
-            until: self.answer_by,
+            until: self.answer_by.timer(),
         };
         let passed = Passed::new(held.bytes, rest, limits, (), |()| {});
         OutgoingBody::Passed(passed.map_err(|error: BodyError| error).boxed())
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -40,6 +40,7 @@
 mod telling;
 mod watching;
 
+pub use clock::Clock;
 pub use context::{Context, Lifecycle};
 pub use datagram::Datagram;
 pub use dialect::Dialect;
--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -1,5 +1,6 @@
 //! What a request's head says.
 
+use crate::clock::{Clock, Deadline};
 use crate::credentials::shown_key;
 use crate::dialect::Dialect;
 use brasswinch_routing::LONGEST_TIME_S;
@@ -7,7 +8,6 @@
 use http::request::Parts;
 use http::{HeaderMap, HeaderName, header};
 use std::time::Duration;
-use tokio::time::Instant;
 
 /// Time allowed where neither the client nor the route says any.
 const DEFAULT_TIME: Duration = Duration::from_secs(30);
@@ -32,8 +32,8 @@
     pub(crate) path: &'a str,
     /// The object that it is about.
     pub(crate) object: Option<&'a [u8]>,
-    /// When the client stops waiting, if it says so.
-    pub(crate) deadline: Option<Instant>,
+    /// How long the client waits, if it says so.
+    pub(crate) deadline: Option<Duration>,
     /// Length of the body, if told.
     pub(crate) body_length: Option<u64>,
     /// The key that the client shows, if it shows one that can be read.
@@ -41,12 +41,8 @@
 }
 
 impl<'a> RequestFacts<'a> {
-    /// Reads a head that arrived at `arrived`.
-    pub(crate) fn read(
-        parts: &'a Parts,
-        dialect: &Dialect,
-        arrived: Instant,
-    ) -> Result<Self, ErrorKind> {
+    /// Reads a head.
+    pub(crate) fn read(parts: &'a Parts, dialect: &Dialect) -> Result<Self, ErrorKind> {
         let host = parts
             .headers
             .get(header::HOST)
@@ -56,17 +52,17 @@
             host,
             path: parts.uri.path(),
             object: object(&parts.headers, &dialect.object_cookie),
-            deadline: deadline(&parts.headers, dialect)?.map(|left| arrived + left),
+            deadline: deadline(&parts.headers, dialect)?,
             body_length: body_length(&parts.headers)?,
             key: shown_key(&parts.headers, &dialect.key_scheme),
         })
     }
 
-    /// When the request must have its final answer.
-    pub(crate) fn answer_by(&self, arrived: Instant, timeout_s: Option<f64>) -> Instant {
-        let timeout = timeout_s.map_or(DEFAULT_TIME, Duration::from_secs_f64);
-        let by_route = arrived + timeout;
-        self.deadline.map_or(by_route, |by| by.min(by_route))
+    /// When the request, which has just arrived, must have its final answer.
+    pub(crate) fn answer_by(&self, clock: &Clock, timeout_s: Option<f64>) -> Deadline {
+        let by_route = timeout_s.map_or(DEFAULT_TIME, Duration::from_secs_f64);
+        let span = self.deadline.map_or(by_route, |span| span.min(by_route));
+        clock.after(span)
     }
 }
 
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of a box that serves routed requests.
 
+use crate::clock::Clock;
 use brasswinch_routing::QuotaBounds;
 use brasswinch_types::{BoxId, Region, Zone};
 use std::collections::BTreeMap;
@@ -72,7 +73,7 @@
 pub const KEEPER_WAIT: Duration = Duration::from_millis(15);
 
 /// Settings of one box.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug)]
 pub struct EdgeSettings {
     /// The box.
     pub id: BoxId,
@@ -92,6 +93,8 @@
     pub keeper_wait: Duration,
     /// The bounds.
     pub bounds: FleetBounds,
+    /// What it reads the time from.
+    pub clock: Clock,
 }
 
 impl EdgeSettings {
--- a/crates/edge/tests/common/mod.rs
+++ b/crates/edge/tests/common/mod.rs
@@ -4,7 +4,7 @@
 pub mod know_all;
 
 use brasswinch_edge::{
-    Dialect, EdgeAddresses, EdgeHandle, EdgeSettings, FleetBounds, KEEPER_WAIT, start,
+    Clock, Dialect, EdgeAddresses, EdgeHandle, EdgeSettings, FleetBounds, KEEPER_WAIT, start,
 };
 use brasswinch_lab::memory_store::MemoryStore;
 use brasswinch_lab::routed_upstream::Upstream;
@@ -62,6 +62,7 @@
         link_mbps: 0,
         keeper_wait: KEEPER_WAIT,
         bounds: FleetBounds::default(),
+        clock: Clock::default(),
     }
 }
 
