The digest is computed only for requests under which an upstream ended; whole large answers clear them

Cause: every failed try hashed the whole body, also where an upstream was full, and an answer that is passed on piece by piece cleared nobody, so that three breaks in ten minutes would have shut out a popular large one. Looking for newcomers compared all boxes with all.

Ruled out: hashing each request on arrival; a hash without the body (of the head and the length) is compared first.

Change: BW511 and BW513 give digest=- otherwise; the answer's end clears, whichever way it went.

Measured: the tests of edge and routing on requests, answers and quarantine pass; costs not measured.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -6,7 +6,7 @@
 use crate::connections::Connection;
 use crate::context::Context;
 use crate::request::end_to_end;
-use brasswinch_routing::{Choice, LoadReport, UpstreamOutcome};
+use brasswinch_routing::{Choice, LoadReport, RequestDigest, UpstreamOutcome};
 use brasswinch_types::Workspace;
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Request, Response, header};
@@ -38,6 +38,8 @@
     /// Whether it may run more than once.
     pub(crate) is_repeatable: bool,
     pub(crate) identity: Identity<'a>,
+    /// What it is known by, where an upstream has ended under it.
+    pub(crate) digest: Option<RequestDigest>,
 }
 
 /// Whose request it is, as its upstream is told.
@@ -60,10 +62,7 @@
 /// How a try ended.
 pub(crate) enum AttemptEnd {
     /// A whole answer, or one that is on its way.
-    Answer {
-        response: Response<AnyBody>,
-        is_whole: bool,
-    },
+    Answer(Response<AnyBody>),
     /// The upstream said that it did not run it.
     Refused,
     /// Nothing was sent.
@@ -88,19 +87,23 @@
     choice: Choice,
     /// The question that it was chosen with, to be ended with it.
     asked: Option<Asked>,
+    digest: Option<RequestDigest>,
     request_id: Option<HeaderValue>,
     outcome: UpstreamOutcome,
 }
 
 impl Placed {
-    pub(crate) fn new(context: &Arc<Context>, chosen: Chosen, headers: &HeaderMap) -> Self {
+    pub(crate) fn new(context: &Arc<Context>, chosen: Chosen, outgoing: &Outgoing<'_>) -> Self {
         let Chosen { choice, mut asked } = chosen;
+        let headers = &outgoing.parts.headers;
+        let request_id = headers.get(&context.dialect.request_id);
         if let Some(asked) = &mut asked {
             asked.sent_to(&choice);
         }
         Self {
             asked,
-            request_id: headers.get(&context.dialect.request_id).cloned(),
+            digest: outgoing.digest,
+            request_id: request_id.cloned(),
             context: Arc::clone(context),
             choice,
             outcome: UpstreamOutcome::Abandoned,
@@ -126,7 +129,7 @@
     chosen: Chosen,
     outgoing: Outgoing<'_>,
 ) -> AttemptEnd {
-    let mut placed = Placed::new(context, chosen, &outgoing.parts.headers);
+    let mut placed = Placed::new(context, chosen, &outgoing);
     let longest_rest = if outgoing.is_repeatable {
         ANY_REST
     } else {
@@ -313,10 +316,10 @@
         return AttemptEnd::Refused;
     }
     let mut headers = end_to_end(&parts.headers);
-    let is_whole = held.is_whole();
     let body = match held.rest {
         None => {
             connection.reuse();
+            placed.survived();
             headers.remove(header::CONTENT_LENGTH);
             full(held.bytes)
         }
@@ -326,8 +329,9 @@
                 until: answer_by.timer(),
             };
             let guard = (connection, placed);
-            Passed::new(held.bytes, rest, limits, guard, |(connection, _)| {
-                connection.reuse()
+            Passed::new(held.bytes, rest, limits, guard, |(connection, placed)| {
+                connection.reuse();
+                placed.survived();
             })
             .map_err(|error: BodyError| error)
             .boxed()
@@ -336,10 +340,17 @@
     let mut response = Response::new(body);
     *response.status_mut() = parts.status;
     *response.headers_mut() = headers;
-    AttemptEnd::Answer { response, is_whole }
+    AttemptEnd::Answer(response)
 }
 
 impl Placed {
+    /// The upstream brought its answer to the end.
+    fn survived(&self) {
+        if let Some(digest) = self.digest {
+            self.context.run_answered(digest);
+        }
+    }
+
     /// Whether an answer is to this request: it repeats the request's id.
     fn belongs(&self, headers: &HeaderMap) -> bool {
         let dialect = &self.context.dialect;
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -10,7 +10,7 @@
 use crate::clock::Deadline;
 use crate::context::{Context, InForce};
 use crate::counted::{HeldBytes, InFlight};
-use crate::failure::{Decided, Failure, Tries};
+use crate::failure::{Decided, Failure, Known, Tries};
 use crate::quarantine::UpstreamLife;
 use crate::quotas::Permit;
 use crate::request::{RequestFacts, request_id};
@@ -78,7 +78,10 @@
     match failure {
         Failure::AtUpstream {
             decided, digest, ..
-        } => emit(event, format_args!("{told} digest={digest} {decided}")),
+        } => {
+            let digest = Known(digest.as_ref());
+            emit(event, format_args!("{told} digest={digest} {decided}"));
+        }
         Failure::Refused {
             retry_after_ms,
             basis,
@@ -246,19 +249,17 @@
                     workspace: self.workspace.map(|workspace| &workspace.name),
                     hides_credential: self.hides_credential,
                 },
+                digest: tries.digest.get().copied(),
             };
             if let Some(permit) = permit.as_deref_mut() {
                 permit.runs();
             }
             let life = UpstreamLife::from(&chosen.choice);
             let kind = match attempt(self.context, chosen, outgoing).await {
-                AttemptEnd::Answer { response, is_whole } => {
+                AttemptEnd::Answer(answer) => {
                     let count = tries.upstreams.len();
-                    self.report_served(&decided, response.status().as_u16(), count);
-                    if let Some(digest) = tries.digest.get().filter(|_| is_whole) {
-                        self.context.run_answered(*digest);
-                    }
-                    return Ok(response);
+                    self.report_served(&decided, answer.status().as_u16(), count);
+                    return Ok(answer);
                 }
                 AttemptEnd::NotSent(unsent) => {
                     if let Some(permit) = permit.as_deref_mut() {
@@ -276,22 +277,26 @@
                     ErrorKind::UpstreamRefused
                 }
                 AttemptEnd::Broken => {
-                    let suspect = self.suspect(&tries);
-                    let digest = self.digest(&tries);
-                    self.context.run_broke(digest, &suspect, &life, tries.began);
+                    self.tell_broken(&tries, &life);
                     ErrorKind::UpstreamBroken
                 }
                 AttemptEnd::Unusable => ErrorKind::UpstreamBroken,
             };
             tries.count_sent(kind);
-            let digest = self.digest(&tries);
             if !self.may_retry(&tries, kind) {
                 return Err(tries.truth(tries.last_failure(kind)));
             }
-            self.report_retry(&tries, digest, &decided, kind);
+            self.report_retry(&tries, &decided, kind);
         }
     }
 
+    /// Tells that the upstream's connection ended under the last try.
+    fn tell_broken(&self, tries: &Tries, life: &UpstreamLife) {
+        let suspect = self.suspect(tries);
+        let digest = self.digest(tries);
+        self.context.run_broke(digest, &suspect, life, tries.began);
+    }
+
     fn identity<'a>(&'a self, tries: &'a Tries) -> RequestIdentity<'a> {
         let path = self.parts.uri.path_and_query();
         RequestIdentity {
@@ -384,16 +389,11 @@
         );
     }
 
-    fn report_retry(
-        &self,
-        tries: &Tries,
-        digest: RequestDigest,
-        decided: &Decided,
-        cause: ErrorKind,
-    ) {
+    fn report_retry(&self, tries: &Tries, decided: &Decided, cause: ErrorKind) {
         let id = request_id(self.parts, &self.context.dialect);
         let (route, service, config) = (&self.route.name, &self.service, self.config.0);
         let tried_ms = tries.began.elapsed().as_millis();
+        let digest = Known(tries.digest.get());
         emit(
             Event::RequestRetried,
             format_args!(
--- a/crates/edge/src/failure.rs
+++ b/crates/edge/src/failure.rs
@@ -36,6 +36,18 @@
     }
 }
 
+/// A digest in a log line, where there is one.
+pub(crate) struct Known<'a>(pub(crate) Option<&'a RequestDigest>);
+
+impl fmt::Display for Known<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.0 {
+            Some(digest) => write!(f, "{digest}"),
+            None => f.write_str("-"),
+        }
+    }
+}
+
 /// Why a request failed.
 pub(crate) enum Failure {
     /// For a reason that has a fixed answer.
@@ -44,8 +56,8 @@
     AtUpstream {
         kind: ErrorKind,
         decided: Box<Decided>,
-        /// Tells the request when it comes again.
-        digest: RequestDigest,
+        /// What the request is known by, where an upstream has ended under it.
+        digest: Option<RequestDigest>,
     },
     /// Its workspace has no room in its quota.
     OverQuota {
@@ -96,7 +108,7 @@
     pub(crate) may_have_run: bool,
     /// When the last of them began.
     pub(crate) began: Instant,
-    /// What the request is told by when it comes again, once that was needed.
+    /// What the request is known by when it comes again, once that was needed.
     pub(crate) digest: OnceLock<RequestDigest>,
     /// What it is placed by, in the place of its object, where upstreams ended under it.
     pub(crate) placed_as: Option<[u8; 16]>,
@@ -127,13 +139,13 @@
 
     /// The failure of the last try, which ended with `kind`.
     pub(crate) fn last_failure(&self, kind: ErrorKind) -> Failure {
-        match (&self.last, self.digest.get()) {
-            (Some(decided), Some(digest)) => Failure::AtUpstream {
+        match &self.last {
+            Some(decided) => Failure::AtUpstream {
                 kind,
                 decided: Box::new(decided.clone()),
-                digest: *digest,
+                digest: self.digest.get().copied(),
             },
-            _ => kind.into(),
+            None => kind.into(),
         }
     }
 
--- a/crates/edge/src/quarantine.rs
+++ b/crates/edge/src/quarantine.rs
@@ -7,9 +7,10 @@
 use brasswinch_observe::{Event, emit};
 use brasswinch_routing::{
     BrokenRun, Choice, Liveness, MemberState, Quarantine, QuarantineBox, QuarantineChange,
-    QuarantineNews, RequestDigest, RequestShape, RunReport, ShutOutStatus, Suspect, Verdict,
+    QuarantineNews, RequestDigest, RequestShape, RunReport, ShutOutStatus, Suspect, UpstreamStart,
+    Verdict,
 };
-use brasswinch_types::BoxId;
+use brasswinch_types::{BoxId, UpstreamId};
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -52,19 +53,18 @@
         self.quarantine.lock().verdict(digest, now)
     }
 
-    /// The upstream of `choice` broke the connection under the request that was sent at
-    /// `began`.
+    /// The upstream `at` broke the connection under the request that was sent at `began`.
     pub(crate) fn run_broke(
         &self,
         digest: RequestDigest,
         suspect: &Suspect,
-        choice: &UpstreamLife,
+        at: &UpstreamLife,
         began: Instant,
     ) {
         let now = self.clock.now();
         let run = BrokenRun {
-            upstream: choice.upstream.clone(),
-            started: choice.started,
+            upstream: at.upstream.clone(),
+            started: at.started,
             began: now.saturating_sub(Clock::millis(began.elapsed())),
             ended: now,
         };
@@ -164,8 +164,8 @@
 /// One life of an upstream.
 #[derive(Clone, Debug)]
 pub(crate) struct UpstreamLife {
-    upstream: brasswinch_types::UpstreamId,
-    started: Option<brasswinch_routing::UpstreamStart>,
+    upstream: UpstreamId,
+    started: Option<UpstreamStart>,
 }
 
 impl From<&Choice> for UpstreamLife {
--- a/crates/routing/src/quarantine/teller.rs
+++ b/crates/routing/src/quarantine/teller.rs
@@ -4,7 +4,7 @@
 use crate::rendezvous::{object_hash, weighted_score};
 use crate::request_digest::RequestDigest;
 use brasswinch_types::{BoxId, Millis};
-use std::collections::VecDeque;
+use std::collections::{HashSet, VecDeque};
 use std::net::SocketAddr;
 
 /// Boxes that count a request's runs: one of them may be dead or frozen without being known
@@ -22,7 +22,7 @@
 const MOST_AT_ONCE: usize = 512;
 
 /// A box that serves.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct QuarantineBox {
     /// The box.
     pub id: BoxId,
@@ -74,7 +74,11 @@
     pub(super) fn set_boxes(&mut self, boxes: Vec<QuarantineBox>) -> Vec<QuarantineBox> {
         let mut others = boxes;
         others.retain(|held| held.id != self.me);
-        let is_new = |found: &&QuarantineBox| !self.others.contains(found);
+        if self.others == others {
+            return Vec::new();
+        }
+        let known: HashSet<&QuarantineBox> = self.others.iter().collect();
+        let is_new = |found: &&QuarantineBox| !known.contains(found);
         let newcomers = others.iter().filter(is_new).cloned().collect();
         self.others = others;
         newcomers
