A box asks a workspace's keeper until that has said that it need not

Cause: two terms of what runs before a keeper can refuse grew with the pressure. After a change of the keeper a box sent whatever came for 150 ms, once the last word that the workspace is tight had lapsed; a box that is cut off sees one keeper after the other. And a box told the keeper of any number of requests without waiting for a word.

Ruled out: a longer life of the word (it only moves the moment).

Change: only the present keeper's own word lets a box send unasked, and only while at most two requests are told that it has not answered.

A fleet that is killed whole is not touched by either.

--- a/crates/edge/src/quotas.rs
+++ b/crates/edge/src/quotas.rs
@@ -170,7 +170,7 @@
             // Who gave up meanwhile has decided already.
             Some(waiting) => drop(waiting.send(word)),
             None if self.quota_limit(&word.workspace).is_some() => {
-                self.quotas.quotas().hear_word(&word, self.clock.now());
+                self.quotas.quotas().hear_word(&word);
             }
             None => {}
         }
--- a/crates/routing/src/quota/mod.rs
+++ b/crates/routing/src/quota/mod.rs
@@ -209,8 +209,9 @@
                 id,
                 workspace: workspace.clone(),
                 runs: 1,
-                // A box that has just started hasn't heard which workspaces are tight.
-                asks: !is_settled || part.is_tight(now),
+                // Free sending for 150 ms after each change of the keeper was 300 to 450 of
+                // 2,409 runs in a window where half of 75 boxes are cut off.
+                asks: part.has_to_ask(now) || !is_settled,
                 turned_away: part.take_turned_away(),
             },
         };
@@ -267,7 +268,7 @@
         let Some(word) = word else {
             return part.unheard(even_rate, now);
         };
-        part.hear(word, now);
+        part.hear(word);
         if word.is_granted {
             part.sent();
             return Admission::Send(None);
@@ -280,9 +281,9 @@
     }
 
     /// Takes a keeper's word that nobody waits for.
-    pub fn hear_word(&mut self, word: &QuotaWord, now: Millis) {
+    pub fn hear_word(&mut self, word: &QuotaWord) {
         let part = self.parts.entry(word.workspace.clone()).or_default();
-        part.hear(word, now);
+        part.hear(word);
     }
 
     /// Counts what another box sends, or asks to send; `None` where this box doesn't know yet
@@ -353,7 +354,7 @@
             workspace: workspace.clone(),
             sent: part.sent_total(),
             refused: part.refused_total(),
-            is_tight: part.is_tight(now),
+            is_tight: part.is_tight(),
             is_alone: part.is_alone(now),
             level: self.kept.level(workspace),
         };
--- a/crates/routing/src/quota/part.rs
+++ b/crates/routing/src/quota/part.rs
@@ -3,9 +3,7 @@
 use super::bucket::{Filling, TokenBucket};
 use super::{Admission, QuotaWord, ToKeeper};
 use brasswinch_types::{BoxId, Millis};
-
-/// How long a keeper's word that a workspace is tight is believed.
-const TIGHT_MS: Millis = 1_500;
+use std::collections::VecDeque;
 
 /// How long a box refuses by itself after the keeper refused: with as many boxes as there
 /// are, each asks three to five times a second, whatever comes.
@@ -18,6 +16,14 @@
 /// Between two questions to a keeper that is out of reach.
 const TRY_AGAIN_MS: Millis = 300;
 
+/// Requests of which the keeper has not said anything yet that a box sends unasked; beyond
+/// them it asks. So what runs before boxes hear that a workspace is tight doesn't grow with what
+/// comes: twice the boxes, 150 of 4,066 in a window, where 511 passed it.
+const MOST_UNANSWERED: usize = 2;
+
+/// How long an answer is waited for before it counts as lost.
+const LOST_MS: Millis = 1_000;
+
 /// Part of an even share that a box admits while its keeper is out of reach.
 const ALONE_PART: f64 = 0.5;
 
@@ -27,10 +33,14 @@
 /// One box's part in one workspace's quota.
 #[derive(Debug, Default)]
 pub(super) struct QuotaPart {
-    tight_until: Millis,
+    /// The keeper said that a request may be sent before it is asked. Nothing else says so: not
+    /// that it is silent, not that another box is the keeper now.
+    is_loose: bool,
     closed_until: Millis,
     /// Since when the keeper owes an answer.
     unanswered_since: Option<Millis>,
+    /// When each request was told that it has not answered yet.
+    unanswered: VecDeque<Millis>,
     alone: Option<TokenBucket>,
     /// When a keeper that is out of reach was last asked whether it is back.
     tried_at: Millis,
@@ -43,8 +53,18 @@
 }
 
 impl QuotaPart {
-    pub(super) fn is_tight(&self, now: Millis) -> bool {
-        now < self.tight_until
+    /// Whether the keeper has to be asked first.
+    pub(super) fn is_tight(&self) -> bool {
+        !self.is_loose
+    }
+
+    /// Whether the next request has to wait for the keeper's answer.
+    pub(super) fn has_to_ask(&mut self, now: Millis) -> bool {
+        let is_lost = |told_at: &Millis| now.saturating_sub(*told_at) >= LOST_MS;
+        while self.unanswered.front().is_some_and(is_lost) {
+            self.unanswered.pop_front();
+        }
+        !self.is_loose || self.unanswered.len() >= MOST_UNANSWERED
     }
 
     /// Whether the keeper is out of reach.
@@ -76,6 +96,9 @@
     /// The keeper is told something and has to answer.
     pub(super) fn told(&mut self, now: Millis) {
         self.unanswered_since.get_or_insert(now);
+        if self.unanswered.len() < MOST_UNANSWERED {
+            self.unanswered.push_back(now);
+        }
     }
 
     pub(super) fn sent(&mut self) {
@@ -99,15 +122,20 @@
         if self.keeper.as_ref() != keeper {
             self.keeper = keeper.cloned();
             self.unanswered_since = None;
+            self.unanswered.clear();
+            self.is_loose = false;
         }
     }
 
-    pub(super) fn hear(&mut self, word: &QuotaWord, now: Millis) {
+    pub(super) fn hear(&mut self, word: &QuotaWord) {
         self.unanswered_since = None;
+        if word.id != 0 {
+            self.unanswered.pop_front();
+        }
         if word.retry_after_ms > 0 {
             self.retry_after_ms = word.retry_after_ms;
         }
-        self.tight_until = if word.is_tight { now + TIGHT_MS } else { 0 };
+        self.is_loose = !word.is_tight;
     }
 
     /// Admits a part of the even share `even_rate`, in requests a second, while the keeper is
--- a/crates/routing/tests/quotas.rs
+++ b/crates/routing/tests/quotas.rs
@@ -278,7 +278,7 @@
                         .answered(&workspace(), self.limit, Some(word), random, self.now);
                 self.end(index, decided);
             }
-            None => held.quotas.hear_word(word, self.now),
+            None => held.quotas.hear_word(word),
         }
     }
 
