Boxes read the limits that upstreams name and log them

BW503 tells each limit that an answer names for the first time or anew, BW504 that one is named no more, BW505 one that can't be read. No decision goes by it yet. The routed stand-in of an upstream names limits; one life of an upstream is a type of routing now and no longer one of the quarantine's.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -293,6 +293,9 @@
         connection.set_idle_limit(seconds);
     }
     let replaced = parts.status == http::StatusCode::MISDIRECTED_REQUEST;
+    if !replaced {
+        context.hear_limit(&placed.choice.life(), &parts.headers);
+    }
     let refused = replaced || parts.headers.contains_key(&context.dialect.not_run);
     let signed = parts.headers.contains_key(&context.dialect.signature);
     if !refused && parts.status.is_success() && !signed {
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -11,6 +11,7 @@
 use crate::settings::EdgeSettings;
 use crate::store_calls::StoreCalls;
 use crate::telling::Telling;
+use crate::upstream_limits::UpstreamLimitTasks;
 use crate::watching::Watching;
 use arc_swap::ArcSwapOption;
 use brasswinch_observe::{Event, emit};
@@ -119,6 +120,8 @@
     pub(crate) asking: Asking,
     /// The workspaces' quotas.
     pub(crate) quotas: QuotaTasks,
+    /// Limits that upstreams name.
+    pub(crate) upstream_limits: UpstreamLimitTasks,
     /// Requests that end upstreams.
     pub(crate) quarantine: QuarantineTasks,
     /// This box has something new to tell.
@@ -171,6 +174,7 @@
             asking: Asking::new(socket),
             quotas: QuotaTasks::new(settings.id.clone(), settings.bounds.quota),
             quarantine: QuarantineTasks::new(settings.id.clone()),
+            upstream_limits: UpstreamLimitTasks::default(),
             telling: Telling::default(),
             dialect,
             clock: settings.clock.clone(),
@@ -269,6 +273,7 @@
         }
         let updated = self.placement().update(&fleet, config, self.clock.now());
         drop(fleet);
+        self.retain_limits();
         for restarted in &updated.restarted {
             self.pool.close(restarted);
             emit(Event::UpstreamRestarted, format_args!("{restarted}"));
--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -17,6 +17,9 @@
     pub not_run: HeaderName,
     /// An upstream's load: running, waiting, slots, with commas between.
     pub load: HeaderName,
+    /// Requests a second that an upstream takes from all boxes together, a decimal number; absent
+    /// where it names no limit.
+    pub limit: HeaderName,
     /// The cookie that names the object of a request.
     pub object_cookie: String,
     /// The scheme with which clients show their key.
@@ -34,6 +37,7 @@
             signature: HeaderName::from_static("brasswinch-signature"),
             not_run: HeaderName::from_static("brasswinch-not-run"),
             load: HeaderName::from_static("brasswinch-load"),
+            limit: HeaderName::from_static("brasswinch-limit"),
             object_cookie: "brasswinch-object".into(),
             key_scheme: "Bearer".into(),
             workspace: HeaderName::from_static("brasswinch-workspace"),
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -11,13 +11,12 @@
 use crate::context::{Context, InForce};
 use crate::counted::{HeldBytes, InFlight};
 use crate::failure::{Decided, Failure, Known, Tries};
-use crate::quarantine::UpstreamLife;
 use crate::quotas::Permit;
 use crate::request::{RequestFacts, request_id};
 use brasswinch_observe::{Event, emit};
 use brasswinch_routing::{
     ConfigVersion, KnownWorkspace, Rank, Refusal, RegionLimits, RequestDigest, RequestIdentity,
-    RequestShape, Route, Suspect, Verdict, Wanted,
+    RequestShape, Route, Suspect, UpstreamLife, Verdict, Wanted,
 };
 use brasswinch_types::{ErrorKind, Ran, Service};
 use http::request::Parts;
@@ -254,7 +253,7 @@
             if let Some(permit) = permit.as_deref_mut() {
                 permit.runs();
             }
-            let life = UpstreamLife::from(&chosen.choice);
+            let life = chosen.choice.life();
             let kind = match attempt(self.context, chosen, outgoing).await {
                 AttemptEnd::Answer(answer) => {
                     let count = tries.upstreams.len();
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -38,6 +38,7 @@
 mod store_calls;
 mod store_news;
 mod telling;
+mod upstream_limits;
 mod watching;
 
 pub use clock::Clock;
--- a/crates/edge/src/quarantine.rs
+++ b/crates/edge/src/quarantine.rs
@@ -6,11 +6,10 @@
 use crate::datagram::Datagram;
 use brasswinch_observe::{Event, emit};
 use brasswinch_routing::{
-    BrokenRun, Choice, Liveness, MemberState, Quarantine, QuarantineBox, QuarantineChange,
-    QuarantineNews, RequestDigest, RequestShape, RunReport, ShutOutStatus, Suspect, UpstreamStart,
-    Verdict,
+    BrokenRun, Liveness, MemberState, Quarantine, QuarantineBox, QuarantineChange, QuarantineNews,
+    RequestDigest, RequestShape, RunReport, ShutOutStatus, Suspect, UpstreamLife, Verdict,
 };
-use brasswinch_types::{BoxId, UpstreamId};
+use brasswinch_types::BoxId;
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -161,22 +160,6 @@
     }
 }
 
-/// One life of an upstream.
-#[derive(Clone, Debug)]
-pub(crate) struct UpstreamLife {
-    upstream: UpstreamId,
-    started: Option<UpstreamStart>,
-}
-
-impl From<&Choice> for UpstreamLife {
-    fn from(choice: &Choice) -> Self {
-        Self {
-            upstream: choice.upstream.clone(),
-            started: choice.started,
-        }
-    }
-}
-
 fn report_news(news: &QuarantineNews) {
     let event = match news.change {
         QuarantineChange::Suspected => Event::RequestSuspected,
--- a/crates/lab/src/routed_upstream.rs
+++ b/crates/lab/src/routed_upstream.rs
@@ -7,7 +7,7 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -66,6 +66,8 @@
     pub body: Vec<u8>,
     /// Whether the upstream ran it.
     pub ran: bool,
+    /// When it had come whole.
+    pub at: Instant,
 }
 
 #[derive(Default)]
@@ -74,6 +76,8 @@
     usual: Option<Behaviour>,
     /// What it does with requests whose path begins so, before all else.
     by_path: Vec<(String, Behaviour)>,
+    /// The values of the limit's header in each answer.
+    limits: Vec<String>,
     seen: Vec<Seen>,
     connections: usize,
     closed_early: usize,
@@ -163,6 +167,11 @@
         self.lock().usual = Some(behaviour);
     }
 
+    /// Names `limits` in each answer from now on, each in a header of its own.
+    pub fn name_limits(&self, limits: &[&str]) {
+        self.lock().limits = limits.iter().map(|limit| (*limit).to_owned()).collect();
+    }
+
     /// The requests that reached it.
     pub fn seen(&self) -> Vec<Seen> {
         self.lock().seen.clone()
@@ -236,6 +245,7 @@
             head: head.to_owned(),
             body,
             ran,
+            at: Instant::now(),
         });
         self.reply(stream, &id, behaviour).await
     }
@@ -323,10 +333,13 @@
         } else {
             String::new()
         };
+        let limits = self.lock().limits.clone();
+        let limit_line = |limit: &String| format!("{}: {limit}\r\n", self.dialect.limit);
+        let limits: String = limits.iter().map(limit_line).collect();
         let (request_id, load) = (&self.dialect.request_id, &self.dialect.load);
         let (length, body) = (self.id.len(), &self.id);
         format!(
-            "HTTP/1.1 {status} Said\r\n{request_id}: {id}\r\n{signature}{load}: 1,0,4\r\n\
+            "HTTP/1.1 {status} Said\r\n{request_id}: {id}\r\n{signature}{load}: 1,0,4\r\n{limits}\
              content-length: {length}\r\n\r\n{body}"
         )
         .into_bytes()
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -23,6 +23,7 @@
 mod split;
 mod swim;
 mod upstream;
+mod upstream_limits;
 mod upstream_load;
 mod view_limits;
 mod watchers;
@@ -59,7 +60,8 @@
 pub use swim::{
     KnownView, Liveness, Member, MemberRecord, MemberState, Swim, SwimMessage, SwimSettings,
 };
-pub use upstream::{UpstreamRecord, UpstreamStart, UpstreamState};
+pub use upstream::{UpstreamLife, UpstreamRecord, UpstreamStart, UpstreamState};
+pub use upstream_limits::{LimitChange, UpstreamLimit, UpstreamLimitError, UpstreamLimits};
 pub use upstream_load::{LoadReport, UpstreamLoad};
 pub use view_limits::ViewLimits;
 pub use watchers::{StoreDuty, Watchers};
--- a/crates/routing/src/placement/mod.rs
+++ b/crates/routing/src/placement/mod.rs
@@ -27,7 +27,7 @@
 use crate::demand::AveragedDemand;
 use crate::region_plan::RegionRoom;
 use crate::rendezvous::object_hash;
-use crate::upstream::{UpstreamRecord, UpstreamStart};
+use crate::upstream::{UpstreamLife, UpstreamRecord, UpstreamStart};
 use crate::upstream_load::LoadReport;
 use crate::workspace::{Rank, RegionLimits};
 use crate::{FleetState, SteeringConfig};
@@ -104,6 +104,16 @@
     pub lost_ms: Option<Millis>,
 }
 
+impl Choice {
+    /// The life of the upstream that was chosen.
+    pub fn life(&self) -> UpstreamLife {
+        UpstreamLife {
+            upstream: self.upstream.clone(),
+            started: self.started,
+        }
+    }
+}
+
 /// What an update of the upstreams brought.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Updated {
@@ -402,6 +412,12 @@
         }
     }
 
+    /// Whether this life of the upstream is known.
+    pub fn holds(&self, life: &UpstreamLife) -> bool {
+        let mut entries = self.services.values().flat_map(|held| &held.entries);
+        entries.any(|entry| entry.record.id == life.upstream && entry.record.started == life.started)
+    }
+
     fn held(&mut self, choice: &Choice) -> Option<&mut Entry> {
         let service = self.services.get_mut(&choice.service)?;
         let mut entries = service.entries.iter_mut();
--- a/crates/routing/src/upstream.rs
+++ b/crates/routing/src/upstream.rs
@@ -39,3 +39,14 @@
     /// How much longer it stays cold, in seconds, when the entry was written.
     pub cold_remaining_s: f64,
 }
+
+/// One life of an upstream: what is known of one says nothing of the next.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct UpstreamLife {
+    /// The upstream.
+    #[serde(rename = "u")]
+    pub upstream: UpstreamId,
+    /// Which of its lives.
+    #[serde(rename = "b", default)]
+    pub started: Option<UpstreamStart>,
+}
