--- /dev/null
+++ b/crates/edge/tests/upstream_limits.rs
@@ -0,0 +1,175 @@
+//! An upstream in need named a limit in its answers, requests a second from all boxes together.
+//! Boxes passed the answers on to their clients and sent to it as before: one that had named 9 a
+//! second got 103 requests in 4 s from boxes that it had told, where 59 are allowed. Nothing read
+//! the limit, and since the upstream turned nothing away, its load told of no need. What settled it
+//! were 23 to 30 arrivals a second before and after it named its limit, and lines of boxes that it
+//! had told, such as `BW510 ... tries=1 ms=189 home_is=free fullness=0.65`.
+#![allow(clippy::unwrap_used, clippy::expect_used)]
+
+mod common;
+
+use brasswinch_edge::{Dialect, EdgeHandle, start};
+use brasswinch_lab::memory_store::MemoryStore;
+use brasswinch_lab::routed_upstream::{Behaviour, Upstream};
+use brasswinch_routing::Change;
+use brasswinch_types::{Region, Zone};
+use common::{Answer, Kept, call, config, eventually, record, request, settings};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::task::JoinSet;
+
+const BOXES: usize = 3;
+
+const UPSTREAMS: usize = 4;
+
+/// How long an upstream takes: of 4 slots, it bears 200 requests a second.
+const WORK: Duration = Duration::from_millis(20);
+
+/// Between two requests of the client of each box: some 60 a second in all.
+const PAUSE: Duration = Duration::from_millis(30);
+
+/// How long after an upstream first names its limit all boxes have to keep it.
+const LEARNED_WITHIN: Duration = Duration::from_secs(3);
+
+/// The span in which requests are counted.
+const WINDOW: Duration = Duration::from_secs(4);
+
+/// Requests in a span that are allowed under a limit of `per_s`: half as many again, and five.
+fn allowed(per_s: f64) -> usize {
+    (per_s * WINDOW.as_secs_f64() * 1.5 + 5.0) as usize
+}
+
+/// The most requests in one span that came to `upstream` after `from`.
+fn most_in_window(upstream: &Upstream, from: Instant) -> usize {
+    let seen = upstream.seen();
+    let at: Vec<Instant> = seen.iter().map(|seen| seen.at).collect();
+    let counted = at.iter().filter(|begin| **begin >= from);
+    let in_window = |begin: &Instant| {
+        let in_span = at.iter().filter(|at| **at >= *begin);
+        in_span.filter(|at| **at - *begin < WINDOW).count()
+    };
+    counted.map(in_window).max().unwrap_or(0)
+}
+
+struct Fleet {
+    store: MemoryStore,
+    upstreams: Vec<Upstream>,
+    boxes: Vec<EdgeHandle>,
+}
+
+impl Fleet {
+    async fn start() -> Self {
+        let dialect = Dialect::default();
+        let store = MemoryStore::default().handle();
+        store.write(Change::Config(Arc::new(config(1))));
+        let mut upstreams = Vec::new();
+        for number in 0..UPSTREAMS {
+            let id = format!("upstream-{number}");
+            let upstream = Upstream::start(&id, &dialect).await.unwrap();
+            upstream.always(Behaviour::AnswerAfter(WORK));
+            store.write(Change::Upstream(record(&upstream)));
+            upstreams.push(upstream);
+        }
+        let mut fleet = Self {
+            store,
+            upstreams,
+            boxes: Vec::new(),
+        };
+        for number in 0..BOXES {
+            fleet.add_box(&format!("box-{number}")).await;
+        }
+        fleet.meet(BOXES).await;
+        fleet
+    }
+
+    async fn add_box(&mut self, id: &str) {
+        let seeds = self.boxes.first().map(|first| first.addresses().peers);
+        let settings = settings(id, seeds.into_iter().collect());
+        let handle = start(settings, Dialect::default(), self.store.handle()).await;
+        self.boxes.push(handle.unwrap());
+    }
+
+    /// Waits until all boxes know `count` that serve.
+    async fn meet(&self, count: usize) {
+        for handle in &self.boxes {
+            let context = Arc::clone(handle.context());
+            let (zone, region) = (Zone::new("west-a"), Region::new("west"));
+            let names_all = || {
+                let answer = context.directory_answer(&zone, &region);
+                context.is_ready() && answer.addresses.len() == count
+            };
+            eventually("the box knows all", names_all).await;
+        }
+    }
+
+    fn clients(&self) -> Vec<SocketAddr> {
+        let addresses = self.boxes.iter().map(|held| held.addresses().clients);
+        addresses.collect()
+    }
+
+    /// The home of the object that all requests are about, after each box has met it.
+    async fn home(&self) -> Upstream {
+        let mut served_by = String::new();
+        for to in self.clients() {
+            let answer = call(to, request("GET", "/safe/met", "")).await.unwrap();
+            assert_eq!(answer.status, 200);
+            served_by = String::from_utf8(answer.body.to_vec()).unwrap();
+        }
+        let mut upstreams = self.upstreams.iter();
+        let home = upstreams.find(|held| held.id == served_by);
+        home.unwrap().clone()
+    }
+
+    /// Sends requests to all boxes for `time`; the answers.
+    async fn press(&self, time: Duration) -> Vec<Answer> {
+        let mut clients = JoinSet::new();
+        for to in self.clients() {
+            clients.spawn(press(to, time));
+        }
+        clients.join_all().await.into_iter().flatten().collect()
+    }
+}
+
+/// One client that sends to one box; it comes anew where its connection ends.
+async fn press(to: SocketAddr, time: Duration) -> Vec<Answer> {
+    let until = Instant::now() + time;
+    let mut answers = Vec::new();
+    let mut connection = Kept::open(to).await;
+    while Instant::now() < until {
+        match connection.call(request("GET", "/safe/pressed", "")).await {
+            Ok(answer) => answers.push(answer),
+            Err(_) => connection = Kept::open(to).await,
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+    answers
+}
+
+fn served(answers: &[Answer]) -> usize {
+    let served = answers.iter().filter(|answer| answer.status == 200);
+    served.count()
+}
+
+#[tokio::test]
+async fn boxes_together_keep_the_limit_that_an_upstream_names() {
+    let fleet = Fleet::start().await;
+    let home = fleet.home().await;
+    home.name_limits(&["5"]);
+    let named_at = Instant::now();
+    let answers = fleet.press(LEARNED_WITHIN + WINDOW + WINDOW / 2).await;
+    let most = most_in_window(&home, named_at + LEARNED_WITHIN);
+    assert!(most > 0, "it serves what its limit leaves");
+    assert!(
+        most <= allowed(5.0),
+        "{most} requests in {WINDOW:?}, of {} under its limit",
+        allowed(5.0)
+    );
+    // What it doesn't take goes elsewhere: the others have room for all of it.
+    let served = served(&answers);
+    assert!(
+        served * 100 >= answers.len() * 95,
+        "{served} of {} are served",
+        answers.len()
+    );
+}
