--- a/crates/edge/src/asking.rs
+++ b/crates/edge/src/asking.rs
@@ -5,6 +5,7 @@
 
 use crate::context::Context;
 use crate::datagram::Datagram;
+use crate::waiters::Waiters;
 use brasswinch_observe::{Event, emit};
 use brasswinch_routing::{Advice, Choice, Ending, LoadReport, Question, UpstreamOutcome, Wanted};
 use brasswinch_types::{BoxId, Millis};
@@ -13,8 +14,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::net::UdpSocket;
-use tokio::sync::oneshot;
-use tokio::time::{Instant, timeout};
+use tokio::time::Instant;
 
 /// How long a keeper isn't asked after it left a question unanswered: it may be dead, and
 /// the membership needs a second or two to notice.
@@ -27,8 +27,7 @@
 #[derive(Debug)]
 pub(crate) struct Asking {
     socket: Arc<UdpSocket>,
-    /// Who waits for an answer, by the question's number.
-    waiting: Mutex<HashMap<u64, oneshot::Sender<Advice>>>,
+    waiters: Waiters<Advice>,
     /// Keepers that didn't answer, and until when they aren't asked.
     silent: Mutex<HashMap<BoxId, Instant>>,
 }
@@ -38,7 +37,7 @@
     pub(crate) fn new(socket: Arc<UdpSocket>) -> Self {
         Self {
             socket,
-            waiting: Mutex::default(),
+            waiters: Waiters::default(),
             silent: Mutex::default(),
         }
     }
@@ -145,37 +144,6 @@
         let until = Instant::now() + SILENT_FOR;
         lock(&self.silent).insert(keeper.clone(), until);
     }
-
-    /// Waits for the answer to `question`.
-    fn wait(&self, question: u64) -> Waiting<'_> {
-        let (sender, answer) = oneshot::channel();
-        lock(&self.waiting).insert(question, sender);
-        Waiting {
-            asking: self,
-            question,
-            answer,
-        }
-    }
-
-    fn answered(&self, advice: Advice) {
-        // One that comes too late finds nobody.
-        if let Some(waiting) = lock(&self.waiting).remove(&advice.id) {
-            let _ = waiting.send(advice);
-        }
-    }
-}
-
-/// An answer that is waited for; given up when it is dropped.
-struct Waiting<'a> {
-    asking: &'a Asking,
-    question: u64,
-    answer: oneshot::Receiver<Advice>,
-}
-
-impl Drop for Waiting<'_> {
-    fn drop(&mut self) {
-        lock(&self.asking.waiting).remove(&self.question);
-    }
 }
 
 impl Context {
@@ -185,18 +153,14 @@
         address: SocketAddr,
         question: Question,
     ) -> Option<Advice> {
-        let mut waiting = self.asking.wait(question.id);
+        let waiting = self.asking.waiters.wait(question.id);
         self.send_datagram(&Datagram::Question(question), address);
-        match timeout(self.settings.keeper_wait, &mut waiting.answer).await {
-            Ok(Ok(advice)) => {
-                self.asking.is_heard(keeper);
-                Some(advice)
-            }
-            _ => {
-                self.asking.was_silent(keeper);
-                None
-            }
+        let advice = waiting.within(self.settings.keeper_wait).await;
+        match advice {
+            Some(_) => self.asking.is_heard(keeper),
+            None => self.asking.was_silent(keeper),
         }
+        advice
     }
 
     /// Answers another box's question.
@@ -220,7 +184,8 @@
             );
             return;
         }
-        self.asking.answered(advice);
+        // One that comes too late finds nobody.
+        let _ = self.asking.waiters.answered(advice.id, advice);
     }
 
     /// Takes how a request ended that this box was asked about.
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -39,6 +39,7 @@
 mod store_news;
 mod telling;
 mod upstream_limits;
+mod waiters;
 mod watching;
 
 pub use clock::Clock;
--- a/crates/edge/src/quotas.rs
+++ b/crates/edge/src/quotas.rs
@@ -3,18 +3,16 @@
 use crate::context::Context;
 use crate::datagram::Datagram;
 use crate::failure::Failure;
+use crate::waiters::Waiters;
 use brasswinch_observe::{Event, emit};
 use brasswinch_routing::{
     Admission, KnownWorkspace, Liveness, MemberRecord, MemberState, QuotaBounds, QuotaBox,
     QuotaCount, QuotaLimit, QuotaStatus, QuotaWord, Quotas, SteeringConfig, ToKeeper,
 };
 use brasswinch_types::{BoxId, Millis, Workspace};
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use tokio::sync::oneshot;
-use tokio::time::timeout;
 
 /// How long a keeper's answer is waited for. It may stand in another region, 25 ms there and
 /// back; the rest is for a busy processor.
@@ -24,27 +22,22 @@
 #[derive(Debug)]
 pub(crate) struct QuotaTasks {
     quotas: Mutex<Quotas>,
-    /// By the number of the question.
-    waiting: Mutex<HashMap<u64, oneshot::Sender<QuotaWord>>>,
+    waiters: Waiters<QuotaWord>,
 }
 
 impl QuotaTasks {
     pub(crate) fn new(me: BoxId, bounds: QuotaBounds) -> Self {
         Self {
             quotas: Mutex::new(Quotas::new(me, bounds)),
-            waiting: Mutex::default(),
+            waiters: Waiters::default(),
         }
     }
 
     fn quotas(&self) -> MutexGuard<'_, Quotas> {
-        lock(&self.quotas)
+        self.quotas.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// A request that is counted in its workspace's quota.
 pub(crate) struct Permit {
     context: Arc<Context>,
@@ -124,12 +117,10 @@
 
     async fn ask_quota(&self, question: ToKeeper, limit: QuotaLimit) -> Admission {
         let ToKeeper { address, count } = question;
-        let (id, workspace) = (count.id, count.workspace.clone());
-        let (sender, answer) = oneshot::channel();
-        lock(&self.quotas.waiting).insert(id, sender);
-        let _waiting = Waiting { context: self, id };
+        let workspace = count.workspace.clone();
+        let waiting = self.quotas.waiters.wait(count.id);
         self.send_datagram(&Datagram::QuotaCount(count), address);
-        let word = timeout(ANSWER_WAIT, answer).await.ok().and_then(Result::ok);
+        let word = waiting.within(ANSWER_WAIT).await;
         let now = self.clock.now();
         let mut quotas = self.quotas.quotas();
         quotas.answered(&workspace, limit, word.as_ref(), rand::random(), now)
@@ -165,14 +156,11 @@
 
     /// Takes a keeper's word.
     pub(crate) fn hear_quota_word(&self, word: QuotaWord) {
-        let waiting = lock(&self.quotas.waiting).remove(&word.id);
-        match waiting {
-            // Who gave up meanwhile has decided already.
-            Some(waiting) => drop(waiting.send(word)),
-            None if self.quota_limit(&word.workspace).is_some() => {
-                self.quotas.quotas().hear_word(&word);
-            }
-            None => {}
+        let Some(word) = self.quotas.waiters.answered(word.id, word) else {
+            return;
+        };
+        if self.quota_limit(&word.workspace).is_some() {
+            self.quotas.quotas().hear_word(&word);
         }
     }
 
@@ -253,15 +241,3 @@
         address: record.peer_address,
     }
 }
-
-/// A question whose answer is waited for; given up when it is dropped.
-struct Waiting<'a> {
-    context: &'a Context,
-    id: u64,
-}
-
-impl Drop for Waiting<'_> {
-    fn drop(&mut self) {
-        lock(&self.context.quotas.waiting).remove(&self.id);
-    }
-}
