--- a/crates/routing/src/quota/keeper.rs
+++ b/crates/routing/src/quota/keeper.rs
@@ -1,7 +1,8 @@
 //! What the keeper of a workspace counts and answers.
 
-use super::bucket::{Filling, TokenBucket};
 use super::{QuotaBounds, QuotaCount, QuotaWord};
+use crate::refusals::Refusals;
+use crate::token_bucket::{Filling, TokenBucket};
 use crate::workspace::QuotaLimit;
 use brasswinch_types::{Millis, Workspace};
 use std::collections::HashMap;
@@ -25,9 +26,6 @@
 /// times as long, so two may be lost.
 const TELL_AGAIN_MS: Millis = 500;
 
-/// The span in which refusals are counted.
-const REFUSALS_MS: Millis = 1_000;
-
 /// Bounds of the time that refused clients are told, in milliseconds: a request's way at
 /// least, and no longer than clients of the shortest deadlines wait.
 const RETRY_AFTER_MS: std::ops::RangeInclusive<f64> = 100.0..=5_000.0;
@@ -44,31 +42,6 @@
     refusals: Refusals,
 }
 
-/// Requests refused lately: those of the span before, and of this one so far.
-#[derive(Clone, Copy, Debug, Default)]
-struct Refusals {
-    began: Millis,
-    last: f64,
-    current: f64,
-}
-
-impl Refusals {
-    fn count(&mut self, refused: f64, now: Millis) {
-        let elapsed = now.saturating_sub(self.began);
-        if elapsed >= REFUSALS_MS {
-            let is_next = elapsed < 2 * REFUSALS_MS;
-            self.last = if is_next { self.current } else { 0.0 };
-            self.current = 0.0;
-            self.began = now;
-        }
-        self.current += refused;
-    }
-
-    fn per_s(&self) -> f64 {
-        self.last.max(self.current)
-    }
-}
-
 /// The counts that this box keeps for all.
 #[derive(Debug)]
 pub(super) struct QuotaKeeper {
@@ -170,7 +143,7 @@
     pub(super) fn tick(&mut self, now: Millis) {
         for (workspace, kept) in &mut self.kept {
             let is_due = now.saturating_sub(kept.told_all_at) >= TELL_AGAIN_MS;
-            let is_pressed = now.saturating_sub(kept.refusals.began) < 2 * REFUSALS_MS;
+            let is_pressed = kept.refusals.is_recent(now);
             if kept.is_tight && kept.is_mine && is_due && is_pressed {
                 kept.told_all_at = now;
                 self.for_all.push(QuotaWord::tight(workspace));
--- a/crates/routing/src/quota/mod.rs
+++ b/crates/routing/src/quota/mod.rs
@@ -25,7 +25,6 @@
 //!
 //! On the platform's days this has been seen broken: `docs/design/quotas.md` has the figures.
 
-mod bucket;
 mod keeper;
 mod message;
 mod part;
--- a/crates/routing/src/quota/part.rs
+++ b/crates/routing/src/quota/part.rs
@@ -1,7 +1,7 @@
 //! What a box knows of one workspace's quota that another box keeps.
 
-use super::bucket::{Filling, TokenBucket};
 use super::{Admission, QuotaWord, ToKeeper};
+use crate::token_bucket::{Filling, TokenBucket};
 use brasswinch_types::{BoxId, Millis};
 use std::collections::VecDeque;
 
--- /dev/null
+++ b/crates/routing/src/refusals.rs
@@ -0,0 +1,38 @@
+//! How many requests were refused lately.
+
+use brasswinch_types::Millis;
+
+/// The span in which refusals are counted.
+const SPAN_MS: Millis = 1_000;
+
+/// Requests refused lately: those of the span before, and of this one so far.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Refusals {
+    began: Millis,
+    last: f64,
+    current: f64,
+}
+
+impl Refusals {
+    /// Counts `refused` requests.
+    pub(crate) fn count(&mut self, refused: f64, now: Millis) {
+        let elapsed = now.saturating_sub(self.began);
+        if elapsed >= SPAN_MS {
+            let is_next = elapsed < 2 * SPAN_MS;
+            self.last = if is_next { self.current } else { 0.0 };
+            self.current = 0.0;
+            self.began = now;
+        }
+        self.current += refused;
+    }
+
+    /// Refusals a second: the larger of the two spans' counts.
+    pub(crate) fn per_s(&self) -> f64 {
+        self.last.max(self.current)
+    }
+
+    /// Whether the last span began within the last two.
+    pub(crate) fn is_recent(&self, now: Millis) -> bool {
+        now.saturating_sub(self.began) < 2 * SPAN_MS
+    }
+}
--- a/crates/routing/src/quota/bucket.rs
+++ b/crates/routing/src/token_bucket.rs
@@ -6,44 +6,44 @@
 /// A token bucket. Its level may fall below 0 by what ran before anybody could refuse it;
 /// that is paid back by what comes in later.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct TokenBucket {
+pub(crate) struct TokenBucket {
     level: f64,
     filled_at: Millis,
 }
 
 /// How a bucket fills.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Filling {
+pub(crate) struct Filling {
     /// Tokens a second.
-    pub(super) rate_per_s: f64,
+    pub(crate) rate_per_s: f64,
     /// The most that it holds.
-    pub(super) capacity: f64,
+    pub(crate) capacity: f64,
 }
 
 impl TokenBucket {
-    pub(super) fn new(level: f64, now: Millis) -> Self {
+    pub(crate) fn new(level: f64, now: Millis) -> Self {
         let filled_at = now;
         Self { level, filled_at }
     }
 
     /// Takes what has come in until now.
-    pub(super) fn fill(&mut self, filling: Filling, now: Millis) {
+    pub(crate) fn fill(&mut self, filling: Filling, now: Millis) {
         let elapsed_s = now.saturating_sub(self.filled_at) as f64 / 1_000.0;
         self.filled_at = self.filled_at.max(now);
         self.level = (self.level + filling.rate_per_s * elapsed_s).min(filling.capacity);
     }
 
-    pub(super) fn level(&self) -> f64 {
+    pub(crate) fn level(&self) -> f64 {
         self.level
     }
 
     /// Takes out `tokens`, whatever it holds.
-    pub(super) fn take(&mut self, tokens: f64) {
+    pub(crate) fn take(&mut self, tokens: f64) {
         self.level -= tokens;
     }
 
     /// Takes one token out, if it holds one.
-    pub(super) fn try_take(&mut self) -> bool {
+    pub(crate) fn try_take(&mut self) -> bool {
         let has_one = self.level >= 1.0;
         if has_one {
             self.level -= 1.0;
@@ -52,7 +52,7 @@
     }
 
     /// Lowers the level to `most`.
-    pub(super) fn lower_to(&mut self, most: f64) {
+    pub(crate) fn lower_to(&mut self, most: f64) {
         self.level = self.level.min(most);
     }
 }
