Boxes keep limits that upstreams name together

Cause: nothing read the limit. Its class: a rate that all boxes share, counted by none of them.

Ruled out: that each box kept the limit for itself (no box sent fewer than before, and there was no line or code that knew of it), and that boxes learned too late (those that sent had passed the limit on 0.5 s before and earlier).

Change: one box counts for each upstream that names a limit, by rendezvous among those of the upstream's zone; who knows of the limit asks it before each request, and without leave goes to the object's next home. The keeper tells all boxes of a limit and of its end. Only an answer to a request that had leave ends a limit: the upstream made it after it had named it. A silent keeper gives no leave. An upstream that is held off counts as disturbed, so that others make up for it.

Why it holds: in any span W boxes send rate * W, a quarter second's worth and one, and once more a part of that for each change of the keeper in which the one before still answers; the sum stays under half as many again.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -6,6 +6,7 @@
 use crate::connections::Connection;
 use crate::context::Context;
 use crate::request::end_to_end;
+use crate::upstream_limits::Leave;
 use brasswinch_routing::{Choice, LoadReport, RequestDigest, UpstreamOutcome};
 use brasswinch_types::Workspace;
 use bytes::Bytes;
@@ -79,12 +80,14 @@
 pub(crate) struct Chosen {
     pub(crate) choice: Choice,
     pub(crate) asked: Option<Asked>,
+    pub(crate) leave: Leave,
 }
 
 /// Counts the request at its upstream until it ends, whatever the way.
 pub(crate) struct Placed {
     context: Arc<Context>,
     choice: Choice,
+    leave: Leave,
     /// The question that it was chosen with, to be ended with it.
     asked: Option<Asked>,
     digest: Option<RequestDigest>,
@@ -94,7 +97,11 @@
 
 impl Placed {
     pub(crate) fn new(context: &Arc<Context>, chosen: Chosen, outgoing: &Outgoing<'_>) -> Self {
-        let Chosen { choice, mut asked } = chosen;
+        let Chosen {
+            choice,
+            mut asked,
+            leave,
+        } = chosen;
         let headers = &outgoing.parts.headers;
         let request_id = headers.get(&context.dialect.request_id);
         if let Some(asked) = &mut asked {
@@ -106,6 +113,7 @@
             request_id: request_id.cloned(),
             context: Arc::clone(context),
             choice,
+            leave,
             outcome: UpstreamOutcome::Abandoned,
         }
     }
@@ -289,13 +297,11 @@
         return AttemptEnd::Unusable;
     }
     placed.take_load(&parts.headers);
+    placed.take_limit(&parts);
     if let Some(seconds) = keep_alive_seconds(&parts.headers) {
         connection.set_idle_limit(seconds);
     }
     let replaced = parts.status == http::StatusCode::MISDIRECTED_REQUEST;
-    if !replaced {
-        context.hear_limit(&placed.choice.life(), &parts.headers);
-    }
     let refused = replaced || parts.headers.contains_key(&context.dialect.not_run);
     let signed = parts.headers.contains_key(&context.dialect.signature);
     if !refused && parts.status.is_success() && !signed {
@@ -364,6 +370,17 @@
         }
     }
 
+    /// Takes the limit that the answer names. One of another upstream at the address says
+    /// nothing, and one that did not run the request may leave the limit out.
+    fn take_limit(&self, answer: &http::response::Parts) {
+        let names_limit = answer.headers.contains_key(&self.context.dialect.limit);
+        let is_replaced = answer.status == http::StatusCode::MISDIRECTED_REQUEST;
+        if !is_replaced && (names_limit || answer.status.is_success()) {
+            self.context
+                .hear_limit(&self.choice, self.leave, &answer.headers);
+        }
+    }
+
     fn take_load(&mut self, headers: &HeaderMap) {
         let Some(value) = headers.get(&self.context.dialect.load) else {
             return;
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -174,7 +174,7 @@
             asking: Asking::new(socket),
             quotas: QuotaTasks::new(settings.id.clone(), settings.bounds.quota),
             quarantine: QuarantineTasks::new(settings.id.clone()),
-            upstream_limits: UpstreamLimitTasks::default(),
+            upstream_limits: UpstreamLimitTasks::new(settings.id.clone(), settings.zones.clone()),
             telling: Telling::default(),
             dialect,
             clock: settings.clock.clone(),
@@ -340,6 +340,7 @@
         drop(swim);
         self.set_quota_boxes();
         self.set_quarantine_boxes();
+        self.set_limit_boxes();
         self.update_watching();
     }
 
--- a/crates/edge/src/datagram.rs
+++ b/crates/edge/src/datagram.rs
@@ -1,6 +1,9 @@
 //! What boxes send each other in datagrams, in CBOR.
 
-use brasswinch_routing::{Advice, Ending, Question, QuotaCount, QuotaWord, RunReport, SwimMessage};
+use brasswinch_routing::{
+    Advice, Ending, LimitNews, LimitQuestion, LimitWord, Question, QuotaCount, QuotaWord,
+    RunReport, SwimMessage,
+};
 use serde::{Deserialize, Serialize};
 
 /// One datagram.
@@ -27,4 +30,13 @@
     /// Upstreams ended under this request, or one of its runs was answered.
     #[serde(rename = "r")]
     RunReport(RunReport),
+    /// May a request be sent to an upstream that names a limit?
+    #[serde(rename = "l")]
+    LimitQuestion(LimitQuestion),
+    /// What the limit's keeper says.
+    #[serde(rename = "g")]
+    LimitWord(LimitWord),
+    /// An upstream names a limit, or none any more.
+    #[serde(rename = "n")]
+    LimitNews(LimitNews),
 }
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -13,6 +13,7 @@
 use crate::failure::{Decided, Failure, Known, Tries};
 use crate::quotas::Permit;
 use crate::request::{RequestFacts, request_id};
+use crate::upstream_limits::Leave;
 use brasswinch_observe::{Event, emit};
 use brasswinch_routing::{
     ConfigVersion, KnownWorkspace, Rank, Refusal, RegionLimits, RequestDigest, RequestIdentity,
@@ -34,6 +35,10 @@
 /// Upstreams that are tried without anything being sent to them.
 const MOST_UNREACHABLE: u32 = 4;
 
+/// Keepers of upstreams' limits that are asked for one request, one after the other. Each costs a
+/// way there and back, and what one refuses is sent elsewhere without a question next time.
+const MOST_LIMITS_ASKED: u32 = 3;
+
 /// Answers one request.
 pub(crate) async fn answer(
     context: &Arc<Context>,
@@ -402,7 +407,24 @@
         );
     }
 
+    /// Chooses an upstream whose limit leaves room for the request.
+    // An upstream's limit holds for all boxes together, and only its keeper can count that: of a
+    // limit of 5 a second three boxes sent 222 requests in 4 s without its leave, 21 or 22 with.
     async fn choose(&self, tries: &Tries) -> Result<Chosen, Failure> {
+        let mut chosen = self.choose_unasked(tries).await?;
+        for _ in 1..MOST_LIMITS_ASKED {
+            match self.context.take_leave(chosen, self.answer_by.left()).await {
+                Ok(chosen) => return Ok(chosen),
+                // It goes where the object has its next home.
+                Err(_) => chosen = self.choose_unasked(tries).await?,
+            }
+        }
+        let last = self.context.take_leave(chosen, self.answer_by.left()).await;
+        last.map_err(Failure::from)
+    }
+
+    /// Chooses an upstream, whatever limit it names.
+    async fn choose_unasked(&self, tries: &Tries) -> Result<Chosen, Failure> {
         let tried = tries.upstreams.as_slice();
         // A suspect goes to a home of its own, so that others about its object are not there
         // when the upstream ends.
@@ -430,7 +452,11 @@
         let mut placement = self.context.placement();
         let chosen = placement.choose_advised(&wanted, advice.as_ref(), rand::random(), now);
         drop(placement);
-        let chosen = chosen.map(|choice| Chosen { choice, asked });
+        let chosen = chosen.map(|choice| Chosen {
+            choice,
+            asked,
+            leave: Leave::NotNeeded,
+        });
         chosen.map_err(|refusal| match refusal {
             Refusal::NoUpstream => ErrorKind::NoUpstream.into(),
             Refusal::Busy {
--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -99,6 +99,9 @@
         Ok(Datagram::QuotaCount(count)) => context.hear_quota_count(&count, from),
         Ok(Datagram::QuotaWord(word)) => context.hear_quota_word(word),
         Ok(Datagram::RunReport(report)) => context.hear_run_report(&report, from),
+        Ok(Datagram::LimitQuestion(question)) => context.hear_limit_question(&question, from),
+        Ok(Datagram::LimitWord(word)) => context.hear_limit_word(word),
+        Ok(Datagram::LimitNews(news)) => context.hear_limit_news(&news),
         Ok(Datagram::Swim(message)) => {
             if let SwimMessage::Known { id, views, failing } = &message {
                 context.hear_known(id, views, *failing);
--- a/crates/edge/src/status.rs
+++ b/crates/edge/src/status.rs
@@ -169,6 +169,7 @@
         service,
         usable,
         cold,
+        held_off,
         left_out,
         leaving,
         evacuated,
@@ -177,8 +178,8 @@
     } = status;
     writeln!(
         f,
-        "upstreams of {service}: {usable} usable, {cold} cold, {left_out} left out, {leaving} leaving, \
-         {evacuated} evacuated, {replaced} replaced, {} kept",
+        "upstreams of {service}: {usable} usable, {cold} cold, {held_off} held off, {left_out} left out, \
+         {leaving} leaving, {evacuated} evacuated, {replaced} replaced, {} kept",
         kept.len()
     )?;
     kept.iter().try_for_each(|kept| {
--- a/crates/edge/src/upstream_limits.rs
+++ b/crates/edge/src/upstream_limits.rs
@@ -1,28 +1,181 @@
-//! Limits that upstreams name in their answers; [`UpstreamLimits`] decides.
+//! Asks and tells the keepers of limits that upstreams name; [`UpstreamLimits`] decides.
 
+use crate::attempt::Chosen;
 use crate::context::Context;
+use crate::datagram::Datagram;
+use crate::failure::Failure;
+use crate::waiters::Waiters;
 use brasswinch_observe::{Event, emit};
 use brasswinch_routing::{
-    LimitChange, UpstreamLife, UpstreamLimit, UpstreamLimitError, UpstreamLimits,
+    Basis, Choice, LimitAnswer, LimitBox, LimitChange, LimitLeave, LimitNews, LimitQuestion,
+    LimitRefusal, LimitWord, Liveness, MemberRecord, MemberState, ToLimitKeeper, UpstreamLife,
+    UpstreamLimit, UpstreamLimitError, UpstreamLimits, UpstreamOutcome,
 };
+use brasswinch_types::{BoxId, Millis, Region, Zone};
 use http::{HeaderMap, HeaderName};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+/// How long a keeper's answer is waited for. It may stand in another region, 70 ms there and
+/// back where regions are farthest from each other; the rest is for a busy processor.
+const ANSWER_WAIT: Duration = Duration::from_millis(150);
 
 /// This box's part in keeping upstreams' limits.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct UpstreamLimitTasks {
     limits: Mutex<UpstreamLimits>,
+    waiters: Waiters<LimitWord>,
 }
 
 impl UpstreamLimitTasks {
+    pub(crate) fn new(me: BoxId, zones: BTreeMap<Zone, Region>) -> Self {
+        Self {
+            limits: Mutex::new(UpstreamLimits::new(me, zones)),
+            waiters: Waiters::default(),
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, UpstreamLimits> {
         self.limits.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
+/// With what right a request is sent to its upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Leave {
+    /// The upstream names no limit.
+    NotNeeded,
+    /// The limit has room for it.
+    Given,
+}
+
+/// A request that is not sent to the upstream that was chosen: its limit has no room.
+pub(crate) struct HeldOff {
+    /// When to come back if no other upstream takes it, in milliseconds.
+    pub(crate) retry_after_ms: Millis,
+    /// What the upstream was chosen on.
+    pub(crate) basis: Basis,
+}
+
+impl From<HeldOff> for Failure {
+    fn from(held_off: HeldOff) -> Self {
+        Self::Refused {
+            retry_after_ms: held_off.retry_after_ms,
+            basis: Box::new(held_off.basis),
+        }
+    }
+}
+
+/// Ends the count of a request at its upstream if the client goes while the limit's keeper is
+/// asked.
+struct CountedWhileAsking<'a> {
+    context: &'a Context,
+    choice: &'a Choice,
+    is_decided: bool,
+}
+
+impl Drop for CountedWhileAsking<'_> {
+    fn drop(&mut self) {
+        if !self.is_decided {
+            let now = self.context.clock.now();
+            let mut placement = self.context.placement();
+            placement.ended(self.choice, UpstreamOutcome::Abandoned, now);
+        }
+    }
+}
+
 impl Context {
-    /// Takes the limit that an upstream's answer names, or that it names none.
-    pub(crate) fn hear_limit(&self, life: &UpstreamLife, headers: &HeaderMap) {
+    /// Takes leave to send a request to the upstream that was chosen for it. Where its limit has
+    /// no room, the upstream gets nothing from this box for a while.
+    pub(crate) async fn take_leave(
+        &self,
+        mut chosen: Chosen,
+        left: Duration,
+    ) -> Result<Chosen, HeldOff> {
+        let mut counted = CountedWhileAsking {
+            context: self,
+            choice: &chosen.choice,
+            is_decided: false,
+        };
+        let leave = self.leave_to_send(&chosen.choice, left).await;
+        counted.is_decided = true;
+        drop(counted);
+        let now = self.clock.now();
+        let refusal = match leave {
+            Ok(Leave::NotNeeded) => return Ok(chosen),
+            Ok(Leave::Given) => {
+                // It may have left while its limit's keeper was asked.
+                if self.placement().takes_requests(&chosen.choice, now) {
+                    chosen.leave = Leave::Given;
+                    return Ok(chosen);
+                }
+                UpstreamLimits::unheard(rand::random())
+            }
+            Err(refusal) => refusal,
+        };
+        let until = now + refusal.hold_off_ms;
+        self.placement().hold_off(&chosen.choice, until, now);
+        Err(HeldOff {
+            retry_after_ms: refusal.retry_after_ms,
+            basis: chosen.choice.basis,
+        })
+    }
+
+    /// Says whether a request may be sent to the chosen upstream now; asks the keeper of its
+    /// limit where it names one.
+    async fn leave_to_send(&self, choice: &Choice, left: Duration) -> Result<Leave, LimitRefusal> {
+        let (id, random, now) = (rand::random(), rand::random(), self.clock.now());
+        let leave =
+            self.upstream_limits
+                .lock()
+                .admit(&choice.life(), &choice.zone, id, random, now);
+        let decided = match leave {
+            LimitLeave::Ask(asked) => self.ask_limit(asked, left, random).await,
+            decided => decided,
+        };
+        match decided {
+            LimitLeave::Unlimited => Ok(Leave::NotNeeded),
+            LimitLeave::Granted => Ok(Leave::Given),
+            LimitLeave::Refused(refusal) => Err(refusal),
+            // A question is asked once; its answer is none.
+            LimitLeave::Ask(_) => Err(UpstreamLimits::unheard(random)),
+        }
+    }
+
+    async fn ask_limit(&self, asked: ToLimitKeeper, left: Duration, random: f64) -> LimitLeave {
+        let ToLimitKeeper { address, question } = asked;
+        let waiting = self.upstream_limits.waiters.wait(question.id);
+        self.send_datagram(&Datagram::LimitQuestion(question), address);
+        let word = waiting.within(ANSWER_WAIT.min(left)).await;
+        UpstreamLimits::answered(word.as_ref(), random)
+    }
+
+    /// Answers another box's question.
+    pub(crate) fn hear_limit_question(&self, question: &LimitQuestion, from: SocketAddr) {
+        let now = self.clock.now();
+        let word = self.upstream_limits.lock().hear_question(question, now);
+        self.send_datagram(&Datagram::LimitWord(word), from);
+    }
+
+    /// Takes a keeper's answer.
+    pub(crate) fn hear_limit_word(&self, word: LimitWord) {
+        // One that comes too late finds nobody.
+        let _ = self.upstream_limits.waiters.answered(word.id, word);
+    }
+
+    /// Takes what another box tells of an upstream's limit.
+    pub(crate) fn hear_limit_news(&self, news: &LimitNews) {
+        let now = self.clock.now();
+        let change = self.upstream_limits.lock().hear_news(news, now);
+        self.send_limit_news();
+        report_change(&news.life, change, "peer");
+    }
+
+    /// Takes the limit that the answer of the chosen upstream names, or that it names none.
+    pub(crate) fn hear_limit(&self, choice: &Choice, leave: Leave, headers: &HeaderMap) {
+        let life = choice.life();
         let limit = match named_limit(headers, &self.dialect.limit) {
             Ok(limit) => limit,
             Err(error) => {
@@ -34,8 +187,36 @@
                 return;
             }
         };
-        let change = self.upstream_limits.lock().named(life, limit);
-        report_change(life, change);
+        let answer = LimitAnswer {
+            life: &life,
+            zone: &choice.zone,
+            limit,
+            had_leave: leave == Leave::Given,
+        };
+        let now = self.clock.now();
+        let change = self.upstream_limits.lock().named(&answer, now);
+        self.send_limit_news();
+        report_change(&life, change, "answer");
+    }
+
+    fn send_limit_news(&self) {
+        let out = self.upstream_limits.lock().take_news();
+        for (to, news) in out {
+            self.send_datagram(&Datagram::LimitNews(news), to);
+        }
+    }
+
+    /// Takes the boxes that serve.
+    pub(crate) fn set_limit_boxes(&self) {
+        let swim = self.swim();
+        let alive = swim
+            .members()
+            .filter(|member| member.liveness == Liveness::Alive);
+        let heard = alive.map(|member| &member.record).chain([swim.me()]);
+        let serving = heard.filter(|record| record.state == MemberState::Serving);
+        let boxes = serving.map(limit_box).collect();
+        drop(swim);
+        self.upstream_limits.lock().set_boxes(boxes);
     }
 
     /// Forgets limits of upstreams that are gone.
@@ -46,6 +227,14 @@
     }
 }
 
+fn limit_box(record: &MemberRecord) -> LimitBox {
+    LimitBox {
+        id: record.id.clone(),
+        zone: record.zone.clone(),
+        address: record.peer_address,
+    }
+}
+
 /// The limit that an answer names, if it names one.
 fn named_limit(
     headers: &HeaderMap,
@@ -62,17 +251,17 @@
     text.trim().parse().map(Some)
 }
 
-fn report_change(life: &UpstreamLife, change: Option<LimitChange>) {
+fn report_change(life: &UpstreamLife, change: Option<LimitChange>, source: &str) {
     let upstream = &life.upstream;
     match change {
         Some(LimitChange::Named(limit)) => emit(
             Event::UpstreamLimited,
-            format_args!("upstream={upstream} limit_per_s={limit}"),
+            format_args!("upstream={upstream} limit_per_s={limit} from={source}"),
         ),
         Some(LimitChange::Lifted) => {
             emit(
                 Event::UpstreamUnlimited,
-                format_args!("upstream={upstream}"),
+                format_args!("upstream={upstream} from={source}"),
             );
         }
         None => {}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -15,8 +15,8 @@
 mod placement;
 mod quarantine;
 mod quota;
-mod region_plan;
 mod refusals;
+mod region_plan;
 mod rendezvous;
 mod request_digest;
 mod retry_budget;
@@ -63,7 +63,10 @@
     KnownView, Liveness, Member, MemberRecord, MemberState, Swim, SwimMessage, SwimSettings,
 };
 pub use upstream::{UpstreamLife, UpstreamRecord, UpstreamStart, UpstreamState};
-pub use upstream_limits::{LimitChange, UpstreamLimit, UpstreamLimitError, UpstreamLimits};
+pub use upstream_limits::{
+    LimitAnswer, LimitBox, LimitChange, LimitLeave, LimitNews, LimitQuestion, LimitRefusal,
+    LimitWord, ToLimitKeeper, UpstreamLimit, UpstreamLimitError, UpstreamLimits,
+};
 pub use upstream_load::{LoadReport, UpstreamLoad};
 pub use view_limits::ViewLimits;
 pub use watchers::{StoreDuty, Watchers};
--- a/crates/routing/src/placement/basis.rs
+++ b/crates/routing/src/placement/basis.rs
@@ -14,13 +14,17 @@
     Full,
     /// It was started or taken back lately.
     Cold,
+    /// Its limit leaves this box no room.
+    HeldOff,
     /// It failed lately, or this request.
     LeftOut,
 }
 
 impl HomeState {
     pub(super) fn of(entry: &Entry, is_usable: bool, now: Millis) -> Self {
-        if !is_usable {
+        if entry.is_held_off(now) {
+            Self::HeldOff
+        } else if !is_usable {
             Self::LeftOut
         } else if entry.is_cold(now) {
             Self::Cold
@@ -38,6 +42,7 @@
             Self::Free => "free",
             Self::Full => "full",
             Self::Cold => "cold",
+            Self::HeldOff => "held_off",
             Self::LeftOut => "left_out",
         })
     }
--- a/crates/routing/src/placement/entry.rs
+++ b/crates/routing/src/placement/entry.rs
@@ -1,5 +1,6 @@
 //! One upstream as placement holds it.
 
+use super::REVIEW_MS;
 use super::shared_load::SharedLoad;
 use crate::cold_pacing::ColdPacing;
 use crate::upstream::{UpstreamRecord, UpstreamState};
@@ -33,6 +34,8 @@
     /// This box has sent it a request, or it was there before the first.
     pub(super) is_used: bool,
     pub(super) is_evacuated: bool,
+    /// Its limit leaves, or left, this box no room before then; `None` before that was ever so.
+    pub(super) held_off_until: Option<Millis>,
     /// Another upstream answered at its address.
     pub(super) is_replaced: bool,
     /// Boxes that send to it as this one does, as far as known; at least 1.
@@ -85,7 +88,17 @@
 
     /// Whether something has befallen it that other upstreams have to make up for.
     pub(super) fn is_disturbed(&self, now: Millis) -> bool {
-        self.is_evacuated || self.is_cold(now) || self.load.is_unreachable()
+        self.is_evacuated
+            || self.is_cold(now)
+            || self.load.is_unreachable()
+            || self
+                .held_off_until
+                .is_some_and(|until| now < until + REVIEW_MS)
+    }
+
+    /// Whether its limit leaves this box no room.
+    pub(super) fn is_held_off(&self, now: Millis) -> bool {
+        self.held_off_until.is_some_and(|until| now < until)
     }
 
     pub(super) fn is_cold(&self, now: Millis) -> bool {
--- a/crates/routing/src/placement/mod.rs
+++ b/crates/routing/src/placement/mod.rs
@@ -99,6 +99,8 @@
     pub service: Service,
     /// Where it listens.
     pub address: SocketAddr,
+    /// Where it stands.
+    pub zone: Zone,
     /// How long ago the box heard that the upstream's entry was lost together with many
     /// others, in milliseconds; `None` while the entry is there.
     pub lost_ms: Option<Millis>,
@@ -301,6 +303,7 @@
                 None => !self.is_in_use(&record.service),
             },
             is_evacuated: fleet.is_evacuated(&record.zone),
+            held_off_until: held.as_ref().and_then(|held| held.held_off_until),
             is_replaced: held.as_ref().is_some_and(|held| held.is_replaced),
             senders: held.as_ref().map_or(1.0, |held| held.senders),
             load: held.as_ref().map(|held| held.load).unwrap_or_default(),
@@ -412,10 +415,26 @@
         }
     }
 
+    /// The request for which `choice` was made isn't sent: the upstream's limit leaves this box
+    /// no room before `until`.
+    pub fn hold_off(&mut self, choice: &Choice, until: Millis, now: Millis) {
+        self.ended(choice, UpstreamOutcome::Abandoned, now);
+        if let Some(entry) = self.held(choice) {
+            entry.held_off_until = Some(until);
+        }
+    }
+
+    /// Whether the upstream of `choice` still takes requests.
+    pub fn takes_requests(&mut self, choice: &Choice, now: Millis) -> bool {
+        let held = self.held(choice);
+        held.is_some_and(|entry| entry.takes_requests(now))
+    }
+
     /// Whether this life of the upstream is known.
     pub fn holds(&self, life: &UpstreamLife) -> bool {
         let mut entries = self.services.values().flat_map(|held| &held.entries);
-        entries.any(|entry| entry.record.id == life.upstream && entry.record.started == life.started)
+        entries
+            .any(|entry| entry.record.id == life.upstream && entry.record.started == life.started)
     }
 
     fn held(&mut self, choice: &Choice) -> Option<&mut Entry> {
--- a/crates/routing/src/placement/service_upstreams.rs
+++ b/crates/routing/src/placement/service_upstreams.rs
@@ -91,12 +91,22 @@
             Some(index) => Ok(self.start(index, basis, now)),
             None if regions.is_empty() && !self.has_any(wanted, now) => Err(Refusal::NoUpstream),
             None => Err(Refusal::Busy {
-                retry_after_ms: REFUSED_RETRY_MS + (warming.random * 100.0) as Millis,
+                retry_after_ms: self.room_in_ms(wanted, now) + (warming.random * 100.0) as Millis,
                 basis,
             }),
         }
     }
 
+    /// When to come back, in milliseconds: at once where queues are full, and not before the first
+    /// upstream has room where limits leave none at any.
+    fn room_in_ms(&self, wanted: &Wanted<'_>, now: Millis) -> Millis {
+        let entries = self.entries.iter();
+        let taking = entries.filter(|entry| entry.takes_requests(now) && is_allowed(entry, wanted));
+        let first_free = taking.map(|entry| entry.held_off_until.unwrap_or(0)).min();
+        let free_in_ms = first_free.map_or(0, |at| at.saturating_sub(now));
+        free_in_ms.max(REFUSED_RETRY_MS)
+    }
+
     fn start(&mut self, index: usize, basis: Basis, now: Millis) -> Choice {
         let entry = &mut self.entries[index];
         entry.load.started();
@@ -107,6 +117,7 @@
             started: entry.record.started,
             service: entry.record.service.clone(),
             address: entry.record.address,
+            zone: entry.record.zone.clone(),
             lost_ms: entry.lost_ms(now),
         }
     }
@@ -256,5 +267,6 @@
     entry.takes_requests(now)
         && is_allowed(entry, wanted)
         && entry.load.is_usable(now)
+        && !entry.is_held_off(now)
         && !wanted.tried.contains(&entry.record.id)
 }
--- a/crates/routing/src/placement/status.rs
+++ b/crates/routing/src/placement/status.rs
@@ -15,6 +15,8 @@
     pub usable: usize,
     /// Take a few requests: they were started or taken back lately.
     pub cold: usize,
+    /// Name a limit that leaves this box no room now.
+    pub held_off: usize,
     /// Failed lately, and are tried now and then.
     pub left_out: usize,
     /// Say that they leave.
@@ -44,6 +46,7 @@
             service,
             usable: 0,
             cold: 0,
+            held_off: 0,
             left_out: 0,
             leaving: 0,
             evacuated: 0,
@@ -64,6 +67,8 @@
             &mut self.replaced
         } else if !entry.load.is_usable(now) {
             &mut self.left_out
+        } else if entry.is_held_off(now) {
+            &mut self.held_off
         } else if entry.is_cold(now) {
             &mut self.cold
         } else {
--- a/crates/routing/src/quota/mod.rs
+++ b/crates/routing/src/quota/mod.rs
@@ -30,12 +30,13 @@
 mod part;
 mod status;
 
+use crate::refusals::spread;
 use crate::rendezvous::{object_hash, weighted_score};
 use crate::workspace::QuotaLimit;
 use brasswinch_types::{BoxId, Millis, Workspace};
 use keeper::QuotaKeeper;
 pub use message::{QuotaCount, QuotaWord};
-use part::{QuotaPart, spread};
+use part::QuotaPart;
 pub use status::QuotaStatus;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
--- a/crates/routing/src/quota/part.rs
+++ b/crates/routing/src/quota/part.rs
@@ -1,6 +1,7 @@
 //! What a box knows of one workspace's quota that another box keeps.
 
 use super::{Admission, QuotaWord, ToKeeper};
+use crate::refusals::spread;
 use crate::token_bucket::{Filling, TokenBucket};
 use brasswinch_types::{BoxId, Millis};
 use std::collections::VecDeque;
@@ -196,9 +197,3 @@
 /// Longest time that a client is told by a box out of its keeper's reach: another box may
 /// reach it.
 const LONGEST_ALONE_MS: f64 = 1_000.0;
-
-/// A time that is told, or kept, half as long to half as long again, so that what was
-/// refused together doesn't come back together.
-pub(super) fn spread(ms: Millis, random: f64) -> Millis {
-    (ms as f64 * (0.5 + random.clamp(0.0, 1.0))) as Millis
-}
--- a/crates/routing/src/refusals.rs
+++ b/crates/routing/src/refusals.rs
@@ -1,4 +1,4 @@
-//! How many requests were refused lately.
+//! How many requests were refused lately, and when they come back.
 
 use brasswinch_types::Millis;
 
@@ -36,3 +36,9 @@
         now.saturating_sub(self.began) < 2 * SPAN_MS
     }
 }
+
+/// A time that is told, or kept, half as long to half as long again, so that what was
+/// refused together doesn't come back together. `random` is drawn from 0 to 1.
+pub(crate) fn spread(ms: Millis, random: f64) -> Millis {
+    (ms as f64 * (0.5 + random.clamp(0.0, 1.0))) as Millis
+}
--- /dev/null
+++ b/crates/routing/src/upstream_limits/keeper.rs
@@ -0,0 +1,120 @@
+//! What the keeper of an upstream's limit counts and answers.
+
+use super::{LimitQuestion, LimitWord, MOST_LIMITS, UpstreamLimit};
+use crate::refusals::Refusals;
+use crate::token_bucket::{Filling, TokenBucket};
+use crate::upstream::UpstreamLife;
+use brasswinch_types::Millis;
+use std::collections::HashMap;
+
+/// Requests a second that are sent whatever the limit: nothing but an answer tells that it has
+/// ended. In 4 s it is two, of the five that are allowed under a limit of 0.
+const LEAST_PER_S: f64 = 0.5;
+
+/// Seconds of the limit that a bucket holds: requests come in clumps. In 4 s it is a sixteenth
+/// of what is allowed, of the third that may be over.
+const BURST_S: f64 = 0.25;
+
+/// Bounds of the time until the next request may be sent, as boxes are told it, in
+/// milliseconds: a way there and back, and what a limit of `LEAST_PER_S` takes.
+const FREE_IN_MS: std::ops::RangeInclusive<f64> = 50.0..=2_000.0;
+
+/// Requests by which a box that was refused lets others go first.
+const TURNS: f64 = 2.0;
+
+/// Bounds of the time that refused clients are told, in milliseconds: a request's way at
+/// least, and no longer than clients of the shortest deadlines wait.
+const RETRY_AFTER_MS: std::ops::RangeInclusive<f64> = 100.0..=5_000.0;
+
+/// One upstream's count.
+#[derive(Debug)]
+struct Kept {
+    limit: UpstreamLimit,
+    bucket: TokenBucket,
+    refusals: Refusals,
+    /// All boxes were told of the limit.
+    has_told_all: bool,
+}
+
+/// The counts that this box keeps for all.
+#[derive(Debug, Default)]
+pub(super) struct LimitKeeper {
+    kept: HashMap<UpstreamLife, Kept>,
+}
+
+impl LimitKeeper {
+    /// Takes what an answer named. Says whether all boxes have to be told.
+    pub(super) fn named(
+        &mut self,
+        life: &UpstreamLife,
+        limit: Option<UpstreamLimit>,
+        now: Millis,
+    ) -> bool {
+        let Some(limit) = limit else {
+            return self.kept.remove(life).is_some();
+        };
+        let Some(kept) = self.begin(life, limit, now) else {
+            return false;
+        };
+        kept.limit = limit;
+        !std::mem::replace(&mut kept.has_told_all, true)
+    }
+
+    /// Says whether a request may be sent, and counts it then.
+    pub(super) fn answer(&mut self, question: &LimitQuestion, now: Millis) -> LimitWord {
+        let Some(kept) = self.begin(&question.life, question.limit, now) else {
+            return LimitWord {
+                id: question.id,
+                is_granted: false,
+                free_in_ms: *FREE_IN_MS.end() as Millis,
+                retry_after_ms: *FREE_IN_MS.end() as Millis,
+            };
+        };
+        let rate_per_s = kept.limit.per_s().max(LEAST_PER_S);
+        let filling = Filling {
+            rate_per_s,
+            capacity: 1.0 + rate_per_s * BURST_S,
+        };
+        kept.bucket.fill(filling, now);
+        let is_granted = kept.bucket.try_take();
+        if !is_granted {
+            kept.refusals.count(1.0, now);
+        }
+        let missing = (TURNS - kept.bucket.level()).max(0.0);
+        let ahead = kept.refusals.per_s() + missing;
+        LimitWord {
+            id: question.id,
+            is_granted,
+            free_in_ms: bounded_ms(missing / rate_per_s, FREE_IN_MS),
+            retry_after_ms: bounded_ms(ahead / rate_per_s, RETRY_AFTER_MS),
+        }
+    }
+
+    /// Forgets lives of upstreams that are over.
+    pub(super) fn retain(&mut self, is_held: impl Fn(&UpstreamLife) -> bool) {
+        self.kept.retain(|life, _| is_held(life));
+    }
+
+    /// Begins to count with nothing to give: nobody knows what was sent just now.
+    fn begin(
+        &mut self,
+        life: &UpstreamLife,
+        limit: UpstreamLimit,
+        now: Millis,
+    ) -> Option<&mut Kept> {
+        if self.kept.len() >= MOST_LIMITS && !self.kept.contains_key(life) {
+            return None;
+        }
+        let kept = self.kept.entry(life.clone()).or_insert_with(|| Kept {
+            limit,
+            bucket: TokenBucket::new(0.0, now),
+            refusals: Refusals::default(),
+            has_told_all: false,
+        });
+        Some(kept)
+    }
+}
+
+fn bounded_ms(seconds: f64, bounds: std::ops::RangeInclusive<f64>) -> Millis {
+    (seconds * 1_000.0).clamp(*bounds.start(), *bounds.end()) as Millis
+}
