--- a/crates/edge/tests/upstream_limits.rs
+++ b/crates/edge/tests/upstream_limits.rs
@@ -173,3 +173,64 @@
         answers.len()
     );
 }
+
+#[tokio::test]
+async fn an_upstream_that_names_no_limit_any_more_gets_its_objects_back() {
+    let fleet = Fleet::start().await;
+    let home = fleet.home().await;
+    home.name_limits(&["0.5"]);
+    fleet.press(LEARNED_WITHIN).await;
+    home.name_limits(&[]);
+    // Requests under the limit are two seconds apart, and one of them learns of its end.
+    fleet.press(LEARNED_WITHIN + WINDOW).await;
+    let before = home.seen().len();
+    let answers = fleet.press(Duration::from_secs(1)).await;
+    assert_eq!(home.seen().len() - before, answers.len());
+}
+
+#[tokio::test]
+async fn an_upstream_that_takes_nothing_is_asked_now_and_then() {
+    let fleet = Fleet::start().await;
+    let home = fleet.home().await;
+    home.name_limits(&["0"]);
+    let named_at = Instant::now();
+    let answers = fleet.press(LEARNED_WITHIN + WINDOW).await;
+    let most = most_in_window(&home, named_at + LEARNED_WITHIN);
+    assert!(most > 0, "nothing would tell that the limit has ended");
+    assert!(most <= allowed(0.0), "{most} requests in {WINDOW:?}");
+    assert_eq!(served(&answers), answers.len());
+}
+
+#[tokio::test]
+async fn what_is_no_limit_changes_nothing_and_the_answer_is_delivered() {
+    let fleet = Fleet::start().await;
+    let home = fleet.home().await;
+    let endless = "9".repeat(400);
+    for limits in [&["-1"][..], &["NaN"], &["inf"], &[&endless], &["3", "3"]] {
+        home.name_limits(limits);
+        let before = home.seen().len();
+        let answers = fleet.press(PAUSE * 10).await;
+        assert_eq!(served(&answers), answers.len());
+        assert_eq!(home.seen().len() - before, answers.len(), "{limits:?}");
+    }
+}
+
+#[tokio::test]
+async fn what_no_upstream_has_room_for_is_refused_with_a_time_to_come_back() {
+    let fleet = Fleet::start().await;
+    for upstream in &fleet.upstreams {
+        upstream.name_limits(&["2"]);
+    }
+    let named_at = Instant::now();
+    let answers = fleet.press(LEARNED_WITHIN + WINDOW).await;
+    for upstream in &fleet.upstreams {
+        let most = most_in_window(upstream, named_at + LEARNED_WITHIN);
+        assert!(most <= allowed(2.0), "{}: {most}", upstream.id);
+    }
+    let refused: Vec<&Answer> = answers.iter().filter(|held| held.status != 200).collect();
+    assert!(!refused.is_empty(), "they take 8 of some 60 a second");
+    for answer in refused {
+        assert_eq!(answer.status, 503);
+        assert!(answer.headers.contains_key("retry-after"));
+    }
+}
