Status and figures of limits that upstreams name

Status lists each limit that a box knows and what it refuses as the limit's keeper; brasswinch_upstreams_limited and brasswinch_limit_requests_total (service, outcome) count them.

--- a/crates/edge/src/figures.rs
+++ b/crates/edge/src/figures.rs
@@ -20,6 +20,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Figures {
     outcomes: Mutex<BTreeMap<(Service, &'static str), u64>>,
+    /// Requests to upstreams with limits, by service and whether the limit had room.
+    leaves: Mutex<BTreeMap<(Service, bool), u64>>,
     latency: LatencyTable,
 }
 
@@ -32,6 +34,14 @@
         }
     }
 
+    /// Counts a request that an upstream's limit had room for, or had none for.
+    pub(crate) fn count_leave(&self, service: &Service, had_room: bool) {
+        let mut leaves = self.leaves.lock().unwrap_or_else(PoisonError::into_inner);
+        if leaves.len() < MOST_SERVICES || leaves.contains_key(&(service.clone(), had_room)) {
+            *leaves.entry((service.clone(), had_room)).or_default() += 1;
+        }
+    }
+
     /// Counts the latency of an answered request.
     pub(crate) fn answered(&self, service: &Service, kind: RouteKind, took: Duration) {
         let class = match kind {
@@ -53,6 +63,12 @@
                 *count as f64,
             );
         }
+        let leaves = self.leaves.lock().unwrap_or_else(PoisonError::into_inner);
+        for ((service, had_room), count) in &*leaves {
+            let outcome = if *had_room { "sent" } else { "held_off" };
+            let labels = format!("service=\"{service}\",outcome=\"{outcome}\"");
+            line(text, "limit_requests_total", &labels, *count as f64);
+        }
         for summary in self.latency.summary() {
             let quantiles = [
                 ("0.5", summary.p50_us),
@@ -102,6 +118,8 @@
                 line(&mut text, "view_age_seconds", &labels, age_ms as f64 / 1e3);
             }
         }
+        let limited = self.limit_status().len() as f64;
+        line(&mut text, "upstreams_limited", "", limited);
         self.write_quotas(&mut text);
         self.write_quarantine(&mut text);
         for (labels, count) in self.store_calls.by_label() {
--- a/crates/edge/src/status.rs
+++ b/crates/edge/src/status.rs
@@ -1,7 +1,9 @@
 //! What a box believes, for operators: as JSON by `serde`, as text by [`Display`](fmt::Display).
 
 use crate::context::{Context, Lifecycle, SCOPES};
-use brasswinch_routing::{Liveness, QuotaStatus, Scope, ServiceStatus, ShutOutStatus, StoreDuty};
+use brasswinch_routing::{
+    LimitStatus, Liveness, QuotaStatus, Scope, ServiceStatus, ShutOutStatus, StoreDuty,
+};
 use brasswinch_types::{BoxId, Millis, Service, Zone};
 use serde::{Deserialize, Serialize};
 use std::fmt;
@@ -33,6 +35,8 @@
     pub knows_quota_keepers: bool,
     /// The quotas of workspaces that sent requests here.
     pub quotas: Vec<QuotaStatus>,
+    /// Limits that upstreams name.
+    pub limits: Vec<LimitStatus>,
     /// Requests under which upstreams ended, suspected or shut out.
     pub quarantine: Vec<ShutOutStatus>,
     /// Other boxes that are heard.
@@ -89,6 +93,7 @@
             repeats_left: self.repeats_left(),
             knows_quota_keepers: self.knows_quota_keepers(),
             quotas: self.quota_status(),
+            limits: self.limit_status(),
             quarantine: self.quarantine_status(),
             boxes_heard,
             boxes_silent,
@@ -139,6 +144,9 @@
         self.quotas
             .iter()
             .try_for_each(|quota| writeln!(f, "quota of {quota}"))?;
+        self.limits
+            .iter()
+            .try_for_each(|limit| writeln!(f, "limit of {limit}"))?;
         self.quarantine
             .iter()
             .try_for_each(|held| writeln!(f, "request {held}"))?;
--- a/crates/edge/src/upstream_limits.rs
+++ b/crates/edge/src/upstream_limits.rs
@@ -8,8 +8,8 @@
 use brasswinch_observe::{Event, emit};
 use brasswinch_routing::{
     Basis, Choice, LimitAnswer, LimitBox, LimitChange, LimitLeave, LimitNews, LimitQuestion,
-    LimitRefusal, LimitWord, Liveness, MemberRecord, MemberState, ToLimitKeeper, UpstreamLife,
-    UpstreamLimit, UpstreamLimitError, UpstreamLimits, UpstreamOutcome,
+    LimitRefusal, LimitStatus, LimitWord, Liveness, MemberRecord, MemberState, ToLimitKeeper,
+    UpstreamLife, UpstreamLimit, UpstreamLimitError, UpstreamLimits, UpstreamOutcome,
 };
 use brasswinch_types::{BoxId, Millis, Region, Zone};
 use http::{HeaderMap, HeaderName};
@@ -108,6 +108,7 @@
             Ok(Leave::Given) => {
                 // It may have left while its limit's keeper was asked.
                 if self.placement().takes_requests(&chosen.choice, now) {
+                    self.figures.count_leave(&chosen.choice.service, true);
                     chosen.leave = Leave::Given;
                     return Ok(chosen);
                 }
@@ -115,6 +116,7 @@
             }
             Err(refusal) => refusal,
         };
+        self.figures.count_leave(&chosen.choice.service, false);
         let until = now + refusal.hold_off_ms;
         self.placement().hold_off(&chosen.choice, until, now);
         Err(HeldOff {
@@ -219,6 +221,12 @@
         self.upstream_limits.lock().set_boxes(boxes);
     }
 
+    /// What operators see of upstreams' limits.
+    pub(crate) fn limit_status(&self) -> Vec<LimitStatus> {
+        let now = self.clock.now();
+        self.upstream_limits.lock().status(now)
+    }
+
     /// Forgets limits of upstreams that are gone.
     pub(crate) fn retain_limits(&self) {
         let placement = self.placement();
--- a/crates/edge/tests/upstream_limits.rs
+++ b/crates/edge/tests/upstream_limits.rs
@@ -11,7 +11,7 @@
 use brasswinch_edge::{Dialect, EdgeHandle, start};
 use brasswinch_lab::memory_store::MemoryStore;
 use brasswinch_lab::routed_upstream::{Behaviour, Upstream};
-use brasswinch_routing::Change;
+use brasswinch_routing::{Change, LimitStatus};
 use brasswinch_types::{Region, Zone};
 use common::{Answer, Kept, call, config, eventually, record, request, settings};
 use std::net::SocketAddr;
@@ -165,6 +165,14 @@
         "{most} requests in {WINDOW:?}, of {} under its limit",
         allowed(5.0)
     );
+    for handle in &fleet.boxes {
+        let context = handle.context();
+        let knows = |held: &LimitStatus| held.upstream.as_str() == home.id;
+        assert!(context.status().limits.iter().any(knows));
+        let text = context.figures_text();
+        assert!(text.contains("brasswinch_upstreams_limited 1"), "{text}");
+        assert!(text.contains("limit_requests_total{service=\"desk\",outcome=\"held_off\"}"));
+    }
     // What it doesn't take goes elsewhere: the others have room for all of it.
     let served = served(&answers);
     assert!(
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -65,7 +65,7 @@
 pub use upstream::{UpstreamLife, UpstreamRecord, UpstreamStart, UpstreamState};
 pub use upstream_limits::{
     LimitAnswer, LimitBox, LimitChange, LimitLeave, LimitNews, LimitQuestion, LimitRefusal,
-    LimitWord, ToLimitKeeper, UpstreamLimit, UpstreamLimitError, UpstreamLimits,
+    LimitStatus, LimitWord, ToLimitKeeper, UpstreamLimit, UpstreamLimitError, UpstreamLimits,
 };
 pub use upstream_load::{LoadReport, UpstreamLoad};
 pub use view_limits::ViewLimits;
--- a/crates/routing/src/upstream_limits/keeper.rs
+++ b/crates/routing/src/upstream_limits/keeper.rs
@@ -90,6 +90,13 @@
         }
     }
 
+    /// Requests a second that were lately refused; `None` where this box doesn't count.
+    pub(super) fn refused_per_s(&self, life: &UpstreamLife, now: Millis) -> Option<f64> {
+        let refusals = self.kept.get(life)?.refusals;
+        let is_recent = refusals.is_recent(now);
+        Some(if is_recent { refusals.per_s() } else { 0.0 })
+    }
+
     /// Forgets lives of upstreams that are over.
     pub(super) fn retain(&mut self, is_held: impl Fn(&UpstreamLife) -> bool) {
         self.kept.retain(|life, _| is_held(life));
--- a/crates/routing/src/upstream_limits/mod.rs
+++ b/crates/routing/src/upstream_limits/mod.rs
@@ -27,6 +27,7 @@
 mod keeper;
 mod limit;
 mod message;
+mod status;
 
 use crate::refusals::spread;
 use crate::rendezvous::{object_hash, weighted_score};
@@ -35,6 +36,7 @@
 use keeper::LimitKeeper;
 pub use limit::{UpstreamLimit, UpstreamLimitError};
 pub use message::{LimitNews, LimitQuestion, LimitWord};
+pub use status::LimitStatus;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 
@@ -242,6 +244,18 @@
         std::mem::take(&mut self.out)
     }
 
+    /// What operators see, by upstream.
+    pub fn status(&self, now: Millis) -> Vec<LimitStatus> {
+        let status = |(life, limit): (&UpstreamLife, &UpstreamLimit)| LimitStatus {
+            upstream: life.upstream.clone(),
+            limit: *limit,
+            refused_per_s: self.kept.refused_per_s(life, now),
+        };
+        let mut all: Vec<LimitStatus> = self.known.iter().map(status).collect();
+        all.sort_by(|a, b| a.upstream.cmp(&b.upstream));
+        all
+    }
+
     /// Forgets lives of upstreams that are over.
     pub fn retain(&mut self, is_held: impl Fn(&UpstreamLife) -> bool) {
         self.known.retain(|life, _| is_held(life));
