--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -16,9 +16,8 @@
 use arc_swap::ArcSwapOption;
 use brasswinch_observe::{Event, emit};
 use brasswinch_routing::{
-    Backend, DemandSample, FleetState, KeyTable, Liveness, MemberState, Placement,
-    PlacementSettings, RouteTable, Scope, SteeringConfig, StoreDuty, Swim, ViewLimits,
-    WeightedSplit,
+    Backend, DemandSample, FleetState, KeyTable, MemberState, Placement, PlacementSettings,
+    RouteTable, Scope, SteeringConfig, StoreDuty, Swim, ViewLimits, WeightedSplit,
 };
 use brasswinch_types::{Millis, Service, UpstreamId};
 use serde::{Deserialize, Serialize};
@@ -314,16 +313,11 @@
     /// Tells placement which boxes serve and what their callers ask for.
     pub(crate) fn publish_members(&self) {
         let swim = self.swim();
-        let me = swim.me();
-        let others = swim
-            .members()
-            .filter(|member| member.liveness == Liveness::Alive)
-            .map(|member| &member.record);
         let mut demand = DemandSample::default();
         let mut ids = Vec::new();
         let mut keepers = Vec::new();
         let region = self.settings.region();
-        for record in others.chain([me]) {
+        for record in swim.heard_boxes() {
             if let Some(region) = self.settings.zones.get(&record.zone) {
                 demand.add(region, record.requests_per_s);
             }
--- a/crates/edge/src/quarantine.rs
+++ b/crates/edge/src/quarantine.rs
@@ -6,7 +6,7 @@
 use crate::datagram::Datagram;
 use brasswinch_observe::{Event, emit};
 use brasswinch_routing::{
-    BrokenRun, Liveness, MemberState, Quarantine, QuarantineBox, QuarantineChange, QuarantineNews,
+    BrokenRun, MemberRecord, Quarantine, QuarantineBox, QuarantineChange, QuarantineNews,
     RequestDigest, RequestShape, RunReport, ShutOutStatus, Suspect, UpstreamLife, Verdict,
 };
 use brasswinch_types::BoxId;
@@ -98,17 +98,7 @@
     /// Takes the boxes that serve.
     pub(crate) fn set_quarantine_boxes(&self) {
         let swim = self.swim();
-        let alive = swim
-            .members()
-            .filter(|member| member.liveness == Liveness::Alive);
-        let serving = alive.filter(|member| member.record.state == MemberState::Serving);
-        let boxes = serving
-            .map(|member| QuarantineBox {
-                id: member.record.id.clone(),
-                incarnation: member.record.incarnation,
-                address: member.record.peer_address,
-            })
-            .collect();
+        let boxes = swim.serving_boxes().map(quarantine_box).collect();
         drop(swim);
         let now = self.clock.now();
         self.quarantine.lock().set_boxes(boxes, now);
@@ -160,6 +150,14 @@
     }
 }
 
+fn quarantine_box(record: &MemberRecord) -> QuarantineBox {
+    QuarantineBox {
+        id: record.id.clone(),
+        incarnation: record.incarnation,
+        address: record.peer_address,
+    }
+}
+
 fn report_news(news: &QuarantineNews) {
     let event = match news.change {
         QuarantineChange::Suspected => Event::RequestSuspected,
--- a/crates/edge/src/quotas.rs
+++ b/crates/edge/src/quotas.rs
@@ -6,8 +6,8 @@
 use crate::waiters::Waiters;
 use brasswinch_observe::{Event, emit};
 use brasswinch_routing::{
-    Admission, KnownWorkspace, Liveness, MemberRecord, MemberState, QuotaBounds, QuotaBox,
-    QuotaCount, QuotaLimit, QuotaStatus, QuotaWord, Quotas, SteeringConfig, ToKeeper,
+    Admission, KnownWorkspace, MemberRecord, QuotaBounds, QuotaBox, QuotaCount, QuotaLimit,
+    QuotaStatus, QuotaWord, Quotas, SteeringConfig, ToKeeper,
 };
 use brasswinch_types::{BoxId, Millis, Workspace};
 use std::net::SocketAddr;
@@ -201,15 +201,8 @@
     /// Takes the boxes that serve.
     pub(crate) fn set_quota_boxes(&self) {
         let swim = self.swim();
-        let others = swim.members();
-        let alive = others.filter(|member| member.liveness == Liveness::Alive);
-        let alive = alive.map(|member| &member.record);
-        let heard: Vec<&MemberRecord> = alive.chain([swim.me()]).collect();
-        let serving = heard
-            .iter()
-            .filter(|record| record.state == MemberState::Serving);
-        let boxes = serving.map(|record| quota_box(record)).collect();
-        let count = heard.len();
+        let boxes = swim.serving_boxes().map(quota_box).collect();
+        let count = swim.heard_boxes().count();
         drop(swim);
         let now = self.clock.now();
         self.quotas.quotas().set_boxes(boxes, count, now);
--- a/crates/edge/src/upstream_limits.rs
+++ b/crates/edge/src/upstream_limits.rs
@@ -8,8 +8,8 @@
 use brasswinch_observe::{Event, emit};
 use brasswinch_routing::{
     Basis, Choice, LimitAnswer, LimitBox, LimitChange, LimitLeave, LimitNews, LimitQuestion,
-    LimitRefusal, LimitStatus, LimitWord, Liveness, MemberRecord, MemberState, ToLimitKeeper,
-    UpstreamLife, UpstreamLimit, UpstreamLimitError, UpstreamLimits, UpstreamOutcome,
+    LimitRefusal, LimitStatus, LimitWord, MemberRecord, ToLimitKeeper, UpstreamLife, UpstreamLimit,
+    UpstreamLimitError, UpstreamLimits, UpstreamOutcome,
 };
 use brasswinch_types::{BoxId, Millis, Region, Zone};
 use http::{HeaderMap, HeaderName};
@@ -211,12 +211,7 @@
     /// Takes the boxes that serve.
     pub(crate) fn set_limit_boxes(&self) {
         let swim = self.swim();
-        let alive = swim
-            .members()
-            .filter(|member| member.liveness == Liveness::Alive);
-        let heard = alive.map(|member| &member.record).chain([swim.me()]);
-        let serving = heard.filter(|record| record.state == MemberState::Serving);
-        let boxes = serving.map(limit_box).collect();
+        let boxes = swim.serving_boxes().map(limit_box).collect();
         drop(swim);
         self.upstream_limits.lock().set_boxes(boxes);
     }
--- a/crates/routing/src/swim/mod.rs
+++ b/crates/routing/src/swim/mod.rs
@@ -110,6 +110,19 @@
         self.members.values()
     }
 
+    /// What the boxes that are heard say of themselves, this one included.
+    pub fn heard_boxes(&self) -> impl Iterator<Item = &MemberRecord> {
+        let alive = |member: &&Member| member.liveness == Liveness::Alive;
+        let others = self.members().filter(alive);
+        others.map(|member| &member.record).chain([&self.me])
+    }
+
+    /// Those of them that serve.
+    pub fn serving_boxes(&self) -> impl Iterator<Item = &MemberRecord> {
+        self.heard_boxes()
+            .filter(|record| record.state == MemberState::Serving)
+    }
+
     /// The latest revision of `scope` that any box ever told of.
     pub fn newest_heard(&self, scope: Scope) -> Revision {
         self.heard.get(&scope).copied().unwrap_or_default()
