A box that counts a limit in another's place sends a part of it for a while

Cause: where views of the membership differ for seconds, boxes ask two keepers, and each gave leave for the whole limit.

Change: a box that begins to count for boxes that knew of the limit before sends 0.4 of it for 10 s.

--- a/crates/routing/src/upstream_limits/keeper.rs
+++ b/crates/routing/src/upstream_limits/keeper.rs
@@ -1,6 +1,6 @@
 //! What the keeper of an upstream's limit counts and answers.
 
-use super::{LimitQuestion, LimitWord, MOST_LIMITS, UpstreamLimit};
+use super::{LimitNews, LimitQuestion, LimitWord, MOST_LIMITS, UpstreamLimit};
 use crate::refusals::Refusals;
 use crate::token_bucket::{Filling, TokenBucket};
 use crate::upstream::UpstreamLife;
@@ -15,6 +15,15 @@
 /// of what is allowed, of the third that may be over.
 const BURST_S: f64 = 0.25;
 
+/// Part of a limit that a box sends which counts in another's place: that one may still give leave
+/// to boxes that don't know of the change. Both together stay under half as many again, bursts
+/// included.
+const TAKEOVER_PART: f64 = 0.4;
+
+/// How long: views of the membership have been seen to differ for 4 s (75 boxes, one of them with
+/// more datagrams than it can handle).
+const TAKEOVER_MS: Millis = 10_000;
+
 /// Bounds of the time until the next request may be sent, as boxes are told it, in
 /// milliseconds: a way there and back, and what a limit of `LEAST_PER_S` takes.
 const FREE_IN_MS: std::ops::RangeInclusive<f64> = 50.0..=2_000.0;
@@ -34,6 +43,24 @@
     refusals: Refusals,
     /// All boxes were told of the limit.
     has_told_all: bool,
+    /// Until when another box may count as well.
+    takeover_until: Millis,
+}
+
+impl Kept {
+    /// How the bucket fills.
+    fn filling(&self, now: Millis) -> Filling {
+        let part = if now < self.takeover_until {
+            TAKEOVER_PART
+        } else {
+            1.0
+        };
+        let rate_per_s = self.limit.per_s().max(LEAST_PER_S) * part;
+        Filling {
+            rate_per_s,
+            capacity: 1.0 + rate_per_s * BURST_S,
+        }
+    }
 }
 
 /// The counts that this box keeps for all.
@@ -44,16 +71,12 @@
 
 impl LimitKeeper {
     /// Takes what an answer named. Says whether all boxes have to be told.
-    pub(super) fn named(
-        &mut self,
-        life: &UpstreamLife,
-        limit: Option<UpstreamLimit>,
-        now: Millis,
-    ) -> bool {
-        let Some(limit) = limit else {
-            return self.kept.remove(life).is_some();
+    pub(super) fn named(&mut self, news: &LimitNews, now: Millis) -> bool {
+        let Some(limit) = news.limit else {
+            return self.kept.remove(&news.life).is_some();
         };
-        let Some(kept) = self.begin(life, limit, now) else {
+        let takeover_ms = if news.is_first { 0 } else { TAKEOVER_MS };
+        let Some(kept) = self.begin(&news.life, limit, takeover_ms, now) else {
             return false;
         };
         kept.limit = limit;
@@ -62,7 +85,8 @@
 
     /// Says whether a request may be sent, and counts it then.
     pub(super) fn answer(&mut self, question: &LimitQuestion, now: Millis) -> LimitWord {
-        let Some(kept) = self.begin(&question.life, question.limit, now) else {
+        let begun = self.begin(&question.life, question.limit, TAKEOVER_MS, now);
+        let Some(kept) = begun else {
             return LimitWord {
                 id: question.id,
                 is_granted: false,
@@ -70,11 +94,8 @@
                 retry_after_ms: *FREE_IN_MS.end() as Millis,
             };
         };
-        let rate_per_s = kept.limit.per_s().max(LEAST_PER_S);
-        let filling = Filling {
-            rate_per_s,
-            capacity: 1.0 + rate_per_s * BURST_S,
-        };
+        let filling = kept.filling(now);
+        let rate_per_s = filling.rate_per_s;
         kept.bucket.fill(filling, now);
         let is_granted = kept.bucket.try_take();
         if !is_granted {
@@ -107,6 +128,7 @@
         &mut self,
         life: &UpstreamLife,
         limit: UpstreamLimit,
+        takeover_ms: Millis,
         now: Millis,
     ) -> Option<&mut Kept> {
         if self.kept.len() >= MOST_LIMITS && !self.kept.contains_key(life) {
@@ -117,6 +139,7 @@
             bucket: TokenBucket::new(0.0, now),
             refusals: Refusals::default(),
             has_told_all: false,
+            takeover_until: now + takeover_ms,
         });
         Some(kept)
     }
--- a/crates/routing/src/upstream_limits/message.rs
+++ b/crates/routing/src/upstream_limits/message.rs
@@ -45,6 +45,9 @@
     /// Its limit; `None` where it names none any more.
     #[serde(rename = "l")]
     pub limit: Option<UpstreamLimit>,
+    /// Whether the box that tells it knew of no limit before.
+    #[serde(rename = "f")]
+    pub is_first: bool,
     /// Whether the keeper tells it.
     #[serde(rename = "k")]
     pub is_from_keeper: bool,
--- a/crates/routing/src/upstream_limits/mod.rs
+++ b/crates/routing/src/upstream_limits/mod.rs
@@ -16,13 +16,13 @@
 //! What boxes that know of the limit send in any span `W` is at most
 //!
 //! ```text
-//! rate * W + 1 + BURST_S * rate              the keeper's bucket
-//!   + changes * (rate * OVERLAP + 1 + BURST_S * rate)
+//! rate * W + 1 + BURST_S * rate                            the keeper's bucket
+//!   + TAKEOVER_PART * (rate * W + BURST_S * rate) + 1      one that others take for the keeper
 //! ```
 //!
-//! with `changes` of the keeper within the span, and `OVERLAP` the time in which some boxes still
-//! ask the keeper before, where that still answers. One that is dead, frozen or out of reach gives
-//! no leave, so its overlap is 0.
+//! A box that begins to count for others that knew of the limit before counts in another's place,
+//! which may still give leave to boxes whose view of the membership differs; for `TAKEOVER_MS`
+//! it sends a part. A keeper that is dead, frozen or out of reach gives no leave.
 
 mod keeper;
 mod limit;
@@ -229,12 +229,14 @@
     /// Takes what an upstream's answer named. Says what that changes.
     pub fn named(&mut self, answer: &LimitAnswer<'_>, now: Millis) -> Option<LimitChange> {
         let is_older_answer = answer.limit.is_none() && !answer.had_leave;
-        if is_older_answer || self.limit(answer.life) == answer.limit {
+        let before = self.limit(answer.life);
+        if is_older_answer || before == answer.limit {
             return None;
         }
         let news = LimitNews {
             life: answer.life.clone(),
             limit: answer.limit,
+            is_first: before.is_none(),
             is_from_keeper: false,
         };
         match self.other_keeper(answer.life, answer.zone) {
@@ -249,7 +251,7 @@
     pub fn hear_news(&mut self, news: &LimitNews, now: Millis) -> Option<LimitChange> {
         let before = self.limit(&news.life);
         if news.is_from_keeper && news.limit.is_none() {
-            self.kept.named(&news.life, None, now);
+            self.kept.named(news, now);
         } else if !news.is_from_keeper {
             self.count(news, now);
         }
@@ -283,7 +285,7 @@
 
     /// Takes news as the limit's keeper, and tells all boxes where that is due.
     fn count(&mut self, news: &LimitNews, now: Millis) {
-        if !self.kept.named(&news.life, news.limit, now) {
+        if !self.kept.named(news, now) {
             return;
         }
         let told = LimitNews {
--- a/crates/routing/tests/upstream_limits.rs
+++ b/crates/routing/tests/upstream_limits.rs
@@ -41,6 +41,9 @@
 /// How long the membership takes at most until a box knows that another came or went.
 const NOTICE: Millis = 1_500;
 
+/// Steps of a fault, a second apart, at least.
+const STEPS: usize = 8;
+
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Fault {
     None,
@@ -58,6 +61,8 @@
     AllKilled,
     /// A third of the boxes hears nothing from the rest, and the other way round.
     Cut,
+    /// A third of the boxes takes the keeper for dead for 8 s, and another for it; it lives.
+    Disagreement,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -167,6 +172,8 @@
     /// When each request reached the upstream.
     reached: Vec<Millis>,
     is_cut: bool,
+    /// The box that a third of the others takes for dead.
+    thought_dead: Option<usize>,
 }
 
 fn life() -> UpstreamLife {
@@ -230,6 +237,7 @@
             counted: Vec::new(),
             reached: Vec::new(),
             is_cut: false,
+            thought_dead: None,
         };
         if case.fault == Fault::KeeperStarts {
             let keeper = model.keeper();
@@ -239,7 +247,7 @@
             model.take_members(at_box);
             model.next_arrival(at_box);
         }
-        for step in 0..case.boxes {
+        for step in 0..case.boxes.max(STEPS) {
             let at = 5_000 + 1_000 * step as Millis;
             model.schedule(at, Event::Strike { step });
         }
@@ -284,7 +292,9 @@
                 && self.now >= held.frozen_until
                 && (!self.is_cut || held.side == side)
         };
-        let places = (0..self.boxes.len()).filter(|place| is_heard(&self.boxes[*place]));
+        let is_thought_dead = |place: usize| side == 1 && self.thought_dead == Some(place);
+        let places = (0..self.boxes.len())
+            .filter(|place| is_heard(&self.boxes[*place]) && !is_thought_dead(*place));
         let heard = places.map(limit_box).collect();
         self.boxes[at_box].limits.set_boxes(heard, self.now);
     }
@@ -308,6 +318,7 @@
         let news = LimitNews {
             life: life(),
             limit: UpstreamLimit::try_from(1.0).ok(),
+            is_first: true,
             is_from_keeper: true,
         };
         probe.hear_news(&news, 1);
@@ -343,7 +354,7 @@
                 }
                 self.members_change(5);
             }
-            (Fault::AllRestart, place) => {
+            (Fault::AllRestart, place) if place < self.boxes.len() => {
                 self.restart(place);
                 self.take_members(place);
             }
@@ -362,6 +373,14 @@
                 }
                 self.members_change(300);
             }
+            (Fault::Disagreement, 0) => {
+                self.thought_dead = Some(self.keeper());
+                self.members_change(300);
+            }
+            (Fault::Disagreement, 7) => {
+                self.thought_dead = None;
+                self.members_change(5);
+            }
             (Fault::Cut, 6) => {
                 self.is_cut = false;
                 self.members_change(5);
@@ -536,7 +555,9 @@
         if is_told && !held.is_excused {
             self.counted.push(self.now);
         }
-        let limit = self.limit;
+        // Each answer names a little less, so that boxes tell of changes all the time.
+        let less = 1.0 - self.random.random::<f64>() / 10.0;
+        let limit = self.limit.map(|named| limit(named.per_s() * less));
         let way = self.random.random_range(1..=60);
         let at = self.now + WORK + way;
         self.schedule(
@@ -588,7 +609,7 @@
     }
 }
 
-const FAULTS: [Fault; 8] = [
+const FAULTS: [Fault; 9] = [
     Fault::None,
     Fault::KeepersDie,
     Fault::KeeperFreezes,
@@ -597,6 +618,7 @@
     Fault::AllRestart,
     Fault::AllKilled,
     Fault::Cut,
+    Fault::Disagreement,
 ];
 
 fn check_all(seeds: std::ops::Range<u64>) {
