--- a/crates/routing/tests/upstream_limits.rs
+++ b/crates/routing/tests/upstream_limits.rs
@@ -30,7 +30,11 @@
 
 const WINDOW: Millis = 4_000;
 
-const END: Millis = 16_000;
+/// How long after the first step of a fault the model runs.
+const AFTER_FAULT: Millis = 11_000;
+
+/// When a fault has its first step.
+const STRUCK_AT: Millis = 5_000;
 
 /// How long a box waits for the keeper's answer.
 const ANSWER_WAIT: Millis = 150;
@@ -42,7 +46,7 @@
 const NOTICE: Millis = 1_500;
 
 /// Steps of a fault, a second apart, at least.
-const STEPS: usize = 8;
+const STEPS: usize = 19;
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Fault {
@@ -61,8 +65,10 @@
     AllKilled,
     /// A third of the boxes hears nothing from the rest, and the other way round.
     Cut,
-    /// A third of the boxes takes the keeper for dead for 8 s, and another for it; it lives.
+    /// A third of the boxes takes the keeper for dead for 7 s, and another for it; it lives.
     Disagreement,
+    /// The same for 3 s, and once more 15 s later.
+    Disagreements,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -248,7 +254,7 @@
             model.next_arrival(at_box);
         }
         for step in 0..case.boxes.max(STEPS) {
-            let at = 5_000 + 1_000 * step as Millis;
+            let at = STRUCK_AT + 1_000 * step as Millis;
             model.schedule(at, Event::Strike { step });
         }
         model
@@ -377,7 +383,11 @@
                 self.thought_dead = Some(self.keeper());
                 self.members_change(300);
             }
-            (Fault::Disagreement, 7) => {
+            (Fault::Disagreements, 0 | 15) => {
+                self.thought_dead = Some(self.keeper());
+                self.members_change(300);
+            }
+            (Fault::Disagreement, 7) | (Fault::Disagreements, 3 | 18) => {
                 self.thought_dead = None;
                 self.members_change(5);
             }
@@ -389,6 +399,14 @@
         }
     }
 
+    fn end(&self) -> Millis {
+        let last_strike = match self.case.fault {
+            Fault::Disagreements => 15_000,
+            _ => 0,
+        };
+        STRUCK_AT + last_strike + AFTER_FAULT
+    }
+
     fn restart(&mut self, place: usize) {
         let held = &mut self.boxes[place];
         held.limits = UpstreamLimits::new(id_of(place), regions());
@@ -399,7 +417,7 @@
 
     fn run(&mut self) {
         while let Some(Reverse(next)) = self.queue.pop() {
-            if next.at >= END {
+            if next.at >= self.end() {
                 return;
             }
             self.now = next.at;
@@ -574,7 +592,7 @@
     fn reached_per_s(&self) -> f64 {
         let from = NAMED_AT + LEARNED_WITHIN;
         let later = self.reached.iter().filter(|at| **at >= from);
-        later.count() as f64 * 1_000.0 / (END - from) as f64
+        later.count() as f64 * 1_000.0 / (self.end() - from) as f64
     }
 
     /// The most counted requests in one span, from when all have to keep the limit.
@@ -609,7 +627,7 @@
     }
 }
 
-const FAULTS: [Fault; 9] = [
+const FAULTS: [Fault; 10] = [
     Fault::None,
     Fault::KeepersDie,
     Fault::KeeperFreezes,
@@ -619,6 +637,7 @@
     Fault::AllKilled,
     Fault::Cut,
     Fault::Disagreement,
+    Fault::Disagreements,
 ];
 
 fn check_all(seeds: std::ops::Range<u64>) {
