Limits: grants instead of leave, nothing done where no upstream names a limit, one loop

A newcomer would read leave as going away. Each request took a lock, two random numbers and a copy of the upstream's name before it was clear that no limit is known, and each answer a second lock; now one look each.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -6,7 +6,7 @@
 use crate::connections::Connection;
 use crate::context::Context;
 use crate::request::end_to_end;
-use crate::upstream_limits::Leave;
+use crate::upstream_limits::Grant;
 use brasswinch_routing::{Choice, LoadReport, RequestDigest, UpstreamOutcome};
 use brasswinch_types::Workspace;
 use bytes::Bytes;
@@ -80,14 +80,14 @@
 pub(crate) struct Chosen {
     pub(crate) choice: Choice,
     pub(crate) asked: Option<Asked>,
-    pub(crate) leave: Leave,
+    pub(crate) grant: Grant,
 }
 
 /// Counts the request at its upstream until it ends, whatever the way.
 pub(crate) struct Placed {
     context: Arc<Context>,
     choice: Choice,
-    leave: Leave,
+    grant: Grant,
     /// The question that it was chosen with, to be ended with it.
     asked: Option<Asked>,
     digest: Option<RequestDigest>,
@@ -100,7 +100,7 @@
         let Chosen {
             choice,
             mut asked,
-            leave,
+            grant,
         } = chosen;
         let headers = &outgoing.parts.headers;
         let request_id = headers.get(&context.dialect.request_id);
@@ -113,7 +113,7 @@
             request_id: request_id.cloned(),
             context: Arc::clone(context),
             choice,
-            leave,
+            grant,
             outcome: UpstreamOutcome::Abandoned,
         }
     }
@@ -377,7 +377,7 @@
         let is_replaced = answer.status == http::StatusCode::MISDIRECTED_REQUEST;
         if !is_replaced && (names_limit || answer.status.is_success()) {
             self.context
-                .hear_limit(&self.choice, self.leave, &answer.headers);
+                .hear_limit(&self.choice, self.grant, &answer.headers);
         }
     }
 
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -13,7 +13,7 @@
 use crate::failure::{Decided, Failure, Known, Tries};
 use crate::quotas::Permit;
 use crate::request::{RequestFacts, request_id};
-use crate::upstream_limits::Leave;
+use crate::upstream_limits::Grant;
 use brasswinch_observe::{Event, emit};
 use brasswinch_routing::{
     ConfigVersion, KnownWorkspace, Rank, Refusal, RegionLimits, RequestDigest, RequestIdentity,
@@ -409,18 +409,19 @@
 
     /// Chooses an upstream whose limit leaves room for the request.
     // An upstream's limit holds for all boxes together, and only its keeper can count that: of a
-    // limit of 5 a second three boxes sent 222 requests in 4 s without its leave, 21 or 22 with.
+    // limit of 5 a second three boxes sent 222 requests in 4 s without its grants, 21 or 22 with.
     async fn choose(&self, tries: &Tries) -> Result<Chosen, Failure> {
-        let mut chosen = self.choose_unasked(tries).await?;
-        for _ in 1..MOST_LIMITS_ASKED {
-            match self.context.take_leave(chosen, self.answer_by.left()).await {
+        let mut asked = 0;
+        loop {
+            let chosen = self.choose_unasked(tries).await?;
+            asked += 1;
+            match self.context.take_grant(chosen, self.answer_by.left()).await {
                 Ok(chosen) => return Ok(chosen),
-                // It goes where the object has its next home.
-                Err(_) => chosen = self.choose_unasked(tries).await?,
+                Err(held_off) if asked == MOST_LIMITS_ASKED => return Err(held_off.into()),
+                // The object's next home is chosen now.
+                Err(_) => {}
             }
         }
-        let last = self.context.take_leave(chosen, self.answer_by.left()).await;
-        last.map_err(Failure::from)
     }
 
     /// Chooses an upstream, whatever limit it names.
@@ -455,7 +456,7 @@
         let chosen = chosen.map(|choice| Chosen {
             choice,
             asked,
-            leave: Leave::NotNeeded,
+            grant: Grant::NotNeeded,
         });
         chosen.map_err(|refusal| match refusal {
             Refusal::NoUpstream => ErrorKind::NoUpstream.into(),
--- a/crates/edge/src/figures.rs
+++ b/crates/edge/src/figures.rs
@@ -21,7 +21,7 @@
 pub(crate) struct Figures {
     outcomes: Mutex<BTreeMap<(Service, &'static str), u64>>,
     /// Requests to upstreams with limits, by service and whether the limit had room.
-    leaves: Mutex<BTreeMap<(Service, bool), u64>>,
+    limited: Mutex<BTreeMap<(Service, bool), u64>>,
     latency: LatencyTable,
 }
 
@@ -35,10 +35,10 @@
     }
 
     /// Counts a request that an upstream's limit had room for, or had none for.
-    pub(crate) fn count_leave(&self, service: &Service, had_room: bool) {
-        let mut leaves = self.leaves.lock().unwrap_or_else(PoisonError::into_inner);
-        if leaves.len() < MOST_SERVICES || leaves.contains_key(&(service.clone(), had_room)) {
-            *leaves.entry((service.clone(), had_room)).or_default() += 1;
+    pub(crate) fn count_limited(&self, service: &Service, had_room: bool) {
+        let mut limited = self.limited.lock().unwrap_or_else(PoisonError::into_inner);
+        if limited.len() < MOST_SERVICES || limited.contains_key(&(service.clone(), had_room)) {
+            *limited.entry((service.clone(), had_room)).or_default() += 1;
         }
     }
 
@@ -63,8 +63,8 @@
                 *count as f64,
             );
         }
-        let leaves = self.leaves.lock().unwrap_or_else(PoisonError::into_inner);
-        for ((service, had_room), count) in &*leaves {
+        let limited = self.limited.lock().unwrap_or_else(PoisonError::into_inner);
+        for ((service, had_room), count) in &*limited {
             let outcome = if *had_room { "sent" } else { "held_off" };
             let labels = format!("service=\"{service}\",outcome=\"{outcome}\"");
             line(text, "limit_requests_total", &labels, *count as f64);
--- a/crates/edge/src/upstream_limits.rs
+++ b/crates/edge/src/upstream_limits.rs
@@ -7,7 +7,7 @@
 use crate::waiters::Waiters;
 use brasswinch_observe::{Event, emit};
 use brasswinch_routing::{
-    Basis, Choice, LimitAnswer, LimitBox, LimitChange, LimitLeave, LimitNews, LimitQuestion,
+    Basis, Choice, LimitAdmission, LimitAnswer, LimitBox, LimitChange, LimitNews, LimitQuestion,
     LimitRefusal, LimitStatus, LimitWord, MemberRecord, ToLimitKeeper, UpstreamLife, UpstreamLimit,
     UpstreamLimitError, UpstreamLimits, UpstreamOutcome,
 };
@@ -42,9 +42,9 @@
     }
 }
 
-/// With what right a request is sent to its upstream.
+/// What a request has of its upstream's limit when it is sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Leave {
+pub(crate) enum Grant {
     /// The upstream names no limit.
     NotNeeded,
     /// The limit has room for it.
@@ -87,36 +87,39 @@
 }
 
 impl Context {
-    /// Takes leave to send a request to the upstream that was chosen for it. Where its limit has
+    /// Takes what the limit of the upstream that was chosen grants for a request. Where its limit has
     /// no room, the upstream gets nothing from this box for a while.
-    pub(crate) async fn take_leave(
+    pub(crate) async fn take_grant(
         &self,
         mut chosen: Chosen,
         left: Duration,
     ) -> Result<Chosen, HeldOff> {
+        if self.upstream_limits.lock().is_empty() {
+            return Ok(chosen);
+        }
         let mut counted = CountedWhileAsking {
             context: self,
             choice: &chosen.choice,
             is_decided: false,
         };
-        let leave = self.leave_to_send(&chosen.choice, left).await;
+        let grant = self.ask_for_grant(&chosen.choice, left).await;
         counted.is_decided = true;
         drop(counted);
         let now = self.clock.now();
-        let refusal = match leave {
-            Ok(Leave::NotNeeded) => return Ok(chosen),
-            Ok(Leave::Given) => {
+        let refusal = match grant {
+            Ok(Grant::NotNeeded) => return Ok(chosen),
+            Ok(Grant::Given) => {
                 // It may have left while its limit's keeper was asked.
                 if self.placement().takes_requests(&chosen.choice, now) {
-                    self.figures.count_leave(&chosen.choice.service, true);
-                    chosen.leave = Leave::Given;
+                    self.figures.count_limited(&chosen.choice.service, true);
+                    chosen.grant = Grant::Given;
                     return Ok(chosen);
                 }
                 UpstreamLimits::unheard(rand::random())
             }
             Err(refusal) => refusal,
         };
-        self.figures.count_leave(&chosen.choice.service, false);
+        self.figures.count_limited(&chosen.choice.service, false);
         let until = now + refusal.hold_off_ms;
         self.placement().hold_off(&chosen.choice, until, now);
         Err(HeldOff {
@@ -127,26 +130,26 @@
 
     /// Says whether a request may be sent to the chosen upstream now; asks the keeper of its
     /// limit where it names one.
-    async fn leave_to_send(&self, choice: &Choice, left: Duration) -> Result<Leave, LimitRefusal> {
+    async fn ask_for_grant(&self, choice: &Choice, left: Duration) -> Result<Grant, LimitRefusal> {
         let (id, random, now) = (rand::random(), rand::random(), self.clock.now());
-        let leave =
+        let admission =
             self.upstream_limits
                 .lock()
                 .admit(&choice.life(), &choice.zone, id, random, now);
-        let decided = match leave {
-            LimitLeave::Ask(asked) => self.ask_limit(asked, left, random).await,
+        let decided = match admission {
+            LimitAdmission::Ask(asked) => self.ask_limit(asked, left, random).await,
             decided => decided,
         };
         match decided {
-            LimitLeave::Unlimited => Ok(Leave::NotNeeded),
-            LimitLeave::Granted => Ok(Leave::Given),
-            LimitLeave::Refused(refusal) => Err(refusal),
+            LimitAdmission::Unlimited => Ok(Grant::NotNeeded),
+            LimitAdmission::Granted => Ok(Grant::Given),
+            LimitAdmission::Refused(refusal) => Err(refusal),
             // A question is asked once; its answer is none.
-            LimitLeave::Ask(_) => Err(UpstreamLimits::unheard(random)),
+            LimitAdmission::Ask(_) => Err(UpstreamLimits::unheard(random)),
         }
     }
 
-    async fn ask_limit(&self, asked: ToLimitKeeper, left: Duration, random: f64) -> LimitLeave {
+    async fn ask_limit(&self, asked: ToLimitKeeper, left: Duration, random: f64) -> LimitAdmission {
         let ToLimitKeeper { address, question } = asked;
         let waiting = self.upstream_limits.waiters.wait(question.id);
         self.send_datagram(&Datagram::LimitQuestion(question), address);
@@ -176,7 +179,11 @@
     }
 
     /// Takes the limit that the answer of the chosen upstream names, or that it names none.
-    pub(crate) fn hear_limit(&self, choice: &Choice, leave: Leave, headers: &HeaderMap) {
+    pub(crate) fn hear_limit(&self, choice: &Choice, grant: Grant, headers: &HeaderMap) {
+        let names_one = headers.contains_key(&self.dialect.limit);
+        if !names_one && self.upstream_limits.lock().is_empty() {
+            return;
+        }
         let life = choice.life();
         let limit = match named_limit(headers, &self.dialect.limit) {
             Ok(limit) => limit,
@@ -193,12 +200,14 @@
             life: &life,
             zone: &choice.zone,
             limit,
-            had_leave: leave == Leave::Given,
+            had_grant: grant == Grant::Given,
         };
         let now = self.clock.now();
         let change = self.upstream_limits.lock().named(&answer, now);
-        self.send_limit_news();
-        report_change(&life, change, "answer");
+        if change.is_some() {
+            self.send_limit_news();
+            report_change(&life, change, "answer");
+        }
     }
 
     fn send_limit_news(&self) {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -64,7 +64,7 @@
 };
 pub use upstream::{UpstreamLife, UpstreamRecord, UpstreamStart, UpstreamState};
 pub use upstream_limits::{
-    LimitAnswer, LimitBox, LimitChange, LimitLeave, LimitNews, LimitQuestion, LimitRefusal,
+    LimitAdmission, LimitAnswer, LimitBox, LimitChange, LimitNews, LimitQuestion, LimitRefusal,
     LimitStatus, LimitWord, ToLimitKeeper, UpstreamLimit, UpstreamLimitError, UpstreamLimits,
 };
 pub use upstream_load::{LoadReport, UpstreamLoad};
--- a/crates/routing/src/upstream_limits/keeper.rs
+++ b/crates/routing/src/upstream_limits/keeper.rs
@@ -15,8 +15,8 @@
 /// of what is allowed, of the third that may be over.
 const BURST_S: f64 = 0.25;
 
-/// Part of a limit that a box sends which counts in another's place: that one may still give leave
-/// to boxes that don't know of the change. Both together stay under half as many again, bursts
+/// Part of a limit that a box sends which counts in another's place: that one may still grant
+/// requests to boxes that don't know of the change. Both together stay under half as many again, bursts
 /// included.
 const TAKEOVER_PART: f64 = 0.4;
 
--- a/crates/routing/src/upstream_limits/mod.rs
+++ b/crates/routing/src/upstream_limits/mod.rs
@@ -4,11 +4,11 @@
 //! One box counts for an upstream, its limit's keeper: by rendezvous among the boxes that serve
 //! in the upstream's zone, else in its region, else anywhere. So whoever reaches the upstream
 //! mostly reaches the keeper too. A box that knows of a limit asks the keeper before each request
-//! that it would send there; without leave it sends the request elsewhere. A keeper that is silent
-//! gives no leave.
+//! that it would send there; without its grant the request goes elsewhere. A keeper that is silent
+//! grants nothing.
 //!
 //! A box learns of a limit by an answer of the upstream or from the keeper, which tells all when
-//! it hears of the limit first. It learns of the end by an answer to a request that had leave and
+//! it hears of the limit first. It learns of the end by an answer to a request that had a grant and
 //! names none: the upstream made that answer after it had named the limit. So no clock and no
 //! order of messages matters. A box that missed the end asks the keeper once more, and the answer
 //! to that request tells it.
@@ -21,8 +21,8 @@
 //! ```
 //!
 //! A box that begins to count for others that knew of the limit before counts in another's place,
-//! which may still give leave to boxes whose view of the membership differs; for `TAKEOVER_MS`
-//! it sends a part. A keeper that is dead, frozen or out of reach gives no leave.
+//! which may still grant requests to boxes whose view of the membership differs; for `TAKEOVER_MS`
+//! it sends a part. A keeper that is dead, frozen or out of reach grants nothing.
 
 mod keeper;
 mod limit;
@@ -44,7 +44,7 @@
 /// is noticed in a second or two, and each question until then would cost a request its wait.
 const UNHEARD_MS: Millis = 500;
 
-/// How long after a box that has started last heard of a further one it gives no leave to itself:
+/// How long after a box that has started last heard of a further one it grants itself nothing:
 /// boxes that all start together know only themselves at first. Seven of them sent 313 requests in
 /// 4 s without it, of 305 (the model, a limit of 50 a second).
 const SETTLED_MS: Millis = 2_000;
@@ -75,7 +75,7 @@
 
 /// Whether a request may be sent to an upstream.
 #[derive(Clone, Debug, PartialEq)]
-pub enum LimitLeave {
+pub enum LimitAdmission {
     /// The upstream names no limit.
     Unlimited,
     /// Its limit has room, and the request is counted.
@@ -113,8 +113,8 @@
     pub zone: &'a Zone,
     /// The limit that the answer names; `None` where it names none.
     pub limit: Option<UpstreamLimit>,
-    /// Whether the request was sent with the leave of the limit's keeper.
-    pub had_leave: bool,
+    /// Whether the request was sent with a grant of the limit's keeper.
+    pub had_grant: bool,
 }
 
 /// The limits that upstreams name, as one box takes part in keeping them.
@@ -165,6 +165,11 @@
         self.boxes = boxes.into_iter().map(hashed).collect();
     }
 
+    /// Whether this box knows of no limit.
+    pub fn is_empty(&self) -> bool {
+        self.known.is_empty()
+    }
+
     /// The limit that an upstream names, as this box knows it.
     pub fn limit(&self, life: &UpstreamLife) -> Option<UpstreamLimit> {
         self.known.get(life).copied()
@@ -179,9 +184,9 @@
         id: u64,
         random: f64,
         now: Millis,
-    ) -> LimitLeave {
+    ) -> LimitAdmission {
         let Some(limit) = self.limit(life) else {
-            return LimitLeave::Unlimited;
+            return LimitAdmission::Unlimited;
         };
         let question = LimitQuestion {
             id,
@@ -189,8 +194,10 @@
             limit,
         };
         match self.other_keeper(life, zone) {
-            Some(address) => LimitLeave::Ask(ToLimitKeeper { address, question }),
-            None if now < self.grew_at + SETTLED_MS => LimitLeave::Refused(Self::unheard(random)),
+            Some(address) => LimitAdmission::Ask(ToLimitKeeper { address, question }),
+            None if now < self.grew_at + SETTLED_MS => {
+                LimitAdmission::Refused(Self::unheard(random))
+            }
             None => {
                 let word = self.kept.answer(&question, now);
                 Self::answered(Some(&word), random)
@@ -199,14 +206,14 @@
     }
 
     /// Says what the answer to a question means; `None` where none came in time.
-    pub fn answered(word: Option<&LimitWord>, random: f64) -> LimitLeave {
+    pub fn answered(word: Option<&LimitWord>, random: f64) -> LimitAdmission {
         match word {
-            Some(word) if word.is_granted => LimitLeave::Granted,
-            Some(word) => LimitLeave::Refused(LimitRefusal {
+            Some(word) if word.is_granted => LimitAdmission::Granted,
+            Some(word) => LimitAdmission::Refused(LimitRefusal {
                 hold_off_ms: spread(word.free_in_ms, random),
                 retry_after_ms: spread(word.retry_after_ms, random),
             }),
-            None => LimitLeave::Refused(Self::unheard(random)),
+            None => LimitAdmission::Refused(Self::unheard(random)),
         }
     }
 
@@ -228,7 +235,7 @@
 
     /// Takes what an upstream's answer named. Says what that changes.
     pub fn named(&mut self, answer: &LimitAnswer<'_>, now: Millis) -> Option<LimitChange> {
-        let is_older_answer = answer.limit.is_none() && !answer.had_leave;
+        let is_older_answer = answer.limit.is_none() && !answer.had_grant;
         let before = self.limit(answer.life);
         if is_older_answer || before == answer.limit {
             return None;
--- a/crates/routing/tests/upstream_limits.rs
+++ b/crates/routing/tests/upstream_limits.rs
@@ -7,7 +7,7 @@
 #![allow(clippy::unwrap_used, clippy::expect_used)]
 
 use brasswinch_routing::{
-    LimitAnswer, LimitBox, LimitLeave, LimitNews, LimitQuestion, LimitWord, UpstreamLife,
+    LimitAdmission, LimitAnswer, LimitBox, LimitNews, LimitQuestion, LimitWord, UpstreamLife,
     UpstreamLimit, UpstreamLimits, UpstreamStart,
 };
 use brasswinch_types::{BoxId, Millis, Region, UpstreamId, Zone};
@@ -103,11 +103,11 @@
     },
     Reaches {
         from: usize,
-        had_leave: bool,
+        had_grant: bool,
     },
     Answers {
         to: usize,
-        had_leave: bool,
+        had_grant: bool,
         limit: Option<UpstreamLimit>,
     },
     Members {
@@ -175,7 +175,7 @@
     limit: Option<UpstreamLimit>,
     /// When each request of a box that had been told reached the upstream.
     counted: Vec<Millis>,
-    /// When each leave was given. A message is lost at times, and the leave with it: what reaches
+    /// When each request was granted. A message is lost at times, and the grant with it: what reaches
     /// the upstream of a small limit in a few seconds is a matter of chance.
     granted: Vec<Millis>,
     is_cut: bool,
@@ -330,7 +330,7 @@
         };
         probe.hear_news(&news, 1);
         match probe.admit(&life(), &Zone::new(HOME_ZONE), 1, 0.5, 1) {
-            LimitLeave::Ask(asked) => place_of(asked.address),
+            LimitAdmission::Ask(asked) => place_of(asked.address),
             other => panic!("nobody to ask: {other:?}"),
         }
     }
@@ -449,7 +449,7 @@
             Event::Members { at_box } | Event::Wakes { at_box } => *at_box,
             Event::Question { to, .. } | Event::Word { to, .. } => *to,
             Event::News { to, .. } | Event::Answers { to, .. } => *to,
-            Event::Reaches { from, had_leave } => return self.reach(*from, *had_leave),
+            Event::Reaches { from, had_grant } => return self.reach(*from, *had_grant),
             Event::Strike { step } => return self.strike(*step),
         };
         if let Some(event) = self.is_away(at_box, event) {
@@ -488,7 +488,7 @@
                 self.send_news(at_box);
             }
             Event::Answers {
-                had_leave, limit, ..
+                had_grant, limit, ..
             } => {
                 if limit.is_some() {
                     self.boxes[at_box].told_at.get_or_insert(now);
@@ -498,7 +498,7 @@
                     life: &life,
                     zone: &zone,
                     limit,
-                    had_leave,
+                    had_grant,
                 };
                 self.boxes[at_box].limits.named(&answer, now);
                 self.send_news(at_box);
@@ -529,14 +529,14 @@
         }
         let (id, random): (u64, f64) = (self.random.random(), self.random.random());
         let (zone, now) = (Zone::new(HOME_ZONE), self.now);
-        let leave = self.boxes[at_box]
+        let admission = self.boxes[at_box]
             .limits
             .admit(&life(), &zone, id, random, now);
-        let LimitLeave::Ask(asked) = leave else {
-            if leave == LimitLeave::Granted {
+        let LimitAdmission::Ask(asked) = admission else {
+            if admission == LimitAdmission::Granted {
                 self.granted.push(now);
             }
-            return self.decide(at_box, leave);
+            return self.decide(at_box, admission);
         };
         self.boxes[at_box].waits_for.push(id);
         let to = place_of(asked.address);
@@ -553,27 +553,27 @@
         self.schedule(now + ANSWER_WAIT, Event::Unheard { at_box, id });
     }
 
-    fn decide(&mut self, at_box: usize, leave: LimitLeave) {
-        match leave {
-            LimitLeave::Unlimited | LimitLeave::Granted => {
+    fn decide(&mut self, at_box: usize, admission: LimitAdmission) {
+        match admission {
+            LimitAdmission::Unlimited | LimitAdmission::Granted => {
                 let way = self.random.random_range(1..=60);
-                let had_leave = leave == LimitLeave::Granted;
+                let had_grant = admission == LimitAdmission::Granted;
                 self.schedule(
                     self.now + way,
                     Event::Reaches {
                         from: at_box,
-                        had_leave,
+                        had_grant,
                     },
                 );
             }
-            LimitLeave::Refused(refusal) => {
+            LimitAdmission::Refused(refusal) => {
                 self.boxes[at_box].held_off_until = self.now + refusal.hold_off_ms;
             }
-            LimitLeave::Ask(_) => panic!("it was asked already"),
+            LimitAdmission::Ask(_) => panic!("it was asked already"),
         }
     }
 
-    fn reach(&mut self, from: usize, had_leave: bool) {
+    fn reach(&mut self, from: usize, had_grant: bool) {
         let held = &self.boxes[from];
         let is_told = held.told_at.is_some_and(|at| at + 500 <= self.now);
         if is_told && !held.is_excused {
@@ -588,13 +588,13 @@
             at,
             Event::Answers {
                 to: from,
-                had_leave,
+                had_grant,
                 limit,
             },
         );
     }
 
-    /// Leaves a second that were given once all kept the limit.
+    /// Requests a second that were granted once all kept the limit.
     fn granted_per_s(&self) -> f64 {
         let from = NAMED_AT + LEARNED_WITHIN;
         let later = self.granted.iter().filter(|at| **at >= from);
@@ -627,7 +627,7 @@
             let used = model.granted_per_s();
             assert!(
                 used >= case.limit * 0.5,
-                "{case:?}, seed {seed}: only {used:.2} a second had leave"
+                "{case:?}, seed {seed}: only {used:.2} a second were granted"
             );
         }
     }
@@ -697,14 +697,14 @@
 fn answered(
     limits: &mut UpstreamLimits,
     limit: Option<UpstreamLimit>,
-    had_leave: bool,
+    had_grant: bool,
 ) -> Vec<(usize, LimitNews)> {
     let (life, zone) = (life(), Zone::new(HOME_ZONE));
     let answer = LimitAnswer {
         life: &life,
         zone: &zone,
         limit,
-        had_leave,
+        had_grant,
     };
     limits.named(&answer, 1);
     let news = limits.take_news().into_iter();
@@ -731,7 +731,7 @@
 }
 
 #[test]
-fn only_an_answer_to_a_request_with_leave_ends_a_limit() {
+fn only_an_answer_to_a_granted_request_ends_a_limit() {
     let mut limits = box_among(0);
     answered(&mut limits, Some(limit(9.0)), false);
     // The upstream may have made this one before it named its limit.
@@ -746,14 +746,14 @@
     let (mut missed, mut keeper) = (box_among(0), box_among(1));
     answered(&mut missed, Some(limit(9.0)), false);
     let zone = Zone::new(HOME_ZONE);
-    // The keeper knows of none and goes by the question; it gives leave as time goes on.
+    // The keeper knows of none and goes by the question; it grants as time goes on.
     let granted = (0..20).find_map(|step| {
         let now = 1_000 + step * 100;
-        let LimitLeave::Ask(asked) = missed.admit(&life(), &zone, step, 0.5, now) else {
+        let LimitAdmission::Ask(asked) = missed.admit(&life(), &zone, step, 0.5, now) else {
             panic!("the box knows of a limit and asks");
         };
         let word = keeper.hear_question(&asked.question, now);
-        (UpstreamLimits::answered(Some(&word), 0.5) == LimitLeave::Granted).then_some(now)
+        (UpstreamLimits::answered(Some(&word), 0.5) == LimitAdmission::Granted).then_some(now)
     });
     assert!(granted.is_some());
     let told = answered(&mut missed, None, true);
@@ -789,7 +789,7 @@
 }
 
 #[test]
-fn leave_that_is_lost_on_its_way_is_all_that_a_limit_loses() {
+fn a_grant_that_is_lost_on_its_way_is_all_that_a_limit_loses() {
     let case = Case {
         boxes: 7,
         limit: 0.5,
