Answers in which upstreams say that they leave, or ask for rest, are logged

BW501 tells now that an answer said that the upstream leaves, BW506 that a refusal asked for rest and for how long, BW505 what of it can't be read. Nothing goes by it yet.

What upstreams say of themselves is read in one place (edge::upstream_signals) and handed on as types; a rest and its bounds are routing's. What is read of load and limit has not changed, but for a load that is told twice or can't be read, which is told now instead of being passed over in silence.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -7,7 +7,8 @@
 use crate::context::Context;
 use crate::request::end_to_end;
 use crate::upstream_limits::Grant;
-use brasswinch_routing::{Choice, LoadReport, RequestDigest, UpstreamOutcome};
+use crate::upstream_signals::UpstreamSignals;
+use brasswinch_routing::{Choice, RequestDigest, UpstreamOutcome};
 use brasswinch_types::Workspace;
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Request, Response, header};
@@ -296,15 +297,13 @@
     if !placed.belongs(&parts.headers) {
         return AttemptEnd::Unusable;
     }
-    placed.take_load(&parts.headers);
-    placed.take_limit(&parts);
-    if let Some(seconds) = keep_alive_seconds(&parts.headers) {
+    let signals = UpstreamSignals::read(&parts, &context.dialect);
+    placed.hear(&signals);
+    if let Some(seconds) = signals.idle_limit_s {
         connection.set_idle_limit(seconds);
     }
-    let replaced = parts.status == http::StatusCode::MISDIRECTED_REQUEST;
-    let refused = replaced || parts.headers.contains_key(&context.dialect.not_run);
-    let signed = parts.headers.contains_key(&context.dialect.signature);
-    if !refused && parts.status.is_success() && !signed {
+    let refused = signals.is_refusal();
+    if !refused && parts.status.is_success() && !signals.is_signed {
         return AttemptEnd::Unusable;
     }
     let held = match timeout_at(answer_by.timer(), hold(body, MOST_HELD_ANSWER)).await {
@@ -314,7 +313,7 @@
     };
     placed.outcome = UpstreamOutcome::Answered;
     if refused {
-        placed.outcome = if replaced {
+        placed.outcome = if signals.is_misdirected {
             UpstreamOutcome::Replaced
         } else {
             UpstreamOutcome::Shed
@@ -360,6 +359,14 @@
         }
     }
 
+    /// Takes what the upstream says of itself.
+    fn hear(&mut self, signals: &UpstreamSignals) {
+        self.context.hear_signals(&self.choice, self.grant, signals);
+        if let (Some(report), Some(asked)) = (signals.load, &mut self.asked) {
+            asked.reported(report);
+        }
+    }
+
     /// Whether an answer is to this request: it repeats the request's id.
     fn belongs(&self, headers: &HeaderMap) -> bool {
         let dialect = &self.context.dialect;
@@ -369,46 +376,4 @@
             (None, _) => true,
         }
     }
-
-    /// Takes the limit that the answer names. One of another upstream at the address says
-    /// nothing, and one that did not run the request may leave the limit out.
-    fn take_limit(&self, answer: &http::response::Parts) {
-        let names_limit = answer.headers.contains_key(&self.context.dialect.limit);
-        let is_replaced = answer.status == http::StatusCode::MISDIRECTED_REQUEST;
-        if !is_replaced && (names_limit || answer.status.is_success()) {
-            self.context
-                .hear_limit(&self.choice, self.grant, &answer.headers);
-        }
-    }
-
-    fn take_load(&mut self, headers: &HeaderMap) {
-        let Some(value) = headers.get(&self.context.dialect.load) else {
-            return;
-        };
-        let Some(report) = value.to_str().ok().and_then(load_report) else {
-            return;
-        };
-        let now = self.context.clock.now();
-        self.context.placement().reported(&self.choice, report, now);
-        if let Some(asked) = &mut self.asked {
-            asked.reported(report);
-        }
-    }
-}
-
-fn load_report(text: &str) -> Option<LoadReport> {
-    let mut numbers = text.split(',').map(|number| number.trim().parse().ok());
-    Some(LoadReport {
-        running: numbers.next()??,
-        waiting: numbers.next()??,
-        slots: numbers.next()??,
-    })
-}
-
-fn keep_alive_seconds(headers: &HeaderMap) -> Option<u64> {
-    let value = headers.get("keep-alive")?.to_str().ok()?;
-    value.split(',').find_map(|part| {
-        let seconds = part.trim().strip_prefix("timeout=")?;
-        seconds.trim().parse().ok()
-    })
 }
--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -20,6 +20,8 @@
     /// Requests a second that an upstream takes from all boxes together, a decimal number; absent
     /// where it names no limit.
     pub limit: HeaderName,
+    /// `1` in all answers of an upstream that leaves.
+    pub leaving: HeaderName,
     /// The cookie that names the object of a request.
     pub object_cookie: String,
     /// The scheme with which clients show their key.
@@ -38,6 +40,7 @@
             not_run: HeaderName::from_static("brasswinch-not-run"),
             load: HeaderName::from_static("brasswinch-load"),
             limit: HeaderName::from_static("brasswinch-limit"),
+            leaving: HeaderName::from_static("brasswinch-leaving"),
             object_cookie: "brasswinch-object".into(),
             key_scheme: "Bearer".into(),
             workspace: HeaderName::from_static("brasswinch-workspace"),
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -39,6 +39,7 @@
 mod store_news;
 mod telling;
 mod upstream_limits;
+mod upstream_signals;
 mod waiters;
 mod watching;
 
--- a/crates/edge/src/upstream_limits.rs
+++ b/crates/edge/src/upstream_limits.rs
@@ -9,10 +9,9 @@
 use brasswinch_routing::{
     Basis, Choice, LimitAdmission, LimitAnswer, LimitBox, LimitChange, LimitNews, LimitQuestion,
     LimitRefusal, LimitStatus, LimitWord, MemberRecord, ToLimitKeeper, UpstreamLife, UpstreamLimit,
-    UpstreamLimitError, UpstreamLimits, UpstreamOutcome,
+    UpstreamLimits, UpstreamOutcome,
 };
 use brasswinch_types::{BoxId, Millis, Region, Zone};
-use http::{HeaderMap, HeaderName};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -179,23 +178,11 @@
     }
 
     /// Takes the limit that the answer of the chosen upstream names, or that it names none.
-    pub(crate) fn hear_limit(&self, choice: &Choice, grant: Grant, headers: &HeaderMap) {
-        let names_one = headers.contains_key(&self.dialect.limit);
-        if !names_one && self.upstream_limits.lock().is_empty() {
+    pub(crate) fn hear_limit(&self, choice: &Choice, grant: Grant, limit: Option<UpstreamLimit>) {
+        if limit.is_none() && self.upstream_limits.lock().is_empty() {
             return;
         }
         let life = choice.life();
-        let limit = match named_limit(headers, &self.dialect.limit) {
-            Ok(limit) => limit,
-            Err(error) => {
-                let upstream = &life.upstream;
-                emit(
-                    Event::LimitUnreadable,
-                    format_args!("upstream={upstream}: {error}"),
-                );
-                return;
-            }
-        };
         let answer = LimitAnswer {
             life: &life,
             zone: &choice.zone,
@@ -248,22 +235,6 @@
     }
 }
 
-/// The limit that an answer names, if it names one.
-fn named_limit(
-    headers: &HeaderMap,
-    name: &HeaderName,
-) -> Result<Option<UpstreamLimit>, UpstreamLimitError> {
-    let mut values = headers.get_all(name).iter();
-    let Some(value) = values.next() else {
-        return Ok(None);
-    };
-    if values.next().is_some() {
-        return Err(UpstreamLimitError::Repeated);
-    }
-    let text = value.to_str().map_err(|_| UpstreamLimitError::NoNumber)?;
-    text.trim().parse().map(Some)
-}
-
 fn report_change(life: &UpstreamLife, change: Option<LimitChange>, source: &str) {
     let upstream = &life.upstream;
     match change {
--- a/crates/observe/src/events.rs
+++ b/crates/observe/src/events.rs
@@ -85,7 +85,8 @@
     502 Info UpstreamRestarted "An upstream has started again under its name; nothing known of it before holds." "None, unless it repeats.";
     503 Info UpstreamLimited "An upstream names how many requests a second it takes from all boxes together, or another number than before." "If it lasts, look at what the upstream is short of, or add upstreams to its service.";
     504 Info UpstreamUnlimited "An upstream names no limit any more." "None.";
-    505 Warn LimitUnreadable "An upstream names a limit that can't be one; it is passed over, and the answer is delivered." "Correct the upstream.";
+    505 Warn SignalUnreadable "An upstream says something of itself that can't be meant; it is passed over, and the answer is delivered." "Correct the upstream.";
+    506 Info UpstreamResting "An upstream refused a request and asked this box for rest." "If it lasts, look at what the upstream is short of, or add upstreams.";
     310 Info MemberHeard "Another box is heard again, or for the first time." "None.";
     311 Warn MemberSilent "Another box is no longer heard." "Check the box and the network between the zones.";
     510 Info RequestServed "A routed request got an upstream's answer." "None.";
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -27,6 +27,7 @@
 mod upstream;
 mod upstream_limits;
 mod upstream_load;
+mod upstream_signal;
 mod view_limits;
 mod watchers;
 mod workspace;
@@ -65,9 +66,10 @@
 pub use upstream::{UpstreamLife, UpstreamRecord, UpstreamStart, UpstreamState};
 pub use upstream_limits::{
     LimitAdmission, LimitAnswer, LimitBox, LimitChange, LimitNews, LimitQuestion, LimitRefusal,
-    LimitStatus, LimitWord, ToLimitKeeper, UpstreamLimit, UpstreamLimitError, UpstreamLimits,
+    LimitStatus, LimitWord, ToLimitKeeper, UpstreamLimit, UpstreamLimits,
 };
 pub use upstream_load::{LoadReport, UpstreamLoad};
+pub use upstream_signal::{UpstreamRest, UpstreamSignal, UpstreamSignalError};
 pub use view_limits::ViewLimits;
 pub use watchers::{StoreDuty, Watchers};
 pub use workspace::{
--- a/crates/routing/src/upstream_limits/limit.rs
+++ b/crates/routing/src/upstream_limits/limit.rs
@@ -1,5 +1,6 @@
 //! A limit as an upstream names it.
 
+use crate::upstream_signal::{UpstreamSignalError, decimal};
 use serde::{Deserialize, Serialize};
 use std::fmt;
 use std::str::FromStr;
@@ -8,28 +9,11 @@
 /// up together is 3.2 million a second.
 const MOST_PER_S: f64 = 1e9;
 
-/// Longest text that is read as a limit, in bytes.
-const MOST_TEXT_BYTES: usize = 32;
-
 /// Requests a second that an upstream takes from all boxes together.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd, Serialize, Deserialize)]
 #[serde(try_from = "f64", into = "f64")]
 pub struct UpstreamLimit(f64);
 
-/// Why something is no limit.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-pub enum UpstreamLimitError {
-    /// It is no decimal number of at most 32 bytes.
-    #[error("it is no decimal number")]
-    NoNumber,
-    /// It is negative, endless or beyond what can be.
-    #[error("no upstream takes that many requests a second")]
-    OutOfRange,
-    /// One answer names several.
-    #[error("the answer names more than one")]
-    Repeated,
-}
-
 impl UpstreamLimit {
     /// Requests a second.
     pub fn per_s(self) -> f64 {
@@ -38,13 +22,13 @@
 }
 
 impl TryFrom<f64> for UpstreamLimit {
-    type Error = UpstreamLimitError;
+    type Error = UpstreamSignalError;
 
     fn try_from(per_s: f64) -> Result<Self, Self::Error> {
         if (0.0..=MOST_PER_S).contains(&per_s) {
             Ok(Self(per_s))
         } else {
-            Err(UpstreamLimitError::OutOfRange)
+            Err(UpstreamSignalError::OutOfRange)
         }
     }
 }
@@ -56,14 +40,10 @@
 }
 
 impl FromStr for UpstreamLimit {
-    type Err = UpstreamLimitError;
+    type Err = UpstreamSignalError;
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
-        if text.len() > MOST_TEXT_BYTES {
-            return Err(UpstreamLimitError::NoNumber);
-        }
-        let number: f64 = text.parse().map_err(|_| UpstreamLimitError::NoNumber)?;
-        Self::try_from(number)
+        Self::try_from(decimal(text)?)
     }
 }
 
--- a/crates/routing/src/upstream_limits/mod.rs
+++ b/crates/routing/src/upstream_limits/mod.rs
@@ -34,7 +34,7 @@
 use crate::upstream::UpstreamLife;
 use brasswinch_types::{BoxId, Millis, Region, Zone};
 use keeper::LimitKeeper;
-pub use limit::{UpstreamLimit, UpstreamLimitError};
+pub use limit::UpstreamLimit;
 pub use message::{LimitNews, LimitQuestion, LimitWord};
 pub use status::LimitStatus;
 use std::collections::{BTreeMap, HashMap};
