--- a/crates/edge/tests/common/mod.rs
+++ b/crates/edge/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! A box between stand-ins of clients, upstreams and the store.
 #![allow(dead_code, clippy::unwrap_used, clippy::expect_used)]
 
+pub mod fleet;
 pub mod know_all;
 
 use brasswinch_edge::{
--- a/crates/edge/tests/upstream_limits.rs
+++ b/crates/edge/tests/upstream_limits.rs
@@ -8,26 +8,11 @@
 
 mod common;
 
-use brasswinch_edge::{Dialect, EdgeHandle, start};
-use brasswinch_lab::memory_store::MemoryStore;
-use brasswinch_lab::routed_upstream::{Behaviour, Upstream};
-use brasswinch_routing::{Change, LimitStatus};
-use brasswinch_types::{Region, Zone};
-use common::{Answer, Kept, call, config, eventually, record, request, settings};
-use std::net::SocketAddr;
-use std::sync::Arc;
+use brasswinch_lab::routed_upstream::Upstream;
+use brasswinch_routing::LimitStatus;
+use common::Answer;
+use common::fleet::{BOXES, Fleet, PAUSE, served};
 use std::time::{Duration, Instant};
-use tokio::task::JoinSet;
-
-const BOXES: usize = 3;
-
-const UPSTREAMS: usize = 4;
-
-/// How long an upstream takes: of 4 slots, it bears 200 requests a second.
-const WORK: Duration = Duration::from_millis(20);
-
-/// Between two requests of the client of each box: some 60 a second in all.
-const PAUSE: Duration = Duration::from_millis(30);
 
 /// How long after an upstream first names its limit all boxes have to keep it.
 const LEARNED_WITHIN: Duration = Duration::from_secs(3);
@@ -52,108 +37,9 @@
     counted.map(in_window).max().unwrap_or(0)
 }
 
-struct Fleet {
-    store: MemoryStore,
-    upstreams: Vec<Upstream>,
-    boxes: Vec<EdgeHandle>,
-}
-
-impl Fleet {
-    async fn start() -> Self {
-        let dialect = Dialect::default();
-        let store = MemoryStore::default().handle();
-        store.write(Change::Config(Arc::new(config(1))));
-        let mut upstreams = Vec::new();
-        for number in 0..UPSTREAMS {
-            let id = format!("upstream-{number}");
-            let upstream = Upstream::start(&id, &dialect).await.unwrap();
-            upstream.always(Behaviour::AnswerAfter(WORK));
-            store.write(Change::Upstream(record(&upstream)));
-            upstreams.push(upstream);
-        }
-        let mut fleet = Self {
-            store,
-            upstreams,
-            boxes: Vec::new(),
-        };
-        for number in 0..BOXES {
-            fleet.add_box(&format!("box-{number}")).await;
-        }
-        fleet.meet(BOXES).await;
-        fleet
-    }
-
-    async fn add_box(&mut self, id: &str) {
-        let seeds = self.boxes.first().map(|first| first.addresses().peers);
-        let settings = settings(id, seeds.into_iter().collect());
-        let handle = start(settings, Dialect::default(), self.store.handle()).await;
-        self.boxes.push(handle.unwrap());
-    }
-
-    /// Waits until all boxes know `count` that serve.
-    async fn meet(&self, count: usize) {
-        for handle in &self.boxes {
-            let context = Arc::clone(handle.context());
-            let (zone, region) = (Zone::new("west-a"), Region::new("west"));
-            let names_all = || {
-                let answer = context.directory_answer(&zone, &region);
-                context.is_ready() && answer.addresses.len() == count
-            };
-            eventually("the box knows all", names_all).await;
-        }
-    }
-
-    fn clients(&self) -> Vec<SocketAddr> {
-        let addresses = self.boxes.iter().map(|held| held.addresses().clients);
-        addresses.collect()
-    }
-
-    /// The home of the object that all requests are about, after each box has met it.
-    async fn home(&self) -> Upstream {
-        let mut served_by = String::new();
-        for to in self.clients() {
-            let answer = call(to, request("GET", "/safe/met", "")).await.unwrap();
-            assert_eq!(answer.status, 200);
-            served_by = String::from_utf8(answer.body.to_vec()).unwrap();
-        }
-        let mut upstreams = self.upstreams.iter();
-        let home = upstreams.find(|held| held.id == served_by);
-        home.unwrap().clone()
-    }
-
-    /// Sends requests to all boxes for `time`; the answers.
-    async fn press(&self, time: Duration) -> Vec<Answer> {
-        let mut clients = JoinSet::new();
-        for to in self.clients() {
-            clients.spawn(press(to, time));
-        }
-        clients.join_all().await.into_iter().flatten().collect()
-    }
-}
-
-/// One client that sends to one box; it comes anew where its connection ends.
-async fn press(to: SocketAddr, time: Duration) -> Vec<Answer> {
-    let until = Instant::now() + time;
-    let mut answers = Vec::new();
-    let mut connection = Kept::open(to).await;
-    while Instant::now() < until {
-        match connection.call(request("GET", "/safe/pressed", "")).await {
-            Ok(answer) => answers.push(answer),
-            Err(_) => connection = Kept::open(to).await,
-        }
-        tokio::time::sleep(PAUSE).await;
-    }
-    answers
-}
-
-fn served(answers: &[Answer]) -> usize {
-    let served = answers.iter().filter(|answer| answer.status == 200);
-    served.count()
-}
-
 #[tokio::test]
 async fn boxes_together_keep_the_limit_that_an_upstream_names() {
-    let fleet = Fleet::start().await;
+    let fleet = Fleet::start(BOXES).await;
     let home = fleet.home().await;
     home.name_limits(&["5"]);
     let named_at = Instant::now();
@@ -184,7 +70,7 @@
 
 #[tokio::test]
 async fn an_upstream_that_names_no_limit_any_more_gets_its_objects_back() {
-    let fleet = Fleet::start().await;
+    let fleet = Fleet::start(BOXES).await;
     let home = fleet.home().await;
     home.name_limits(&["0.5"]);
     fleet.press(LEARNED_WITHIN).await;
@@ -198,7 +84,7 @@
 
 #[tokio::test]
 async fn an_upstream_that_takes_nothing_is_asked_now_and_then() {
-    let fleet = Fleet::start().await;
+    let fleet = Fleet::start(BOXES).await;
     let home = fleet.home().await;
     home.name_limits(&["0"]);
     let named_at = Instant::now();
@@ -211,7 +97,7 @@
 
 #[tokio::test]
 async fn what_is_no_limit_changes_nothing_and_the_answer_is_delivered() {
-    let fleet = Fleet::start().await;
+    let fleet = Fleet::start(BOXES).await;
     let home = fleet.home().await;
     let endless = "9".repeat(400);
     for limits in [&["-1"][..], &["NaN"], &["inf"], &[&endless], &["3", "3"]] {
@@ -225,7 +111,7 @@
 
 #[tokio::test]
 async fn what_no_upstream_has_room_for_is_refused_with_a_time_to_come_back() {
-    let fleet = Fleet::start().await;
+    let fleet = Fleet::start(BOXES).await;
     for upstream in &fleet.upstreams {
         upstream.name_limits(&["2"]);
     }
--- a/crates/lab/src/routed_upstream.rs
+++ b/crates/lab/src/routed_upstream.rs
@@ -78,6 +78,10 @@
     by_path: Vec<(String, Behaviour)>,
     /// The values of the limit's header in each answer.
     limits: Vec<String>,
+    /// The values of the header of leaving in each answer.
+    leaving: Vec<String>,
+    /// The values of `Retry-After` in each refusal.
+    rests: Vec<String>,
     seen: Vec<Seen>,
     connections: usize,
     closed_early: usize,
@@ -169,7 +173,17 @@
 
     /// Names `limits` in each answer from now on, each in a header of its own.
     pub fn name_limits(&self, limits: &[&str]) {
-        self.lock().limits = limits.iter().map(|limit| (*limit).to_owned()).collect();
+        self.lock().limits = owned(limits);
+    }
+
+    /// Says `values` of its leaving in each answer from now on, each in a header of its own.
+    pub fn say_leaving(&self, values: &[&str]) {
+        self.lock().leaving = owned(values);
+    }
+
+    /// Names `rests` in each refusal from now on, each in a header of its own.
+    pub fn ask_for_rest(&self, rests: &[&str]) {
+        self.lock().rests = owned(rests);
     }
 
     /// The requests that reached it.
@@ -333,28 +347,45 @@
         } else {
             String::new()
         };
-        let limits = self.lock().limits.clone();
-        let limit_line = |limit: &String| format!("{}: {limit}\r\n", self.dialect.limit);
-        let limits: String = limits.iter().map(limit_line).collect();
+        let own_words = self.own_words();
         let (request_id, load) = (&self.dialect.request_id, &self.dialect.load);
         let (length, body) = (self.id.len(), &self.id);
         format!(
-            "HTTP/1.1 {status} Said\r\n{request_id}: {id}\r\n{signature}{load}: 1,0,4\r\n{limits}\
+            "HTTP/1.1 {status} Said\r\n{request_id}: {id}\r\n{signature}{load}: 1,0,4\r\n{own_words}\
              content-length: {length}\r\n\r\n{body}"
         )
         .into_bytes()
     }
 
+    /// What it says of itself in all answers, but for its load.
+    fn own_words(&self) -> String {
+        let state = self.lock();
+        let limits = lines(&self.dialect.limit, &state.limits);
+        limits + lines(&self.dialect.leaving, &state.leaving).as_str()
+    }
+
     fn refusal(&self, status: u16, id: &str) -> Vec<u8> {
         let (request_id, not_run) = (&self.dialect.request_id, &self.dialect.not_run);
+        let own_words = self.own_words();
+        let rests = lines(&http::header::RETRY_AFTER, &self.lock().rests);
         format!(
-            "HTTP/1.1 {status} Refused\r\n{request_id}: {id}\r\n{not_run}: 1\r\n\
+            "HTTP/1.1 {status} Refused\r\n{request_id}: {id}\r\n{not_run}: 1\r\n{own_words}{rests}\
              content-length: 0\r\n\r\n"
         )
         .into_bytes()
     }
 }
 
+fn owned(values: &[&str]) -> Vec<String> {
+    values.iter().map(|value| (*value).to_owned()).collect()
+}
+
+/// A header line for each value.
+fn lines(name: &http::HeaderName, values: &[String]) -> String {
+    let line = |value: &String| format!("{name}: {value}\r\n");
+    values.iter().map(line).collect()
+}
+
 /// The next head on the connection, without its empty line.
 async fn read_head(
     stream: &mut TcpStream,
