Upstreams that say in an answer that they leave get nothing new

Callers' requests went to upstreams that had said so for up to 12 s, until the store could tell it: an upstream that leaves while the store is silent can't write its entry.

Cause: nothing read the word. Boxes went by entries alone. Class: an upstream says something of itself in its answers and no part of a box goes by it.

Placement keeps the word with the life of the upstream: also where the entry is lost meanwhile and comes back as it was before. Only a new start takes it back. A request that was chosen before and waits for a new connection is chosen anew.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -157,8 +157,8 @@
         let connection = match rested.take() {
             Some(connection) => connection,
             None => match connect(context, &mut placed, outgoing.answer_by).await {
-                Some(connection) => connection,
-                None => return AttemptEnd::NotSent(body),
+                Some(connection) if placed.may_send() => connection,
+                _ => return AttemptEnd::NotSent(body),
             },
         };
         match exchange(connection, &head, body, &placed).await {
@@ -359,6 +359,13 @@
         }
     }
 
+    /// Whether the upstream still takes requests. It may have said otherwise while a connection
+    /// to it came up.
+    fn may_send(&self) -> bool {
+        let now = self.context.clock.now();
+        self.context.placement().takes_requests(&self.choice, now)
+    }
+
     /// Takes what the upstream says of itself.
     fn hear(&mut self, signals: &UpstreamSignals) {
         self.context.hear_signals(&self.choice, self.grant, signals);
--- a/crates/edge/src/upstream_signals.rs
+++ b/crates/edge/src/upstream_signals.rs
@@ -127,7 +127,7 @@
             LimitSignal::Limited(limit) => self.hear_limit(choice, grant, Some(limit)),
         }
         let upstream = &choice.upstream;
-        if signals.is_leaving {
+        if signals.is_leaving && self.placement().leaves(choice) {
             let told = format_args!("upstream={upstream} from=answer");
             emit(Event::UpstreamLeaving, told);
         }
--- a/crates/edge/tests/upstream_signals.rs
+++ b/crates/edge/tests/upstream_signals.rs
@@ -5,7 +5,7 @@
 
 use brasswinch_lab::memory_store::StoreFault;
 use brasswinch_lab::routed_upstream::{Behaviour, Upstream};
-use common::fleet::{BOXES, Fleet, PAUSE, served};
+use common::fleet::{BOXES, Fleet, served};
 use std::time::{Duration, Instant};
 
 /// How long requests go on where an upstream should get none.
--- a/crates/routing/src/placement/entry.rs
+++ b/crates/routing/src/placement/entry.rs
@@ -1,6 +1,7 @@
 //! One upstream as placement holds it.
 
 use super::REVIEW_MS;
+use super::said::Said;
 use super::shared_load::SharedLoad;
 use crate::cold_pacing::ColdPacing;
 use crate::upstream::{UpstreamRecord, UpstreamState};
@@ -38,6 +39,8 @@
     pub(super) held_off_until: Option<Millis>,
     /// Another upstream answered at its address.
     pub(super) is_replaced: bool,
+    /// What it said of itself in answers.
+    pub(super) said: Said,
     /// Boxes that send to it as this one does, as far as known; at least 1.
     pub(super) senders: f64,
     pub(super) load: UpstreamLoad,
@@ -68,11 +71,13 @@
         self.record.started == record.started
     }
 
+    /// Whether it says that it leaves, in its entry or in an answer.
+    pub(super) fn is_leaving(&self) -> bool {
+        self.record.state == UpstreamState::Draining || self.said.is_leaving
+    }
+
     pub(super) fn takes_requests(&self, now: Millis) -> bool {
-        self.record.state == UpstreamState::Ready
-            && !self.is_evacuated
-            && !self.is_replaced
-            && self.is_held(now)
+        !self.is_leaving() && !self.is_evacuated && !self.is_replaced && self.is_held(now)
     }
 
     /// Whether its entry is there, or was lost so lately that it may come back.
--- a/crates/routing/src/placement/mod.rs
+++ b/crates/routing/src/placement/mod.rs
@@ -18,6 +18,7 @@
 mod homes;
 mod keeping;
 mod lost_entries;
+mod said;
 mod service_upstreams;
 mod shared_load;
 mod spill;
@@ -37,6 +38,7 @@
 use entry::Entry;
 use keeping::Keepers;
 use lost_entries::Losses;
+use said::{Said, SaidByUpstreams};
 use serde::{Deserialize, Serialize};
 use service_upstreams::ServiceUpstreams;
 pub use status::{KeptUpstream, ServiceStatus};
@@ -161,6 +163,7 @@
 pub struct Placement {
     settings: PlacementSettings,
     services: HashMap<Service, ServiceUpstreams>,
+    said: SaidByUpstreams,
     /// Hashes of the boxes that serve, this one included.
     boxes: Vec<u64>,
     /// The boxes of the region, which count its upstreams' requests.
@@ -178,6 +181,7 @@
         Self {
             settings,
             services: HashMap::new(),
+            said: SaidByUpstreams::default(),
             boxes: vec![me],
             keepers: Keepers::default(),
             most_boxes: 1,
@@ -305,6 +309,10 @@
             is_evacuated: fleet.is_evacuated(&record.zone),
             held_off_until: held.as_ref().and_then(|held| held.held_off_until),
             is_replaced: held.as_ref().is_some_and(|held| held.is_replaced),
+            said: match &held {
+                Some(held) => held.said,
+                None => self.said.of(&record.life()),
+            },
             senders: held.as_ref().map_or(1.0, |held| held.senders),
             load: held.as_ref().map(|held| held.load).unwrap_or_default(),
             pacing: held.as_ref().map(|held| held.pacing).unwrap_or_default(),
@@ -424,6 +432,18 @@
         }
     }
 
+    /// The upstream says in an answer that it takes nothing new; gives whether that is news.
+    pub fn leaves(&mut self, choice: &Choice) -> bool {
+        let life = choice.life();
+        let said = self.said.of(&life);
+        let now_said = Said { is_leaving: true };
+        self.said.keep(life, now_said);
+        if let Some(entry) = self.held(choice) {
+            entry.said = now_said;
+        }
+        now_said != said
+    }
+
     /// Whether the upstream of `choice` still takes requests.
     pub fn takes_requests(&mut self, choice: &Choice, now: Millis) -> bool {
         let held = self.held(choice);
--- a/crates/routing/src/placement/status.rs
+++ b/crates/routing/src/placement/status.rs
@@ -2,7 +2,6 @@
 
 use super::Placement;
 use super::entry::Entry;
-use crate::upstream::UpstreamState;
 use brasswinch_types::{Millis, Service, UpstreamId};
 use serde::{Deserialize, Serialize};
 
@@ -59,7 +58,7 @@
         if let Some(kept) = kept(entry, now) {
             return self.kept.push(kept);
         }
-        let count = if entry.record.state == UpstreamState::Draining {
+        let count = if entry.is_leaving() {
             &mut self.leaving
         } else if entry.is_evacuated {
             &mut self.evacuated
--- a/crates/routing/src/upstream.rs
+++ b/crates/routing/src/upstream.rs
@@ -40,6 +40,16 @@
     pub cold_remaining_s: f64,
 }
 
+impl UpstreamRecord {
+    /// The life of the upstream that wrote the entry.
+    pub fn life(&self) -> UpstreamLife {
+        UpstreamLife {
+            upstream: self.id.clone(),
+            started: self.started,
+        }
+    }
+}
+
 /// One life of an upstream: what is known of one says nothing of the next.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct UpstreamLife {
--- a/crates/routing/tests/lives.rs
+++ b/crates/routing/tests/lives.rs
@@ -128,3 +128,20 @@
         .choose_advised(&wanted, Some(&advice), 0.5, 61);
     assert!(!chosen.unwrap().basis.home.unwrap().has_served);
 }
+
+/// The word of an upstream that leaves went with its entry, which came back as it was before.
+#[test]
+fn an_upstream_that_said_it_leaves_is_used_again_when_its_entry_comes_back() {
+    let mut test = Test::new(placement_in("west"));
+    let choice = test.choose(20).unwrap();
+    assert!(test.placement.leaves(&choice));
+    assert!(!test.placement.leaves(&choice), "that is no news");
+    assert!(test.choose(30).is_none());
+    let gone = Change::Gone(ChangeKey::Upstream(choice.upstream.clone()));
+    test.fleet.apply(revised(2, gone), 40);
+    test.placement.update(&test.fleet, &config(1), 40);
+    test.write(3, life(1_000), 50);
+    assert!(test.choose(60).is_none());
+    test.write(4, life(5_000), 70);
+    assert!(test.choose(80).is_some(), "its next life did not say so");
+}
