An upstream that refuses a request and asks for rest gets nothing from that box until its end

Callers' requests went on to upstreams that had refused one and named 3 s in which they wanted nothing: 18 from one box in that time. Most came back as refusals, since the second try went to another of the six that rested, and each refused first try spent a repeat.

Cause: Retry-After of an upstream that refuses was not read. A refusal counted as a sign of life, and an upstream without load was the best home.

A box keeps away from such an upstream until the longest rest that it asked for is over. Then it sends one request at a time until one is answered, so that what waited does not come at once. An answer to a request from before says nothing of the rest. What no upstream takes is refused at once with the time at which the first is free, spread by a quarter after it. A rest counts for an hour at most; what is no decimal number of seconds, or stands there twice, changes nothing.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -359,11 +359,11 @@
         }
     }
 
-    /// Whether the upstream still takes requests. It may have said otherwise while a connection
+    /// Whether the upstream still wants the request. It may have said otherwise while a connection
     /// to it came up.
     fn may_send(&self) -> bool {
         let now = self.context.clock.now();
-        self.context.placement().takes_requests(&self.choice, now)
+        self.context.placement().may_send(&self.choice, now)
     }
 
     /// Takes what the upstream says of itself.
--- a/crates/edge/src/status.rs
+++ b/crates/edge/src/status.rs
@@ -178,6 +178,7 @@
         usable,
         cold,
         held_off,
+        resting,
         left_out,
         leaving,
         evacuated,
@@ -186,7 +187,7 @@
     } = status;
     writeln!(
         f,
-        "upstreams of {service}: {usable} usable, {cold} cold, {held_off} held off, {left_out} left out, \
+        "upstreams of {service}: {usable} usable, {cold} cold, {held_off} held off, {resting} resting, {left_out} left out, \
          {leaving} leaving, {evacuated} evacuated, {replaced} replaced, {} kept",
         kept.len()
     )?;
--- a/crates/edge/src/upstream_limits.rs
+++ b/crates/edge/src/upstream_limits.rs
@@ -108,8 +108,8 @@
         let refusal = match grant {
             Ok(Grant::NotNeeded) => return Ok(chosen),
             Ok(Grant::Given) => {
-                // It may have left while its limit's keeper was asked.
-                if self.placement().takes_requests(&chosen.choice, now) {
+                // It may have left, or asked for rest, while its limit's keeper was asked.
+                if self.placement().may_send(&chosen.choice, now) {
                     self.figures.count_limited(&chosen.choice.service, true);
                     chosen.grant = Grant::Given;
                     return Ok(chosen);
--- a/crates/edge/src/upstream_signals.rs
+++ b/crates/edge/src/upstream_signals.rs
@@ -131,7 +131,9 @@
             let told = format_args!("upstream={upstream} from=answer");
             emit(Event::UpstreamLeaving, told);
         }
-        if let Some(rest) = signals.rest {
+        if let Some(rest) = signals.rest
+            && self.placement().rests(choice, rest, now)
+        {
             let for_ms = rest.ms();
             let told = format_args!("upstream={upstream} for_ms={for_ms}");
             emit(Event::UpstreamResting, told);
--- a/crates/edge/tests/upstream_signals.rs
+++ b/crates/edge/tests/upstream_signals.rs
@@ -5,7 +5,7 @@
 
 use brasswinch_lab::memory_store::StoreFault;
 use brasswinch_lab::routed_upstream::{Behaviour, Upstream};
-use common::fleet::{BOXES, Fleet, served};
+use common::fleet::{BOXES, Fleet, PAUSE, served};
 use std::time::{Duration, Instant};
 
 /// How long requests go on where an upstream should get none.
@@ -14,6 +14,9 @@
 /// After it, what was under way as an upstream spoke has arrived.
 const UNDER_WAY: Duration = Duration::from_millis(500);
 
+/// A rest that lasts for longer than a test, in seconds.
+const LONG_REST: &str = "60";
+
 /// Requests that came to `upstream` from `from` on.
 fn seen_from(upstream: &Upstream, from: Instant) -> usize {
     let seen = upstream.seen();
@@ -41,7 +44,7 @@
 async fn requests_reach_an_upstream_that_asked_for_rest() {
     let fleet = Fleet::start(1).await;
     let home = fleet.home().await;
-    home.ask_for_rest(&["3"]);
+    home.ask_for_rest(&[LONG_REST]);
     home.always(Behaviour::Refuse);
     fleet.press(UNDER_WAY).await;
     let rests_from = Instant::now();
@@ -49,3 +52,66 @@
     assert_eq!(seen_from(&home, rests_from), 0);
     assert_eq!(served(&answers), answers.len(), "the others have room");
 }
+
+/// A rest that can't be meant kept requests from an upstream that served again.
+#[tokio::test]
+async fn a_rest_that_can_t_be_meant_keeps_requests_away() {
+    let fleet = Fleet::start(1).await;
+    let home = fleet.home().await;
+    let endless = "9".repeat(400);
+    let date = "Thu, 01 Jan 2026 00:00:00 GMT";
+    for rests in [
+        &["-1"][..],
+        &["NaN"],
+        &[""],
+        &["0"],
+        &[date],
+        &[&endless],
+        &["3", "3"],
+    ] {
+        home.ask_for_rest(rests);
+        home.script([Behaviour::Refuse]);
+        let before = home.seen().len();
+        let answers = fleet.press(PAUSE * 10).await;
+        assert_eq!(served(&answers), answers.len(), "{rests:?}");
+        assert_eq!(home.seen().len() - before, answers.len(), "{rests:?}");
+    }
+}
+
+/// What can't be a word of leaving emptied a service.
+#[tokio::test]
+async fn what_is_no_word_of_leaving_keeps_requests_away() {
+    let fleet = Fleet::start(1).await;
+    let home = fleet.home().await;
+    let long = "1".repeat(1_024);
+    for words in [&["0"][..], &["true"], &[""], &[&long], &["1", "1"]] {
+        home.say_leaving(words);
+        let before = home.seen().len();
+        let answers = fleet.press(PAUSE * 5).await;
+        assert_eq!(served(&answers), answers.len(), "{words:?}");
+        assert_eq!(home.seen().len() - before, answers.len(), "{words:?}");
+    }
+}
+
+/// Callers were told to come back at once while all upstreams rested.
+#[tokio::test]
+async fn callers_of_a_service_that_rests_come_back_too_early() {
+    let fleet = Fleet::start(1).await;
+    fleet.home().await;
+    for upstream in &fleet.upstreams {
+        upstream.ask_for_rest(&[LONG_REST]);
+        upstream.always(Behaviour::Refuse);
+    }
+    fleet.press(UNDER_WAY).await;
+    let rests_from = Instant::now();
+    let answers = fleet.press(PAUSE * 10).await;
+    for upstream in &fleet.upstreams {
+        assert_eq!(seen_from(upstream, rests_from), 0);
+    }
+    for answer in answers {
+        assert_eq!(answer.status, 503);
+        let retry_after = answer.headers["retry-after"].to_str().unwrap();
+        let retry_after: f64 = retry_after.parse().unwrap();
+        assert!((30.0..=90.0).contains(&retry_after), "{retry_after}");
+    }
+}
--- a/crates/routing/src/placement/basis.rs
+++ b/crates/routing/src/placement/basis.rs
@@ -16,6 +16,8 @@
     Cold,
     /// Its limit leaves this box no room.
     HeldOff,
+    /// It asked this box for rest.
+    Resting,
     /// It failed lately, or this request.
     LeftOut,
 }
@@ -24,6 +26,8 @@
     pub(super) fn of(entry: &Entry, is_usable: bool, now: Millis) -> Self {
         if entry.is_held_off(now) {
             Self::HeldOff
+        } else if entry.said.is_resting(now) {
+            Self::Resting
         } else if !is_usable {
             Self::LeftOut
         } else if entry.is_cold(now) {
@@ -43,6 +47,7 @@
             Self::Full => "full",
             Self::Cold => "cold",
             Self::HeldOff => "held_off",
+            Self::Resting => "resting",
             Self::LeftOut => "left_out",
         })
     }
--- a/crates/routing/src/placement/entry.rs
+++ b/crates/routing/src/placement/entry.rs
@@ -96,9 +96,18 @@
         self.is_evacuated
             || self.is_cold(now)
             || self.load.is_unreachable()
-            || self
-                .held_off_until
-                .is_some_and(|until| now < until + REVIEW_MS)
+            || self.free_at().is_some_and(|until| now < until + REVIEW_MS)
+    }
+
+    /// When its limit and its rest leave room again; `None` where neither ever took it.
+    pub(super) fn free_at(&self) -> Option<Millis> {
+        self.held_off_until.max(self.said.rests_until)
+    }
+
+    /// Whether it may get a request now: for its health, and since it asked for rest.
+    pub(super) fn is_usable(&self, now: Millis) -> bool {
+        let is_tried = self.said.is_on_trial(now) && !self.load.is_idle();
+        !self.said.is_resting(now) && !is_tried && self.load.is_usable(now)
     }
 
     /// Whether its limit leaves this box no room.
--- a/crates/routing/src/placement/mod.rs
+++ b/crates/routing/src/placement/mod.rs
@@ -30,6 +30,7 @@
 use crate::rendezvous::object_hash;
 use crate::upstream::{UpstreamLife, UpstreamRecord, UpstreamStart};
 use crate::upstream_load::LoadReport;
+use crate::upstream_signal::UpstreamRest;
 use crate::workspace::{Rank, RegionLimits};
 use crate::{FleetState, SteeringConfig};
 pub use advice::{Advice, Ending, Question};
@@ -402,10 +403,12 @@
             return;
         };
         let load = &mut entry.load;
+        let mut has_rested = false;
         match outcome {
             UpstreamOutcome::Answered => {
                 load.answered();
                 entry.note_served(choice.basis.object);
+                has_rested = entry.said.is_on_trial(now);
             }
             UpstreamOutcome::Shed => load.answered(),
             UpstreamOutcome::Replaced => entry.is_replaced = true,
@@ -414,6 +417,9 @@
             UpstreamOutcome::Abandoned => {}
         }
         entry.load.ended();
+        if has_rested {
+            self.change_said(choice, |said| said.rests_until = None);
+        }
     }
 
     /// An upstream told its load.
@@ -434,20 +440,42 @@
 
     /// The upstream says in an answer that it takes nothing new; gives whether that is news.
     pub fn leaves(&mut self, choice: &Choice) -> bool {
+        let before = self.change_said(choice, |said| said.is_leaving = true);
+        !before.is_leaving
+    }
+
+    /// The upstream refused a request and wants nothing from this box for a time; gives whether it
+    /// did not rest yet.
+    pub fn rests(&mut self, choice: &Choice, rest: UpstreamRest, now: Millis) -> bool {
+        if rest.ms() == 0 {
+            return false;
+        }
+        let until = Some(now + rest.ms());
+        let before = self.change_said(choice, |said| {
+            said.rests_until = said.rests_until.max(until);
+        });
+        !before.is_resting(now)
+    }
+
+    /// Changes what the upstream of `choice` has said; gives what that was before.
+    fn change_said(&mut self, choice: &Choice, change: impl FnOnce(&mut Said)) -> Said {
         let life = choice.life();
-        let said = self.said.of(&life);
-        let now_said = Said { is_leaving: true };
-        self.said.keep(life, now_said);
-        if let Some(entry) = self.held(choice) {
-            entry.said = now_said;
+        let before = self.said.of(&life);
+        let mut said = before;
+        change(&mut said);
+        if said != before {
+            self.said.keep(life, said);
+            if let Some(entry) = self.held(choice) {
+                entry.said = said;
+            }
         }
-        now_said != said
+        before
     }
 
-    /// Whether the upstream of `choice` still takes requests.
-    pub fn takes_requests(&mut self, choice: &Choice, now: Millis) -> bool {
+    /// Whether a request may still be sent to the upstream that it was given to.
+    pub fn may_send(&mut self, choice: &Choice, now: Millis) -> bool {
         let held = self.held(choice);
-        held.is_some_and(|entry| entry.takes_requests(now))
+        held.is_some_and(|entry| entry.takes_requests(now) && !entry.said.is_resting(now))
     }
 
     /// Whether this life of the upstream is known.
--- a/crates/routing/src/placement/said.rs
+++ b/crates/routing/src/placement/said.rs
@@ -2,6 +2,7 @@
 //! also where its entry is lost meanwhile and comes back.
 
 use crate::upstream::UpstreamLife;
+use brasswinch_types::Millis;
 use std::collections::{HashMap, VecDeque};
 
 /// Most upstreams whose words are kept; the oldest are forgotten first. Of 100 bytes each they
@@ -13,6 +14,20 @@
 pub(super) struct Said {
     /// It takes nothing new.
     pub(super) is_leaving: bool,
+    /// It wants nothing from this box before then; `None` once it has answered a request since.
+    pub(super) rests_until: Option<Millis>,
+}
+
+impl Said {
+    /// Whether it wants nothing from this box now.
+    pub(super) fn is_resting(&self, now: Millis) -> bool {
+        self.rests_until.is_some_and(|until| now < until)
+    }
+
+    /// Whether it has asked for rest, and nothing has shown since that it serves again.
+    pub(super) fn is_on_trial(&self, now: Millis) -> bool {
+        self.rests_until.is_some_and(|until| now >= until)
+    }
 }
 
 /// What all upstreams said that did say something.
--- a/crates/routing/src/placement/service_upstreams.rs
+++ b/crates/routing/src/placement/service_upstreams.rs
@@ -7,6 +7,7 @@
 use super::spill::SpillWindow;
 use super::warming::Warming;
 use super::{Choice, Refusal, Wanted};
+use crate::refusals::spread_later;
 use crate::region_plan::RegionPlan;
 use crate::rendezvous::{object_hash, weighted_score};
 use crate::workspace::Rank;
@@ -91,18 +92,18 @@
             Some(index) => Ok(self.start(index, basis, now)),
             None if regions.is_empty() && !self.has_any(wanted, now) => Err(Refusal::NoUpstream),
             None => Err(Refusal::Busy {
-                retry_after_ms: self.room_in_ms(wanted, now) + (warming.random * 100.0) as Millis,
+                retry_after_ms: spread_later(self.room_in_ms(wanted, now), warming.random),
                 basis,
             }),
         }
     }
 
     /// When to come back, in milliseconds: at once where queues are full, and not before the first
-    /// upstream has room where limits leave none at any.
+    /// upstream has room where limits and rests leave none at any.
     fn room_in_ms(&self, wanted: &Wanted<'_>, now: Millis) -> Millis {
         let entries = self.entries.iter();
         let taking = entries.filter(|entry| entry.takes_requests(now) && is_allowed(entry, wanted));
-        let first_free = taking.map(|entry| entry.held_off_until.unwrap_or(0)).min();
+        let first_free = taking.map(|entry| entry.free_at().unwrap_or(0)).min();
         let free_in_ms = first_free.map_or(0, |at| at.saturating_sub(now));
         free_in_ms.max(REFUSED_RETRY_MS)
     }
@@ -266,7 +267,7 @@
 pub(super) fn is_usable(entry: &Entry, wanted: &Wanted<'_>, now: Millis) -> bool {
     entry.takes_requests(now)
         && is_allowed(entry, wanted)
-        && entry.load.is_usable(now)
+        && entry.is_usable(now)
         && !entry.is_held_off(now)
         && !wanted.tried.contains(&entry.record.id)
 }
--- a/crates/routing/src/placement/status.rs
+++ b/crates/routing/src/placement/status.rs
@@ -16,6 +16,8 @@
     pub cold: usize,
     /// Name a limit that leaves this box no room now.
     pub held_off: usize,
+    /// Asked this box for rest.
+    pub resting: usize,
     /// Failed lately, and are tried now and then.
     pub left_out: usize,
     /// Say that they leave.
@@ -46,6 +48,7 @@
             usable: 0,
             cold: 0,
             held_off: 0,
+            resting: 0,
             left_out: 0,
             leaving: 0,
             evacuated: 0,
@@ -64,7 +67,9 @@
             &mut self.evacuated
         } else if entry.is_replaced {
             &mut self.replaced
-        } else if !entry.load.is_usable(now) {
+        } else if entry.said.is_resting(now) {
+            &mut self.resting
+        } else if !entry.is_usable(now) {
             &mut self.left_out
         } else if entry.is_held_off(now) {
             &mut self.held_off
--- a/crates/routing/src/refusals.rs
+++ b/crates/routing/src/refusals.rs
@@ -5,6 +5,12 @@
 /// The span in which refusals are counted.
 const SPAN_MS: Millis = 1_000;
 
+/// Part of a time by which callers that were refused together are spread after its end.
+const SPREAD_PART: f64 = 0.25;
+
+/// Shortest span over which they are spread, in milliseconds.
+const LEAST_SPREAD_MS: f64 = 100.0;
+
 /// Requests refused lately: those of the span before, and of this one so far.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Refusals {
@@ -42,3 +48,9 @@
 pub(crate) fn spread(ms: Millis, random: f64) -> Millis {
     (ms as f64 * (0.5 + random.clamp(0.0, 1.0))) as Millis
 }
+
+/// A time before which there is no use in coming back, or somewhat later.
+pub(crate) fn spread_later(ms: Millis, random: f64) -> Millis {
+    let span = (ms as f64 * SPREAD_PART).max(LEAST_SPREAD_MS);
+    ms + (span * random.clamp(0.0, 1.0)) as Millis
+}
--- a/crates/routing/src/upstream_load.rs
+++ b/crates/routing/src/upstream_load.rs
@@ -89,7 +89,12 @@
         if self.ejections == 0 {
             return true;
         }
-        now >= self.ejected_until && self.in_flight == 0
+        now >= self.ejected_until && self.is_idle()
+    }
+
+    /// Whether no request of this box is at the upstream.
+    pub fn is_idle(&self) -> bool {
+        self.in_flight == 0
     }
 
     /// Whether the last try to connect failed.
--- /dev/null
+++ b/crates/routing/tests/resting_upstreams.rs
@@ -0,0 +1,134 @@
+//! Upstreams that refuse a request and ask for rest.
+#![allow(clippy::unwrap_used, clippy::expect_used)]
+
+mod common;
+
+use brasswinch_routing::{
+    Choice, FleetState, HomeState, Placement, Refusal, UpstreamOutcome, UpstreamRest,
+    UpstreamSignalError,
+};
+use common::{config, fleet, placement_in, service, wanted};
+use std::collections::BTreeSet;
+
+struct Test {
+    placement: Placement,
+    fleet: FleetState,
+}
+
+fn rest(seconds: &str) -> UpstreamRest {
+    seconds.parse().unwrap()
+}
+
+impl Test {
+    fn new() -> Self {
+        let (fleet, mut placement) = (fleet(2), placement_in("west"));
+        placement.update(&fleet, &config(1), 1);
+        Self { placement, fleet }
+    }
+
+    fn try_choose(&mut self, now: u64) -> Result<Choice, Refusal> {
+        let (service, anywhere) = (service(), BTreeSet::new());
+        let wanted = wanted(&service, b"7", &anywhere, &[]);
+        self.placement.choose(&wanted, 0.5, now)
+    }
+
+    fn choose(&mut self, now: u64) -> Choice {
+        self.try_choose(now).unwrap()
+    }
+
+    fn answered(&mut self, choice: &Choice, now: u64) {
+        self.placement.ended(choice, UpstreamOutcome::Answered, now);
+    }
+
+    /// The upstream of `choice` refuses the request and asks for rest.
+    fn refused(&mut self, choice: &Choice, seconds: &str, now: u64) {
+        self.placement.rests(choice, rest(seconds), now);
+        self.placement.ended(choice, UpstreamOutcome::Shed, now);
+    }
+}
+
+/// After a rest all requests that had waited for it came at once.
+#[test]
+fn requests_come_all_at_once_when_a_rest_is_over() {
+    let mut test = Test::new();
+    let home = test.choose(10);
+    test.refused(&home, "3", 20);
+    assert_ne!(test.choose(3_000).upstream, home.upstream);
+    let first = test.choose(3_020);
+    assert_eq!(first.upstream, home.upstream);
+    assert_ne!(test.choose(3_030).upstream, home.upstream, "one at a time");
+    test.answered(&first, 3_200);
+    let after = [test.choose(3_210), test.choose(3_211)];
+    assert!(after.iter().all(|choice| choice.upstream == home.upstream));
+}
+
+/// The answer to a request from before ended the rest.
+#[test]
+fn an_answer_to_an_earlier_request_ends_a_rest() {
+    let mut test = Test::new();
+    let (earlier, home) = (test.choose(10), test.choose(11));
+    assert_eq!(earlier.upstream, home.upstream);
+    test.refused(&home, "3", 20);
+    test.answered(&earlier, 100);
+    assert_ne!(test.choose(110).upstream, home.upstream);
+    assert!(!test.placement.may_send(&home, 110));
+}
+
+/// A shorter rest took the place of a longer one.
+#[test]
+fn a_second_word_shortens_a_rest() {
+    let mut test = Test::new();
+    let (first, second) = (test.choose(10), test.choose(11));
+    test.refused(&first, "3", 20);
+    test.refused(&second, "0.1", 30);
+    assert_ne!(test.choose(2_900).upstream, first.upstream);
+}
+
+/// Callers were told to come back before any upstream wanted them.
+#[test]
+fn callers_come_back_before_the_first_rest_is_over() {
+    let mut test = Test::new();
+    let upstreams = test.fleet.upstreams().count();
+    for number in 0..upstreams {
+        let choice = test.choose(20);
+        let seconds = if number == 0 { "2" } else { "3" };
+        test.refused(&choice, seconds, 20);
+    }
+    let Err(Refusal::Busy {
+        retry_after_ms,
+        basis,
+    }) = test.try_choose(120)
+    else {
+        panic!("all upstreams rest");
+    };
+    assert!(
+        (1_900..=2_375).contains(&retry_after_ms),
+        "{retry_after_ms}"
+    );
+    assert_eq!(basis.home.unwrap().state, HomeState::Resting);
+}
+
+/// The rest went with the entry, and the upstream was sent to before its end.
+#[test]
+fn a_rest_is_forgotten_when_the_entry_is_lost_and_comes_back() {
+    let mut test = Test::new();
+    let home = test.choose(10);
+    test.refused(&home, "3", 20);
+    let none = FleetState::default();
+    test.placement.update(&none, &config(1), 30);
+    test.placement.update(&test.fleet, &config(1), 40);
+    assert_ne!(test.choose(50).upstream, home.upstream);
+}
+
+#[test]
+fn a_rest_is_a_decimal_number_of_seconds_and_an_hour_at_most() {
+    assert_eq!(rest("0.25").ms(), 250);
+    assert_eq!(rest("31536000").ms(), 3_600_000);
+    let error = |text: &str| text.parse::<UpstreamRest>().unwrap_err();
+    for text in ["", "-", "Thu, 01 Jan 2026 00:00:00 GMT", &"9".repeat(400)] {
+        assert_eq!(error(text), UpstreamSignalError::NoNumber, "{text}");
+    }
+    for text in ["-1", "NaN", "inf", "-inf"] {
+        assert_eq!(error(text), UpstreamSignalError::OutOfRange, "{text}");
+    }
+}
