Embedded path: upstreams that refuse a request and ask for rest get nothing from that box until its end

The same cause as on the routed path: Retry-After of a refusal was not read. Each box paused 100 ms and sent the next request. What an upstream says of its leaving is read there in each answer already.

An ejection no longer shortens a rest. The type of a rest and its reading are shared by both paths.

--- a/crates/daemon/src/traffic/proxy.rs
+++ b/crates/daemon/src/traffic/proxy.rs
@@ -17,8 +17,10 @@
 use brasswinch_decide::health::UpstreamReport;
 use brasswinch_decide::members::BoxState;
 use brasswinch_observe::{Event, emit};
-use brasswinch_types::{Class, ErrorKind, Millis, OnceProof, Ran};
-use http::{HeaderMap, Method, Request, Response, StatusCode, header};
+use brasswinch_types::{
+    Class, ErrorKind, Millis, OnceProof, Ran, UpstreamRest, UpstreamSignal, only_value,
+};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use std::sync::Arc;
@@ -329,9 +331,10 @@
         };
         self.note_answer(index, &response);
         if response.headers().contains_key(REFUSED_HEADER) {
+            let rest = self.rest(index, response.headers());
             self.service
                 .gate
-                .update_health(index, |health, now| health.refused(now));
+                .update_health(index, |health, now| health.refused(rest, now));
             return Err(Failure {
                 kind: ErrorKind::UpstreamRefused,
                 unsent: spare,
@@ -417,6 +420,31 @@
         })
     }
 
+    /// The rest that an upstream asks for as it refuses a request.
+    fn rest(&self, index: usize, headers: &HeaderMap) -> Option<UpstreamRest> {
+        let values = headers.get_all(header::RETRY_AFTER).iter();
+        let value = only_value(values.map(HeaderValue::as_bytes));
+        let rest = value.and_then(|text| text.map(str::parse::<UpstreamRest>).transpose());
+        let upstream = &self.service.upstreams.get(index)?.id;
+        let key = &self.service.key;
+        match rest {
+            Ok(rest) => {
+                if let Some(rest) = rest {
+                    let for_ms = rest.ms();
+                    let told = format_args!("{key} upstream={upstream} for_ms={for_ms}");
+                    emit(Event::UpstreamResting, told);
+                }
+                rest
+            }
+            Err(error) => {
+                let signal = UpstreamSignal::Rest;
+                let told = format_args!("{key} upstream={upstream} signal={signal}: {error}");
+                emit(Event::SignalUnreadable, told);
+                None
+            }
+        }
+    }
+
     fn note_answer(&self, index: usize, response: &Response<Incoming>) {
         let report = response
             .headers()
--- a/crates/daemon/tests/answers.rs
+++ b/crates/daemon/tests/answers.rs
@@ -13,11 +13,18 @@
 /// Tagged requests, unless the environment asks for another number.
 const REQUESTS: usize = 3_000;
 
+const BOXES_PER_ZONE: u64 = 2;
+
+const TARGETS_PER_ZONE: u64 = 3;
+
+/// Upstreams of a service in both zones of the region.
+const UPSTREAMS: u64 = 2 * TARGETS_PER_ZONE;
+
 /// Workers that send them.
 const WORKERS: usize = 12;
 
 fn spec() -> Spec {
-    let mut spec = Spec::kavach(2, 3);
+    let mut spec = Spec::kavach(BOXES_PER_ZONE as usize, TARGETS_PER_ZONE as usize);
     spec.regions = vec!["guj-west"];
     spec
 }
@@ -137,3 +144,29 @@
         "refusals were brought about: {all_checked}"
     );
 }
+
+/// Upstreams refused requests and asked for rest, and boxes sent the next ones 100 ms later.
+#[tokio::test(flavor = "multi_thread")]
+async fn boxes_send_to_upstreams_that_asked_for_rest() {
+    let _alone = alone().await;
+    let spec = spec();
+    let policy = spec.policy(0.5, 2.0);
+    let fleet = Fleet::serving(spec, &policy).await;
+    for upstreams in fleet.site.upstreams.values() {
+        upstreams.control(|control| {
+            control.slots = 0;
+            control.rest_s = 600;
+        });
+    }
+    let refused = || -> u64 {
+        let upstreams = fleet.site.upstreams.values();
+        upstreams
+            .map(|held| held.counts().sum(|target| target.refused))
+            .sum()
+    };
+    let (duration, tally) = (Duration::from_secs(4), Arc::new(Tally::default()));
+    let job = fleet.job("rate-desk", 0);
+    open_load(fleet.caller(0), job, 100.0, duration, tally).await;
+    // An upstream that was never used gets one request at a time.
+    assert!((1..=BOXES_PER_ZONE * UPSTREAMS).contains(&refused()));
+}
--- a/crates/decide/src/health.rs
+++ b/crates/decide/src/health.rs
@@ -4,7 +4,7 @@
 //! configuration, the upstream's own reports and the platform's list. Any one
 //! suffices. A word that is older than the word it contradicts changes nothing.
 
-use brasswinch_types::Millis;
+use brasswinch_types::{Millis, UpstreamRest};
 
 /// Failed connections in a row after which an upstream is left alone.
 const EJECT_AFTER: u32 = 3;
@@ -18,7 +18,7 @@
 /// Time after an upstream is first used, or used again, during which it is cold.
 const WARM_UP_MS: Millis = 5_000;
 
-/// How long an explicit refusal closes an upstream.
+/// How long an explicit refusal closes an upstream at least.
 const REFUSAL_PAUSE_MS: Millis = 100;
 
 /// One upstream's own word about itself.
@@ -90,9 +90,11 @@
         self.failures = 0;
     }
 
-    /// It refused work explicitly.
-    pub fn refused(&mut self, now: Millis) {
-        self.closed_until = self.closed_until.max(now + REFUSAL_PAUSE_MS);
+    /// It refused work explicitly, and may have asked for rest.
+    pub fn refused(&mut self, rest: Option<UpstreamRest>, now: Millis) {
+        let rest_ms = rest.map_or(0, UpstreamRest::ms);
+        let pause_ms = rest_ms.max(REFUSAL_PAUSE_MS);
+        self.closed_until = self.closed_until.max(now + pause_ms);
     }
 
     /// A connection failed or broke.
@@ -103,7 +105,7 @@
         }
         let doublings = (self.failures - EJECT_AFTER).min(5);
         let ejection = (FIRST_EJECTION_MS << doublings).min(LONGEST_EJECTION_MS);
-        self.closed_until = now + ejection;
+        self.closed_until = self.closed_until.max(now + ejection);
         self.warm_since = None;
     }
 
--- a/crates/edge/src/upstream_signals.rs
+++ b/crates/edge/src/upstream_signals.rs
@@ -5,11 +5,10 @@
 use crate::dialect::Dialect;
 use crate::upstream_limits::Grant;
 use brasswinch_observe::{Event, emit};
-use brasswinch_routing::{
-    Choice, LoadReport, UpstreamLimit, UpstreamRest, UpstreamSignal, UpstreamSignalError,
-};
+use brasswinch_routing::{Choice, LoadReport, UpstreamLimit};
+use brasswinch_types::{UpstreamRest, UpstreamSignal, UpstreamSignalError, only_value};
 use http::response::Parts;
-use http::{HeaderMap, HeaderName, StatusCode, header};
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
 
 /// The value by which an upstream says that it leaves.
 const LEAVES: &str = "1";
@@ -146,21 +145,11 @@
 }
 
 /// The only value of a header, if it is there.
-fn only_value<'a>(
+fn header_value<'a>(
     headers: &'a HeaderMap,
     name: &HeaderName,
 ) -> Result<Option<&'a str>, UpstreamSignalError> {
-    let mut values = headers.get_all(name).iter();
-    let Some(value) = values.next() else {
-        return Ok(None);
-    };
-    if values.next().is_some() {
-        return Err(UpstreamSignalError::Repeated);
-    }
-    let text = value
-        .to_str()
-        .map_err(|_| UpstreamSignalError::UnknownValue)?;
-    Ok(Some(text.trim()))
+    only_value(headers.get_all(name).iter().map(HeaderValue::as_bytes))
 }
 
 /// The header as what it stands for.
@@ -168,11 +157,11 @@
 where
     T: std::str::FromStr<Err = UpstreamSignalError>,
 {
-    only_value(headers, name)?.map(str::parse).transpose()
+    header_value(headers, name)?.map(str::parse).transpose()
 }
 
 fn leaving(headers: &HeaderMap, name: &HeaderName) -> Result<Option<()>, UpstreamSignalError> {
-    match only_value(headers, name)? {
+    match header_value(headers, name)? {
         None => Ok(None),
         Some(LEAVES) => Ok(Some(())),
         Some(_) => Err(UpstreamSignalError::UnknownValue),
@@ -180,7 +169,7 @@
 }
 
 fn load(headers: &HeaderMap, name: &HeaderName) -> Result<Option<LoadReport>, UpstreamSignalError> {
-    let Some(text) = only_value(headers, name)? else {
+    let Some(text) = header_value(headers, name)? else {
         return Ok(None);
     };
     let report = load_report(text).ok_or(UpstreamSignalError::NoNumber)?;
--- a/crates/lab/src/upstream.rs
+++ b/crates/lab/src/upstream.rs
@@ -46,6 +46,8 @@
     pub leaving: Vec<String>,
     /// Load that every report shows instead of the truth.
     pub lie_in_use: Option<u32>,
+    /// Rest that it asks for in each refusal, in seconds; 0 for none.
+    pub rest_s: u32,
     /// Every n-th answer is cut halfway; 0 for none.
     pub truncate_every: u64,
     /// Every n-th connection is cut after the request was run, before its answer; 0 for none.
@@ -63,6 +65,7 @@
             cold_requests: 0,
             leaving: Vec::new(),
             lie_in_use: None,
+            rest_s: 0,
             truncate_every: 0,
             drop_every: 0,
             cross_every: 0,
@@ -209,6 +212,11 @@
             *refused.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
             let yes = http::HeaderValue::from_static("1");
             refused.headers_mut().insert("x-not-run", yes);
+            let rest_s = self.lock().control.rest_s;
+            if rest_s > 0 {
+                let headers = refused.headers_mut();
+                headers.insert(http::header::RETRY_AFTER, rest_s.into());
+            }
             return Ok(refused);
         };
         let deadline = deadline_of(&parts.headers);
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -27,7 +27,6 @@
 mod upstream;
 mod upstream_limits;
 mod upstream_load;
-mod upstream_signal;
 mod view_limits;
 mod watchers;
 mod workspace;
@@ -69,7 +68,6 @@
     LimitStatus, LimitWord, ToLimitKeeper, UpstreamLimit, UpstreamLimits,
 };
 pub use upstream_load::{LoadReport, UpstreamLoad};
-pub use upstream_signal::{UpstreamRest, UpstreamSignal, UpstreamSignalError};
 pub use view_limits::ViewLimits;
 pub use watchers::{StoreDuty, Watchers};
 pub use workspace::{
--- a/crates/routing/src/upstream_limits/limit.rs
+++ b/crates/routing/src/upstream_limits/limit.rs
@@ -1,6 +1,6 @@
 //! A limit as an upstream names it.
 
-use crate::upstream_signal::{UpstreamSignalError, decimal};
+use brasswinch_types::{UpstreamSignalError, decimal};
 use serde::{Deserialize, Serialize};
 use std::fmt;
 use std::str::FromStr;
--- a/crates/routing/tests/resting_upstreams.rs
+++ b/crates/routing/tests/resting_upstreams.rs
@@ -3,10 +3,8 @@
 
 mod common;
 
-use brasswinch_routing::{
-    Choice, FleetState, HomeState, Placement, Refusal, UpstreamOutcome, UpstreamRest,
-    UpstreamSignalError,
-};
+use brasswinch_routing::{Choice, FleetState, HomeState, Placement, Refusal, UpstreamOutcome};
+use brasswinch_types::{UpstreamRest, UpstreamSignalError};
 use common::{config, fleet, placement_in, service, wanted};
 use std::collections::BTreeSet;
 
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -10,6 +10,7 @@
 mod plan;
 mod tickets;
 mod units;
+mod upstream_signal;
 
 pub use class::{Class, OnceProof};
 pub use config::{ConfigDocument, ConfigEntry, ConfigKey, DrainNotice, PolicyText, Tombstone};
@@ -21,3 +22,4 @@
 pub use plan::{Plan, ServicePlan, ShiftCap, WeightRow};
 pub use tickets::{Ticket, TicketError, TicketKey};
 pub use units::{UNITS, UnitOwner, UnitTable, unit_of_slot};
+pub use upstream_signal::{UpstreamRest, UpstreamSignal, UpstreamSignalError, decimal, only_value};
--- a/crates/routing/src/upstream_signal.rs
+++ b/crates/types/src/upstream_signal.rs
@@ -1,6 +1,6 @@
 //! What an upstream says of itself in its answers, besides its load and its limit.
 
-use brasswinch_types::Millis;
+use crate::Millis;
 use std::fmt;
 use std::str::FromStr;
 
@@ -78,9 +78,23 @@
 }
 
 /// Reads a number of at most 32 bytes.
-pub(crate) fn decimal(text: &str) -> Result<f64, UpstreamSignalError> {
+pub fn decimal(text: &str) -> Result<f64, UpstreamSignalError> {
     if text.len() > MOST_TEXT_BYTES {
         return Err(UpstreamSignalError::NoNumber);
     }
     text.parse().map_err(|_| UpstreamSignalError::NoNumber)
 }
+
+/// The only one of a header's values, if there is one.
+pub fn only_value<'a>(
+    mut values: impl Iterator<Item = &'a [u8]>,
+) -> Result<Option<&'a str>, UpstreamSignalError> {
+    let Some(value) = values.next() else {
+        return Ok(None);
+    };
+    if values.next().is_some() {
+        return Err(UpstreamSignalError::Repeated);
+    }
+    let text = std::str::from_utf8(value).map_err(|_| UpstreamSignalError::UnknownValue)?;
+    Ok(Some(text.trim()))
+}
