--- a/crates/edge/src/figures.rs
+++ b/crates/edge/src/figures.rs
@@ -120,6 +120,7 @@
         }
         let limited = self.limit_status().len() as f64;
         line(&mut text, "upstreams_limited", "", limited);
+        self.write_upstreams(&mut text);
         self.write_quotas(&mut text);
         self.write_quarantine(&mut text);
         for (labels, count) in self.store_calls.by_label() {
@@ -134,6 +135,29 @@
 }
 
 impl Context {
+    /// How many upstreams of each service are in which state.
+    fn write_upstreams(&self, text: &mut String) {
+        let services = self.placement().status(self.clock.now());
+        for status in services.into_iter().take(MOST_SERVICES) {
+            let service = &status.service;
+            let states = [
+                ("usable", status.usable),
+                ("cold", status.cold),
+                ("held_off", status.held_off),
+                ("resting", status.resting),
+                ("left_out", status.left_out),
+                ("leaving", status.leaving),
+                ("evacuated", status.evacuated),
+                ("replaced", status.replaced),
+                ("kept", status.kept.len()),
+            ];
+            for (state, count) in states {
+                let labels = format!("service=\"{service}\",state=\"{state}\"");
+                line(text, "upstreams", &labels, count as f64);
+            }
+        }
+    }
+
     /// How many requests are suspected and shut out, by service.
     fn write_quarantine(&self, text: &mut String) {
         let mut counts: BTreeMap<(Service, &'static str), u64> = BTreeMap::new();
--- a/crates/edge/src/upstream_signals.rs
+++ b/crates/edge/src/upstream_signals.rs
@@ -137,6 +137,9 @@
             let told = format_args!("upstream={upstream} for_ms={for_ms}");
             emit(Event::UpstreamResting, told);
         }
+        if signals.unreadable.is_empty() || !self.placement().says_unreadable(choice) {
+            return;
+        }
         for Unreadable { signal, error } in &signals.unreadable {
             let told = format_args!("upstream={upstream} signal={signal}: {error}");
             emit(Event::SignalUnreadable, told);
--- a/crates/edge/tests/upstream_signals.rs
+++ b/crates/edge/tests/upstream_signals.rs
@@ -49,6 +49,9 @@
     fleet.press(UNDER_WAY).await;
     let rests_from = Instant::now();
     let answers = fleet.press(WATCHED).await;
+    let figures = fleet.boxes[0].context().figures_text();
+    let resting = "brasswinch_upstreams{service=\"desk\",state=\"resting\"} 1";
+    assert!(figures.contains(resting), "{figures}");
     assert_eq!(seen_from(&home, rests_from), 0);
     assert_eq!(served(&answers), answers.len(), "the others have room");
 }
--- a/crates/routing/src/placement/mod.rs
+++ b/crates/routing/src/placement/mod.rs
@@ -456,6 +456,12 @@
         !before.is_resting(now)
     }
 
+    /// The upstream says something that can't be read; gives whether that is news.
+    pub fn says_unreadable(&mut self, choice: &Choice) -> bool {
+        let before = self.change_said(choice, |said| said.is_unreadable = true);
+        !before.is_unreadable
+    }
+
     /// Changes what the upstream of `choice` has said; gives what that was before.
     fn change_said(&mut self, choice: &Choice, change: impl FnOnce(&mut Said)) -> Said {
         let life = choice.life();
--- a/crates/routing/src/placement/said.rs
+++ b/crates/routing/src/placement/said.rs
@@ -16,6 +16,8 @@
     pub(super) is_leaving: bool,
     /// It wants nothing from this box before then; `None` once it has answered a request since.
     pub(super) rests_until: Option<Millis>,
+    /// It has said something that can't be read.
+    pub(super) is_unreadable: bool,
 }
 
 impl Said {
--- a/crates/routing/tests/lives.rs
+++ b/crates/routing/tests/lives.rs
@@ -145,3 +145,15 @@
     test.write(4, life(5_000), 70);
     assert!(test.choose(80).is_some(), "its next life did not say so");
 }
+
+/// Each answer with something that can't be read was a log line of its own.
+#[test]
+fn what_can_t_be_read_of_an_upstream_is_news_with_each_answer() {
+    let mut test = Test::new(placement_in("west"));
+    let first = test.choose(20).unwrap();
+    assert!(test.placement.says_unreadable(&first));
+    assert!(!test.placement.says_unreadable(&first));
+    test.write(2, life(5_000), 40);
+    let next = test.choose(50).unwrap();
+    assert!(test.placement.says_unreadable(&next));
+}
