Page of what upstreams say of themselves; each signal needs an event, a figure and a test

The closed list of signals has a row each on docs/design/upstreams.md, and a test fails for a signal without an event, a figure or a test by name.

--- a/crates/edge/tests/upstream_signals.rs
+++ b/crates/edge/tests/upstream_signals.rs
@@ -5,7 +5,10 @@
 
 use brasswinch_lab::memory_store::StoreFault;
 use brasswinch_lab::routed_upstream::{Behaviour, Upstream};
+use brasswinch_observe::{Event, EventRow};
+use brasswinch_types::UpstreamSignal;
 use common::fleet::{BOXES, Fleet, PAUSE, served};
+use std::path::Path;
 use std::time::{Duration, Instant};
 
 /// How long requests go on where an upstream should get none.
@@ -118,3 +121,59 @@
         assert!((30.0..=90.0).contains(&retry_after), "{retry_after}");
     }
 }
+
+/// A signal's row on the page of what upstreams say.
+struct Row<'a> {
+    cells: Vec<&'a str>,
+}
+
+impl Row<'_> {
+    /// The last cells name an event, a figure and a test.
+    fn named(&self) -> [&str; 3] {
+        let [.., event, figure, test] = self.cells.as_slice() else {
+            panic!("{:?}", self.cells);
+        };
+        [event, figure, test].map(|cell| cell.trim_matches('`'))
+    }
+}
+
+fn row(signal: UpstreamSignal) -> Row<'static> {
+    let page = include_str!("../../../docs/design/upstreams.md");
+    let begins = format!("| `{signal}` |");
+    let mut lines = page.lines();
+    let line = lines.find(|line| line.starts_with(&begins));
+    let line = line.unwrap_or_else(|| panic!("no row of {signal}"));
+    Row {
+        cells: line.trim_matches('|').split('|').map(str::trim).collect(),
+    }
+}
+
+/// All source text below `folder`.
+fn sources(folder: &Path) -> String {
+    let mut text = String::new();
+    for entry in std::fs::read_dir(folder).unwrap() {
+        let path = entry.unwrap().path();
+        if path.is_dir() {
+            text += &sources(&path);
+        } else if path.extension().is_some_and(|extension| extension == "rs") {
+            text += &std::fs::read_to_string(&path).unwrap();
+        }
+    }
+    text
+}
+
+/// What an upstream said had no event, figure or test, so that nobody missed its effect.
+#[test]
+fn a_signal_has_no_event_figure_or_test() {
+    let crates = Path::new(env!("CARGO_MANIFEST_DIR")).join("..");
+    let text = sources(&crates);
+    for signal in UpstreamSignal::ALL {
+        let row = row(signal);
+        let [event, figure, test] = row.named();
+        let numbered = |row: &&EventRow| event.starts_with(&format!("BW{}", row.number));
+        assert!(Event::ALL.iter().any(|row| numbered(&row)), "{event}");
+        let figure = figure.trim_start_matches("brasswinch_");
+        assert!(text.contains(&format!("\"{figure}\"")), "{figure}");
+        assert!(text.contains(&format!("fn {test}(")), "{test}");
+    }
+}
--- a/crates/types/src/upstream_signal.rs
+++ b/crates/types/src/upstream_signal.rs
@@ -1,4 +1,4 @@
-//! What an upstream says of itself in its answers, besides its load and its limit.
+//! What an upstream says of itself in its answers.
 
 use crate::Millis;
 use std::fmt;
@@ -24,6 +24,11 @@
     Rest,
 }
 
+impl UpstreamSignal {
+    /// All of them.
+    pub const ALL: [Self; 4] = [Self::Load, Self::Limit, Self::Leaving, Self::Rest];
+}
+
 impl fmt::Display for UpstreamSignal {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
