--- a/crates/edge/tests/crashing_requests.rs
+++ b/crates/edge/tests/crashing_requests.rs
@@ -21,7 +21,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::runtime::Runtime;
-use tokio::task::JoinHandle;
+use tokio::task::{JoinHandle, JoinSet};
 
 const BOXES: usize = 3;
 
@@ -156,6 +156,30 @@
     );
 }
 
+/// A part of all clients sent one request that ends upstreams, all at the same time.
+#[tokio::test]
+async fn upstreams_end_one_after_another_under_a_request_of_many_clients() {
+    const CLIENTS: usize = 12;
+    let (service, _boxes, clients) = fleet().await;
+    let mut senders = JoinSet::new();
+    for sender in 0..CLIENTS {
+        let to = clients[sender % clients.len()];
+        senders.spawn(async move {
+            for _ in 0..20 {
+                let answer = call(to, request("GET", CRASHING, "")).await.unwrap();
+                assert!(matches!(answer.status, 502 | 503), "{}", answer.status);
+                tokio::time::sleep(COMES_AGAIN).await;
+            }
+        });
+    }
+    senders.join_all().await;
+    let crashes = service.crashes();
+    assert!(
+        (1..=KNOWN_BY + REACHED_LATER).contains(&crashes),
+        "{crashes} upstreams ended under one request"
+    );
+}
+
 #[tokio::test]
 async fn requests_about_the_same_object_are_served_beside_it() {
     let (service, _boxes, clients) = fleet().await;
