Quotas: boxes lend the keeper their parts, to one keeper at a time

Class: parts of one whole that are guessed by each holder.

Each of N boxes owns rate / N and lends it to one keeper at a time, for 0.8 s from the keeper's own stamp, which the loan tells back. The box counts the same time from when it had the stamp, which is later, and uses its part alone only after that. While a workspace is tight its bucket fills by what is lent, so parts of all keepers add up to one whoever takes whom for the keeper. Quotas so small that the slack bears two whole keepers need no loans. A workspace is tight while its bucket still holds what comes until loans have come. A question without an answer is asked once more, and counted once.

Each term taken out fails a test of quota_loans.rs, seen to fail.

Found: half cut off as all are killed passes the bound (4,481 of 2,409), since a box that starts in a cut takes its side for all. Known red, with the long test that now ends there. Of the tests, answered() has become two calls and the model asks twice; its checks are as they were.

--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -97,7 +97,7 @@
         Ok(Datagram::Advice(advice)) => context.hear_advice(advice, from),
         Ok(Datagram::Ending(ending)) => context.hear_ending(&ending),
         Ok(Datagram::QuotaCount(count)) => context.hear_quota_count(&count, from),
-        Ok(Datagram::QuotaWord(word)) => context.hear_quota_word(word),
+        Ok(Datagram::QuotaWord(word)) => context.hear_quota_word(word, from),
         Ok(Datagram::RunReport(report)) => context.hear_run_report(&report, from),
         Ok(Datagram::LimitQuestion(question)) => context.hear_limit_question(&question, from),
         Ok(Datagram::LimitWord(word)) => context.hear_limit_word(word),
--- a/crates/edge/src/quotas.rs
+++ b/crates/edge/src/quotas.rs
@@ -103,7 +103,7 @@
                     runs: 0,
                 }))
             }
-            // A question is asked once; its answer is none.
+            // The last question's answer is none.
             Admission::Ask(_) => Err(Failure::OverQuota {
                 workspace: workspace.name.clone(),
                 retry_after_ms: ANSWER_WAIT.as_millis() as Millis,
@@ -115,15 +115,30 @@
         }
     }
 
+    /// Asks a quota's keeper, and once more where its answer doesn't come.
     async fn ask_quota(&self, question: ToKeeper, limit: QuotaLimit) -> Admission {
-        let ToKeeper { address, count } = question;
-        let workspace = count.workspace.clone();
-        let waiting = self.quotas.waiters.wait(count.id);
-        self.send_datagram(&Datagram::QuotaCount(count), address);
+        match self.ask_quota_once(question, limit, false).await {
+            Admission::Ask(again) => self.ask_quota_once(again, limit, true).await,
+            decided => decided,
+        }
+    }
+
+    async fn ask_quota_once(
+        &self,
+        question: ToKeeper,
+        limit: QuotaLimit,
+        is_last: bool,
+    ) -> Admission {
+        let waiting = self.quotas.waiters.wait(question.count.id);
+        let datagram = Datagram::QuotaCount(question.count.clone());
+        self.send_datagram(&datagram, question.address);
         let word = waiting.within(ANSWER_WAIT).await;
         let now = self.clock.now();
         let mut quotas = self.quotas.quotas();
-        quotas.answered(&workspace, limit, word.as_ref(), rand::random(), now)
+        match word {
+            Some(word) => quotas.answered(&word, question.address, rand::random(), now),
+            None => quotas.unanswered(question, limit, is_last, now),
+        }
     }
 
     fn tell_keeper(&self, told: Option<ToKeeper>) {
@@ -146,7 +161,7 @@
             return;
         };
         let now = self.clock.now();
-        let word = self.quotas.quotas().hear_count(count, limit, now);
+        let word = self.quotas.quotas().hear_count(count, from, limit, now);
         // A correction needs no answer.
         if let Some(word) = word.filter(|_| count.id != 0) {
             self.send_datagram(&Datagram::QuotaWord(word), from);
@@ -155,13 +170,16 @@
     }
 
     /// Takes a keeper's word.
-    pub(crate) fn hear_quota_word(&self, word: QuotaWord) {
+    pub(crate) fn hear_quota_word(&self, word: QuotaWord, from: SocketAddr) {
         let Some(word) = self.quotas.waiters.answered(word.id, word) else {
             return;
         };
-        if self.quota_limit(&word.workspace).is_some() {
-            self.quotas.quotas().hear_word(&word);
-        }
+        let Some(limit) = self.quota_limit(&word.workspace) else {
+            return;
+        };
+        let now = self.clock.now();
+        let told = self.quotas.quotas().hear_word(&word, from, limit, now);
+        self.tell_keeper(told);
     }
 
     fn quota_limit(&self, workspace: &Workspace) -> Option<QuotaLimit> {
--- a/crates/observe/src/events.rs
+++ b/crates/observe/src/events.rs
@@ -79,7 +79,7 @@
     402 Warn UnitsTakenOver "This box took over units of a box that is gone." "None; check why the box went.";
     403 Info HoldBackEnded "Peers reported what they use of this box's load; the rest is free to use." "None.";
     404 Warn UnitsUnclaimed "This box could not claim units and serves on borrowed load." "Check the platform's store.";
-    410 Warn WorkspaceAtQuota "A workspace has used up its quota; boxes ask its keeper before they send." "None, unless the workspace should have more.";
+    410 Warn WorkspaceAtQuota "A workspace has nearly or wholly used up its quota; boxes ask its keeper before they send." "None, unless the workspace should have more.";
     500 Warn UpstreamFailed "An upstream could not be reached or broke off." "Check the upstream.";
     501 Info UpstreamLeaving "An upstream said that it is leaving." "None.";
     502 Info UpstreamRestarted "An upstream has started again under its name; nothing known of it before holds." "None, unless it repeats.";
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -51,7 +51,8 @@
     ShutOutStatus, Suspect, ToldRun, Verdict,
 };
 pub use quota::{
-    Admission, QuotaBounds, QuotaBox, QuotaCount, QuotaStatus, QuotaWord, Quotas, ToKeeper,
+    Admission, QuotaBounds, QuotaBox, QuotaCount, QuotaLoan, QuotaStatus, QuotaWord, Quotas,
+    ToKeeper,
 };
 pub use region_plan::{RegionPlan, RegionRoom};
 pub use rendezvous::{object_hash, weighted_score};
--- a/crates/routing/src/quota/keeper.rs
+++ b/crates/routing/src/quota/keeper.rs
@@ -1,11 +1,13 @@
 //! What the keeper of a workspace counts and answers.
 
+use super::loan::{HeldParts, LEASE_MS};
 use super::{QuotaBounds, QuotaCount, QuotaWord};
 use crate::refusals::Refusals;
 use crate::token_bucket::{Filling, TokenBucket};
 use crate::workspace::QuotaLimit;
 use brasswinch_types::{Millis, Workspace};
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
 
 /// Part of the overage that a new keeper's bucket holds: nobody knows what ran before.
 const START_PART: f64 = 0.1;
@@ -19,6 +21,16 @@
 /// burst: requests come in clumps.
 const CAPACITY_PART: f64 = 0.25;
 
+/// Until boxes have heard that a workspace is tight and their loans have come, in seconds: a way
+/// there and back of 60 ms, and a lost message now and then.
+const LENT_WITHIN_S: f64 = 0.2;
+
+/// Most of a bucket's capacity that is left for that.
+const TIGHT_PART: f64 = 0.25;
+
+/// Within which a question that got no answer comes again: two waits of 60 ms, and its way.
+const ASKED_AGAIN_MS: Millis = 200;
+
 /// Part of a bucket's capacity from which on a tight workspace is tight no more.
 const LOOSE_PART: f64 = 0.5;
 
@@ -38,8 +50,36 @@
     start: f64,
     is_mine: bool,
     is_tight: bool,
+    tight_since: Millis,
     told_all_at: Millis,
     refusals: Refusals,
+    held: HeldParts,
+    needs_loans: bool,
+    /// Requests that were granted lately: one that is asked for again takes nothing more.
+    granted: VecDeque<Granted>,
+}
+
+/// A request that was granted.
+#[derive(Clone, Copy, Debug)]
+struct Granted {
+    id: u64,
+    at: Millis,
+}
+
+/// Parts of a quota that a keeper may let run.
+#[derive(Clone, Copy, Debug)]
+struct Shares {
+    of_rate: f64,
+    of_capacity: f64,
+}
+
+impl Shares {
+    fn all(share: f64) -> Self {
+        Self {
+            of_rate: share,
+            of_capacity: share,
+        }
+    }
 }
 
 /// The counts that this box keeps for all.
@@ -93,18 +133,25 @@
         kept.is_mine.then(|| kept.bucket.level())
     }
 
-    /// Counts requests, and says whether one that asks may be sent.
+    /// Counts requests of the box at `from`, and says whether one that asks may be sent.
     pub(super) fn count(
         &mut self,
         count: &QuotaCount,
+        from: SocketAddr,
         limit: QuotaLimit,
         now: Millis,
     ) -> QuotaWord {
         let overage = self.bounds.overage(limit);
+        let needs_loans = self.bounds.needs_loans(limit);
+        let known = self.kept.get_mut(&count.workspace);
+        let shares = match known.filter(|_| needs_loans) {
+            Some(kept) => kept.shares(self.share, now),
+            None => Shares::all(self.share),
+        };
+        let capacity = (limit.burst * BURST_PART).max(overage * CAPACITY_PART);
         let filling = Filling {
-            rate_per_s: limit.rate_per_s * self.share,
-            capacity: ((limit.burst * BURST_PART).max(overage * CAPACITY_PART) * self.share)
-                .max(1.0),
+            rate_per_s: limit.rate_per_s * shares.of_rate,
+            capacity: (capacity * shares.of_capacity).max(1.0),
         };
         let start = (overage * START_PART * self.share).min(filling.capacity);
         let kept = self.kept.entry(count.workspace.clone());
@@ -113,17 +160,26 @@
             start,
             is_mine: true,
             is_tight: false,
+            tight_since: 0,
             told_all_at: 0,
             refusals: Refusals::default(),
+            held: HeldParts::default(),
+            granted: VecDeque::new(),
+            needs_loans,
         });
         kept.bucket.fill(filling, now);
+        kept.needs_loans = needs_loans;
+        if let Some(loan) = count.loan {
+            kept.held.take(from, loan, now);
+        }
         kept.refusals.count(f64::from(count.turned_away), now);
         let is_granted = kept.count(count, now);
         let was_tight = kept.is_tight;
         kept.review(filling);
         if kept.is_tight && !was_tight {
+            kept.tight_since = now;
             kept.told_all_at = now;
-            self.for_all.push(QuotaWord::tight(&count.workspace));
+            self.for_all.push(QuotaWord::tight(&count.workspace, now));
         }
         QuotaWord {
             id: count.id,
@@ -131,6 +187,7 @@
             is_granted,
             is_tight: kept.is_tight,
             retry_after_ms: kept.retry_after_ms(limit),
+            stamp: now,
         }
     }
 
@@ -143,16 +200,32 @@
     pub(super) fn tick(&mut self, now: Millis) {
         for (workspace, kept) in &mut self.kept {
             let is_due = now.saturating_sub(kept.told_all_at) >= TELL_AGAIN_MS;
-            let is_pressed = kept.refusals.is_recent(now);
+            // Its bucket fills by what boxes lend, and each word asks them for it.
+            let is_pressed = kept.needs_loans || kept.refusals.is_recent(now);
             if kept.is_tight && kept.is_mine && is_due && is_pressed {
                 kept.told_all_at = now;
-                self.for_all.push(QuotaWord::tight(workspace));
+                self.for_all.push(QuotaWord::tight(workspace, now));
             }
         }
     }
 }
 
 impl Kept {
+    /// The parts by which the bucket fills, where this box reaches `reached` of all boxes.
+    fn shares(&mut self, reached: f64, now: Millis) -> Shares {
+        let lent = self.held.sum(now);
+        if !self.is_tight {
+            // Boxes that send little lend nothing now.
+            return Shares::all(reached);
+        }
+        // What it held before is not lost while loans are on their way.
+        let is_asked_for = now.saturating_sub(self.tight_since) < LEASE_MS;
+        Shares {
+            of_rate: lent,
+            of_capacity: if is_asked_for { reached } else { lent },
+        }
+    }
+
     /// Counts; says whether a request that asks may be sent. One that doesn't ask is sent
     /// already.
     fn count(&mut self, count: &QuotaCount, now: Millis) -> bool {
@@ -160,16 +233,40 @@
             self.bucket.take(f64::from(count.runs.clamp(-1, 1)));
             return true;
         }
+        let is_old = |granted: &Granted| now.saturating_sub(granted.at) >= ASKED_AGAIN_MS;
+        while self.granted.front().is_some_and(is_old) {
+            self.granted.pop_front();
+        }
+        // The box's own requests have no number.
+        let is_known = |granted: &Granted| granted.id == count.id && count.id != 0;
+        if self.granted.iter().any(is_known) {
+            return true;
+        }
         let is_granted = self.bucket.try_take();
-        if !is_granted {
+        if is_granted {
+            self.granted.push_back(Granted {
+                id: count.id,
+                at: now,
+            });
+        } else {
             self.refusals.count(1.0, now);
         }
         is_granted
     }
 
+    /// The level below which the workspace is tight. Loans are asked for while the bucket still
+    /// holds what is sent until they come.
+    fn least(&self, filling: Filling) -> f64 {
+        if !self.needs_loans {
+            return 1.0;
+        }
+        let until_lent = filling.rate_per_s * LENT_WITHIN_S;
+        1.0 + until_lent.min(filling.capacity * TIGHT_PART)
+    }
+
     fn review(&mut self, filling: Filling) {
         let level = self.bucket.level();
-        if level < 1.0 {
+        if level < self.least(filling) {
             self.is_tight = true;
         } else if level >= filling.capacity * LOOSE_PART {
             self.is_tight = false;
--- a/crates/routing/src/quota/message.rs
+++ b/crates/routing/src/quota/message.rs
@@ -1,5 +1,6 @@
 //! What boxes and keepers of quotas say to each other.
 
+use super::loan::QuotaLoan;
 use brasswinch_types::{Millis, Workspace};
 use serde::{Deserialize, Serialize};
 
@@ -21,6 +22,9 @@
     /// Requests that the box refused without asking since it last told.
     #[serde(rename = "t")]
     pub turned_away: u32,
+    /// The box's part, where it lends it to this keeper.
+    #[serde(rename = "l", default)]
+    pub loan: Option<QuotaLoan>,
 }
 
 /// A keeper's word.
@@ -41,17 +45,21 @@
     /// When there is room for a request that was refused, in milliseconds.
     #[serde(rename = "r")]
     pub retry_after_ms: Millis,
+    /// The keeper's clock, for loans.
+    #[serde(rename = "s", default)]
+    pub stamp: Millis,
 }
 
 impl QuotaWord {
     /// Tells boxes that they have to ask before they send.
-    pub(super) fn tight(workspace: &Workspace) -> Self {
+    pub(super) fn tight(workspace: &Workspace, now: Millis) -> Self {
         Self {
             id: 0,
             workspace: workspace.clone(),
             is_granted: false,
             is_tight: true,
             retry_after_ms: 0,
+            stamp: now,
         }
     }
 }
--- a/crates/routing/src/quota/mod.rs
+++ b/crates/routing/src/quota/mod.rs
@@ -3,29 +3,28 @@
 //! One box counts a workspace's requests, its keeper, chosen by rendezvous among the boxes
 //! that serve. A box asks the present keeper until that says that it need not. From then on it
 //! tells the keeper of each request as it sends it, and nothing waits: far under its limit a
-//! workspace costs a message each way and no time. When the keeper's bucket runs empty it tells
+//! workspace costs a message each way and no time. Before the keeper's bucket runs empty it tells
 //! all boxes that the workspace is tight. They ask before they send again, and what the bucket
-//! does not hold is refused at once. A box that hears nothing from the keeper admits an even
-//! part by itself, which the keeper leaves it.
+//! does not hold is refused at once. A box that hears nothing from the keeper admits a part by
+//! itself.
 //!
-//! What runs in any span `W` over all boxes is at most
+//! Boxes lend the keeper their parts of a quota ([`loan`]); those of all keepers and of all boxes
+//! that are alone add up to one at most. While a workspace is tight its bucket fills by what is
+//! lent. What runs in any span `W` over all boxes is then at most
 //!
 //! ```text
-//! rate * W + burst                        the keeper's bucket
+//! rate * W                                all parts, whoever holds them
+//!   + BURST_PART * burst                  each bucket that was full before its workspace was tight
 //!   + START_PART * overage                a keeper that changed begins with that
-//!   + ALONE_BURST * N                     each box that starts, until it knows the others
+//!   + ALONE_BURST * N                     each box that is alone, or starts
 //!   + MOST_UNANSWERED * N                 requests sent before boxes heard that it is tight
-//!   + cut * (1 + ALONE_PART * rate / N * NOTICE)  boxes cut off before the keeper left them a part
 //! ```
 //!
-//! with `overage = (rate * W + burst) * more + slack` as the bound allows, `cut` the boxes that
-//! are out of the keeper's reach out of `N`, and `NOTICE` the time until the membership says so.
-//! From then on the keeper fills its bucket at `rate` times the part of the boxes that it
-//! reaches, and the others admit at most `ALONE_PART` of the rest.
-//!
-//! On the platform's days this has been seen broken: `docs/design/quotas.md` has the figures.
+//! with `overage = (rate * W + burst) * more + slack` as the bound allows. Quotas so small that the
+//! slack bears two whole keepers need no loans: boxes send too seldom to lend.
 
 mod keeper;
+mod loan;
 mod message;
 mod part;
 mod status;
@@ -35,6 +34,8 @@
 use crate::workspace::QuotaLimit;
 use brasswinch_types::{BoxId, Millis, Workspace};
 use keeper::QuotaKeeper;
+use loan::LEASE_MS;
+pub use loan::QuotaLoan;
 pub use message::{QuotaCount, QuotaWord};
 use part::QuotaPart;
 pub use status::QuotaStatus;
@@ -59,7 +60,17 @@
 impl QuotaBounds {
     /// Requests beyond `limit` that may run in a window.
     pub fn overage(&self, limit: QuotaLimit) -> f64 {
-        (limit.rate_per_s * self.window_s + limit.burst) * self.overage + self.slack
+        self.in_window(limit) * self.overage + self.slack
+    }
+
+    /// Requests under `limit` that may run in a window.
+    fn in_window(&self, limit: QuotaLimit) -> f64 {
+        limit.rate_per_s * self.window_s + limit.burst
+    }
+
+    /// Whether two boxes that both keep the whole quota would pass what is allowed.
+    fn needs_loans(&self, limit: QuotaLimit) -> bool {
+        self.in_window(limit) > self.overage(limit)
     }
 }
 
@@ -105,6 +116,9 @@
     /// When this box last learned, after its start, that there are more boxes.
     grew_at: Option<Millis>,
     is_settled: bool,
+    bounds: QuotaBounds,
+    /// What its former life lent has lapsed then.
+    lends_from: Option<Millis>,
     /// Keepers that were looked for since the boxes last changed.
     keepers: HashMap<Workspace, Option<QuotaBox>>,
     parts: HashMap<Workspace, QuotaPart>,
@@ -120,6 +134,8 @@
             known: 0,
             grew_at: None,
             is_settled: false,
+            bounds,
+            lends_from: None,
             keepers: HashMap::new(),
             parts: HashMap::new(),
             kept: QuotaKeeper::new(bounds),
@@ -129,6 +145,7 @@
     /// Takes the boxes that serve, this one included if it does, and how many are heard,
     /// whether they serve yet or not.
     pub fn set_boxes(&mut self, boxes: Vec<QuotaBox>, heard: usize, now: Millis) {
+        self.lends_from.get_or_insert(now + LEASE_MS);
         let heard = heard.max(boxes.len());
         if heard > self.known {
             self.grew_at = Some(now);
@@ -190,7 +207,7 @@
         let is_settled = self.is_settled(now);
         let keeper = self.keeper(workspace).cloned();
         let part = self.parts.entry(workspace.clone()).or_default();
-        part.set_keeper(keeper.as_ref().map(|keeper| &keeper.id));
+        part.set_keeper(keeper.as_ref().map(|keeper| keeper.address));
         if let Some(retry_after_ms) = part.closed_for(random, now) {
             return Admission::Refuse { retry_after_ms };
         }
@@ -203,8 +220,10 @@
             return part.unheard(even_rate, now);
         }
         if keeper.id == self.me {
-            return self.admit_kept(workspace, limit, random, now);
+            return self.admit_kept(workspace, keeper.address, limit, random, now);
         }
+        let loan = self.lend(workspace, keeper.address, limit, now);
+        let part = self.parts.entry(workspace.clone()).or_default();
         let to_keeper = ToKeeper {
             address: keeper.address,
             count: QuotaCount {
@@ -215,6 +234,7 @@
                 // 2,409 runs in a window where half of 75 boxes are cut off.
                 asks: part.has_to_ask(now) || !is_settled,
                 turned_away: part.take_turned_away(),
+                loan,
             },
         };
         if part.is_alone(now) {
@@ -228,10 +248,26 @@
         Admission::Send(Some(to_keeper))
     }
 
-    /// Admits where this box is the keeper.
+    /// This box's part of a quota, lent to the keeper at `to` where it may be.
+    fn lend(
+        &mut self,
+        workspace: &Workspace,
+        to: SocketAddr,
+        limit: QuotaLimit,
+        now: Millis,
+    ) -> Option<QuotaLoan> {
+        let may_lend = self.lends_from.is_some_and(|from| now >= from);
+        if !may_lend || !self.is_settled(now) || !self.bounds.needs_loans(limit) {
+            return None;
+        }
+        self.parts.get_mut(workspace)?.lend(to, self.known, now)
+    }
+
+    /// Admits where this box, at `address`, is the keeper.
     fn admit_kept(
         &mut self,
         workspace: &Workspace,
+        address: SocketAddr,
         limit: QuotaLimit,
         random: f64,
         now: Millis,
@@ -242,9 +278,11 @@
             runs: 1,
             asks: true,
             turned_away: 0,
+            loan: self.lend(workspace, address, limit, now),
         };
-        let word = self.kept.count(&count, limit, now);
+        let word = self.kept.count(&count, address, limit, now);
         let part = self.parts.entry(workspace.clone()).or_default();
+        part.hear(&word, address, now);
         if word.is_granted {
             part.sent();
             return Admission::Send(None);
@@ -255,22 +293,17 @@
         }
     }
 
-    /// Takes the answer to a question; `None` where none came in time. Says whether the
-    /// request may be sent, and if not, when to come back, in milliseconds.
+    /// Takes the answer of the keeper at `from` to a question. Says whether the request may be
+    /// sent, and if not, when to come back, in milliseconds.
     pub fn answered(
         &mut self,
-        workspace: &Workspace,
-        limit: QuotaLimit,
-        word: Option<&QuotaWord>,
+        word: &QuotaWord,
+        from: SocketAddr,
         random: f64,
         now: Millis,
     ) -> Admission {
-        let even_rate = limit.rate_per_s / self.known.max(1) as f64;
-        let part = self.parts.entry(workspace.clone()).or_default();
-        let Some(word) = word else {
-            return part.unheard(even_rate, now);
-        };
-        part.hear(word);
+        let part = self.parts.entry(word.workspace.clone()).or_default();
+        part.hear(word, from, now);
         if word.is_granted {
             part.sent();
             return Admission::Send(None);
@@ -282,22 +315,66 @@
         }
     }
 
-    /// Takes a keeper's word that nobody waits for.
-    pub fn hear_word(&mut self, word: &QuotaWord) {
+    /// A question got no answer in time. It is asked once more where the keeper may be using this
+    /// box's part; else the box goes by that.
+    pub fn unanswered(
+        &mut self,
+        question: ToKeeper,
+        limit: QuotaLimit,
+        is_last: bool,
+        now: Millis,
+    ) -> Admission {
+        let even_rate = limit.rate_per_s / self.known.max(1) as f64;
+        let workspace = question.count.workspace.clone();
+        let part = self.parts.entry(workspace).or_default();
+        if part.is_lent(now) && !is_last {
+            return Admission::Ask(question);
+        }
+        part.unheard(even_rate, now)
+    }
+
+    /// Takes a word of the box at `from` that nobody waits for. Gives the loan that it asks for: one
+    /// that tells all boxes that a workspace is tight wants their parts.
+    pub fn hear_word(
+        &mut self,
+        word: &QuotaWord,
+        from: SocketAddr,
+        limit: QuotaLimit,
+        now: Millis,
+    ) -> Option<ToKeeper> {
+        let keeper = self.keeper(&word.workspace)?.address;
         let part = self.parts.entry(word.workspace.clone()).or_default();
-        part.hear(word);
+        part.set_keeper(Some(keeper));
+        part.hear(word, from, now);
+        if word.id != 0 || keeper != from {
+            return None;
+        }
+        let loan = self.lend(&word.workspace, from, limit, now)?;
+        let count = QuotaCount {
+            id: 0,
+            workspace: word.workspace.clone(),
+            runs: 0,
+            asks: false,
+            turned_away: 0,
+            loan: Some(loan),
+        };
+        Some(ToKeeper {
+            address: from,
+            count,
+        })
     }
 
-    /// Counts what another box sends, or asks to send; `None` where this box doesn't know yet
+    /// Counts what the box at `from` sends, or asks to send; `None` where this box doesn't know yet
     /// whether it is the keeper.
     pub fn hear_count(
         &mut self,
         count: &QuotaCount,
+        from: SocketAddr,
         limit: QuotaLimit,
         now: Millis,
     ) -> Option<QuotaWord> {
         let is_settled = self.is_settled(now);
-        is_settled.then(|| self.kept.count(count, limit, now))
+        is_settled.then(|| self.kept.count(count, from, limit, now))
     }
 
     /// A request of `workspace` ran once more (`runs` 1), or did not run (`runs` -1). Returns
@@ -315,14 +392,15 @@
             runs,
             asks: false,
             turned_away: 0,
+            loan: None,
         };
         let me = self.me.clone();
         let keeper = self.keeper(workspace)?;
+        let address = keeper.address;
         if keeper.id == me {
-            self.kept.count(&count, limit, now);
+            self.kept.count(&count, address, limit, now);
             return None;
         }
-        let address = keeper.address;
         Some(ToKeeper { address, count })
     }
 
--- a/crates/routing/src/quota/part.rs
+++ b/crates/routing/src/quota/part.rs
@@ -1,10 +1,12 @@
 //! What a box knows of one workspace's quota that another box keeps.
 
+use super::loan::{Lending, QuotaLoan};
 use super::{Admission, QuotaWord, ToKeeper};
 use crate::refusals::spread;
 use crate::token_bucket::{Filling, TokenBucket};
-use brasswinch_types::{BoxId, Millis};
+use brasswinch_types::Millis;
 use std::collections::VecDeque;
+use std::net::SocketAddr;
 
 /// How long a box refuses by itself after the keeper refused: with as many boxes as there
 /// are, each asks three to five times a second, whatever comes.
@@ -46,7 +48,8 @@
     alone: Option<TokenBucket>,
     /// When a keeper that is out of reach was last asked whether it is back.
     tried_at: Millis,
-    keeper: Option<BoxId>,
+    keeper: Option<SocketAddr>,
+    lending: Lending,
     /// What the keeper last told refused clients, in milliseconds.
     retry_after_ms: Millis,
     turned_away: u32,
@@ -120,16 +123,31 @@
     }
 
     /// Takes which box is the keeper. A new one owes nothing.
-    pub(super) fn set_keeper(&mut self, keeper: Option<&BoxId>) {
-        if self.keeper.as_ref() != keeper {
-            self.keeper = keeper.cloned();
+    pub(super) fn set_keeper(&mut self, keeper: Option<SocketAddr>) {
+        if self.keeper != keeper {
+            self.keeper = keeper;
             self.unanswered_since = None;
             self.unanswered.clear();
             self.is_loose = false;
         }
     }
 
-    pub(super) fn hear(&mut self, word: &QuotaWord) {
+    /// The loan that goes with a message to the keeper.
+    pub(super) fn lend(&mut self, to: SocketAddr, boxes: usize, now: Millis) -> Option<QuotaLoan> {
+        self.lending.lend(to, boxes, now)
+    }
+
+    /// Whether a keeper may be using this box's part.
+    pub(super) fn is_lent(&self, now: Millis) -> bool {
+        self.lending.is_lent(now)
+    }
+
+    /// Takes a word of the box at `from`. Only the keeper's counts.
+    pub(super) fn hear(&mut self, word: &QuotaWord, from: SocketAddr, now: Millis) {
+        if self.keeper != Some(from) {
+            return;
+        }
+        self.lending.hear(from, word.stamp, now);
         self.unanswered_since = None;
         if word.id != 0 {
             self.unanswered.pop_front();
@@ -158,7 +176,7 @@
             asked.count.asks = true;
             return Admission::Ask(asked);
         }
-        self.refuse_alone(even_rate)
+        self.refuse_alone(even_rate, now)
     }
 
     /// Decides about a request whose question got no answer.
@@ -166,10 +184,13 @@
         if self.take_alone(even_rate, now) {
             return Admission::Send(None);
         }
-        self.refuse_alone(even_rate)
+        self.refuse_alone(even_rate, now)
     }
 
     fn take_alone(&mut self, even_rate: f64, now: Millis) -> bool {
+        if self.lending.is_lent(now) {
+            return false;
+        }
         let filling = Filling {
             rate_per_s: even_rate * ALONE_PART,
             capacity: ALONE_BURST,
@@ -185,11 +206,12 @@
         is_taken
     }
 
-    fn refuse_alone(&mut self, even_rate: f64) -> Admission {
+    fn refuse_alone(&mut self, even_rate: f64, now: Millis) -> Admission {
         self.refused += 1;
         let seconds = 1.0 / (even_rate * ALONE_PART).max(f64::MIN_POSITIVE);
+        let lent_for_ms = self.lending.lent_until().saturating_sub(now);
         Admission::Refuse {
-            retry_after_ms: (seconds * 1_000.0).min(LONGEST_ALONE_MS) as Millis,
+            retry_after_ms: lent_for_ms.max((seconds * 1_000.0).min(LONGEST_ALONE_MS) as Millis),
         }
     }
 }
--- a/crates/routing/tests/quotas.rs
+++ b/crates/routing/tests/quotas.rs
@@ -96,6 +96,18 @@
     Freeze,
     /// They are cut off from the others; clients still reach them.
     Cut,
+    /// They are cut off as all boxes are killed.
+    CutAndKillAll,
+}
+
+impl Fault {
+    fn cuts(self) -> bool {
+        matches!(self, Self::Cut | Self::CutAndKillAll)
+    }
+
+    fn kills(self) -> bool {
+        matches!(self, Self::Kill | Self::KillAll | Self::CutAndKillAll)
+    }
 }
 
 enum Message {
@@ -103,14 +115,23 @@
     Word(QuotaWord),
 }
 
+/// A question that waits for its answer.
+struct Asked {
+    question: ToKeeper,
+    /// When it is given up.
+    until: u64,
+    /// Whether it is not asked again.
+    is_last: bool,
+}
+
 struct ModelBox {
     quotas: Quotas,
     /// Dead or frozen until then.
     out_until: u64,
     /// What it believes of each other box, and from when on that changes.
     believes: Vec<(bool, u64, bool)>,
-    /// Questions that wait: number and when they are given up.
-    asked: VecDeque<(u64, u64)>,
+    /// Questions that wait.
+    asked: VecDeque<Asked>,
     serves_from: u64,
 }
 
@@ -162,7 +183,7 @@
         let strikes_at = self.random.random_range(8_000..12_000);
         let lasts = self.random.random_range(1_500..8_000);
         let struck = match fault {
-            Fault::KillAll => self.fleet.boxes,
+            Fault::KillAll | Fault::CutAndKillAll => self.fleet.boxes,
             _ => self.fleet.struck,
         };
         while self.now < END_MS {
@@ -170,7 +191,7 @@
             if self.now / STEP_MS == strikes_at / STEP_MS {
                 self.strike(fault, struck, lasts);
             }
-            if self.now / STEP_MS == (strikes_at + lasts) / STEP_MS && fault == Fault::Cut {
+            if self.now / STEP_MS == (strikes_at + lasts) / STEP_MS && fault.cuts() {
                 self.cut.fill(false);
             }
             self.learn_members();
@@ -188,21 +209,26 @@
 
     fn strike(&mut self, fault: Fault, struck: usize, lasts: u64) {
         for index in 0..struck {
-            match fault {
-                Fault::None => {}
-                Fault::Cut => self.cut[index] = true,
-                Fault::Freeze => self.boxes[index].out_until = self.now + lasts.min(2_500),
-                Fault::Kill | Fault::KillAll => {
-                    let down = self.random.random_range(100..900);
-                    let starts = self.now + down;
-                    let mut started = ModelBox::new(self.fleet, index, starts, &mut self.random);
-                    started.out_until = starts;
-                    self.boxes[index] = started;
-                }
+            if fault == Fault::Freeze {
+                self.boxes[index].out_until = self.now + lasts.min(2_500);
+            }
+            if fault.cuts() && index < self.fleet.struck {
+                self.cut[index] = true;
+            }
+            if fault.kills() {
+                self.kill(index);
             }
         }
     }
 
+    /// The box ends, and starts again a moment later.
+    fn kill(&mut self, index: usize) {
+        let starts = self.now + self.random.random_range(100..900);
+        let mut started = ModelBox::new(self.fleet, index, starts, &mut self.random);
+        started.out_until = starts;
+        self.boxes[index] = started;
+    }
+
     /// Boxes learn with delay which others can be reached.
     fn learn_members(&mut self) {
         for index in 0..self.fleet.boxes {
@@ -256,29 +282,37 @@
             }
             match message {
                 Message::Count(count) => {
-                    let word = self.boxes[to].quotas.hear_count(&count, self.limit, now);
+                    let word =
+                        self.boxes[to]
+                            .quotas
+                            .hear_count(&count, address(from), self.limit, now);
                     if let Some(word) = word {
                         self.send(to, from, Message::Word(word));
                     }
                 }
-                Message::Word(word) => self.hear(to, &word),
+                Message::Word(word) => self.hear(to, from, &word),
             }
         }
     }
 
-    fn hear(&mut self, index: usize, word: &QuotaWord) {
+    fn hear(&mut self, index: usize, from: usize, word: &QuotaWord) {
         let held = &mut self.boxes[index];
-        let asked = held.asked.iter().position(|(id, _)| *id == word.id);
+        let asked = held
+            .asked
+            .iter()
+            .position(|asked| asked.question.count.id == word.id);
         match asked {
             Some(place) => {
                 held.asked.remove(place);
                 let random = self.random.random();
-                let decided =
-                    held.quotas
-                        .answered(&workspace(), self.limit, Some(word), random, self.now);
-                self.end(index, decided);
+                let decided = held.quotas.answered(word, address(from), random, self.now);
+                self.end(index, decided, false);
+            }
+            None => {
+                let quotas = &mut held.quotas;
+                let told = quotas.hear_word(word, address(from), self.limit, self.now);
+                self.tell(index, told);
             }
-            None => held.quotas.hear_word(word),
         }
     }
 
@@ -287,15 +321,18 @@
             if !self.is_up(index) {
                 continue;
             }
-            while let Some((_, until)) = self.boxes[index].asked.front().copied() {
-                if until > self.now {
+            loop {
+                let held = &mut self.boxes[index];
+                let is_over = |asked: &Asked| asked.until <= self.now;
+                if !held.asked.front().is_some_and(is_over) {
                     break;
                 }
-                self.boxes[index].asked.pop_front();
-                let random = self.random.random();
-                let quotas = &mut self.boxes[index].quotas;
-                let decided = quotas.answered(&workspace(), self.limit, None, random, self.now);
-                self.end(index, decided);
+                let asked = held.asked.pop_front().unwrap();
+                let (limit, is_last) = (self.limit, asked.is_last);
+                let decided = held
+                    .quotas
+                    .unanswered(asked.question, limit, is_last, self.now);
+                self.end(index, decided, true);
             }
         }
     }
@@ -325,10 +362,10 @@
         let decided = held
             .quotas
             .admit(&workspace(), self.limit, id, random, self.now);
-        self.end(index, decided);
+        self.end(index, decided, false);
     }
 
-    fn end(&mut self, index: usize, decided: Admission) {
+    fn end(&mut self, index: usize, decided: Admission, is_last: bool) {
         match decided {
             Admission::Send(told) => {
                 self.runs.push(self.now);
@@ -337,7 +374,11 @@
             Admission::Ask(question) => {
                 let held = &mut self.boxes[index];
                 let until = self.now + ANSWER_WAIT_MS;
-                held.asked.push_back((question.count.id, until));
+                held.asked.push_back(Asked {
+                    question: question.clone(),
+                    until,
+                    is_last,
+                });
                 self.tell(index, Some(question));
             }
             Admission::Refuse { retry_after_ms } => {
@@ -486,46 +527,50 @@
     assert!(served > 0.9, "{served}");
 }
 
-/// Half of 75 boxes are cut off, each from all others, while a workspace asks for twenty times
-/// its usual requests.
-///
-/// Each of them saw the others go one by one, and with them one keeper after the other. A new
-/// keeper owed no answer yet, and the last word that the workspace was tight was believed for
-/// 1.5 s only: for 150 ms after each change a box sent whatever came. `told` by cut boxes: 98, then
-/// 336 in two spans of 500 ms, beside 141 and 105 that the keeper granted.
+/// Boxes that were cut off sent whatever came for 150 ms after each change of their keeper.
 #[test]
 fn the_quota_holds_while_half_of_a_large_fleet_is_cut_off() {
-    assert_kept_where_half_are_cut_off(1);
+    assert_kept_on_a_large_fleet(Fault::Cut, 20.0, 1);
 }
 
-/// The same, where boxes that ask a new keeper first are not enough: the worst window still has
-/// 2,506 runs. Which term it is isn't known.
+/// Several boxes kept the quota at once, and each filled its bucket by all that it knew.
 #[test]
 fn the_quota_holds_while_half_are_cut_off_and_more_than_a_new_keeper_is_wrong() {
-    assert_kept_where_half_are_cut_off(23);
+    assert_kept_on_a_large_fleet(Fault::Cut, 20.0, 23);
+}
+
+#[test]
+fn the_quota_holds_while_half_are_cut_off_as_all_are_killed() {
+    for seed in 0..2 {
+        assert_kept_on_a_large_fleet(Fault::CutAndKillAll, 6.0, seed);
+    }
 }
 
-fn assert_kept_where_half_are_cut_off(seed: u64) {
+fn assert_kept_on_a_large_fleet(fault: Fault, pressure: f64, seed: u64) {
     let mut model = Model::of(LARGE_FLEET, LARGE, seed);
-    model.play(Fault::Cut, 20.0);
+    model.play(fault, pressure);
     let (most, allowed) = (model.most_in_window() as f64, allowed(LARGE));
-    assert!(most <= allowed, "seed {seed}: {most} of {allowed}");
+    assert!(
+        most <= allowed,
+        "{fault:?} x{pressure} seed {seed}: {most} of {allowed}"
+    );
 }
 
 /// Many seeds of all faults on the large fleet: by hand, in a release build.
 #[test]
 #[ignore = "takes minutes; cargo test --release -p brasswinch-routing --test quotas -- --ignored"]
 fn the_quota_holds_on_a_large_fleet_whatever_fails() {
-    for fault in [Fault::Cut, Fault::Kill, Fault::KillAll, Fault::Freeze] {
+    let faults = [
+        Fault::Cut,
+        Fault::Kill,
+        Fault::KillAll,
+        Fault::Freeze,
+        Fault::CutAndKillAll,
+    ];
+    for fault in faults {
         for pressure in [2.0, 6.0, 20.0] {
             for seed in 0..40 {
-                let mut model = Model::of(LARGE_FLEET, LARGE, seed);
-                model.play(fault, pressure);
-                let (most, allowed) = (model.most_in_window() as f64, allowed(LARGE));
-                assert!(
-                    most <= allowed,
-                    "{fault:?} x{pressure} seed {seed}: {most} of {allowed}"
-                );
+                assert_kept_on_a_large_fleet(fault, pressure, seed);
             }
         }
     }
