--- a/crates/routing/src/placement/mod.rs
+++ b/crates/routing/src/placement/mod.rs
@@ -34,11 +34,11 @@
 use crate::{FleetState, SteeringConfig};
 pub use advice::{Advice, Ending, Question};
 pub use basis::{AdvisedHome, Basis, Home, HomeState};
-use brasswinch_types::{BoxId, Millis, Region, Service, UpstreamId, UpstreamRest, Zone};
+use brasswinch_types::{BoxId, Millis, Region, Service, UpstreamId, Zone};
 use entry::Entry;
 use keeping::Keepers;
 use lost_entries::Losses;
-use said::{Said, SaidByUpstreams};
+use said::SaidByUpstreams;
 use serde::{Deserialize, Serialize};
 use service_upstreams::ServiceUpstreams;
 pub use status::{KeptUpstream, ServiceStatus};
@@ -417,7 +417,7 @@
         }
         entry.load.ended();
         if has_rested {
-            self.change_said(choice, |said| said.rests_until = None);
+            self.serves_again(choice);
         }
     }
 
@@ -437,46 +437,6 @@
         }
     }
 
-    /// The upstream says in an answer that it takes nothing new; gives whether that is news.
-    pub fn leaves(&mut self, choice: &Choice) -> bool {
-        let before = self.change_said(choice, |said| said.is_leaving = true);
-        !before.is_leaving
-    }
-
-    /// The upstream refused a request and wants nothing from this box for a time; gives whether it
-    /// did not rest yet.
-    pub fn rests(&mut self, choice: &Choice, rest: UpstreamRest, now: Millis) -> bool {
-        if rest.ms() == 0 {
-            return false;
-        }
-        let until = Some(now + rest.ms());
-        let before = self.change_said(choice, |said| {
-            said.rests_until = said.rests_until.max(until);
-        });
-        !before.is_resting(now)
-    }
-
-    /// The upstream says something that can't be read; gives whether that is news.
-    pub fn says_unreadable(&mut self, choice: &Choice) -> bool {
-        let before = self.change_said(choice, |said| said.is_unreadable = true);
-        !before.is_unreadable
-    }
-
-    /// Changes what the upstream of `choice` has said; gives what that was before.
-    fn change_said(&mut self, choice: &Choice, change: impl FnOnce(&mut Said)) -> Said {
-        let life = choice.life();
-        let before = self.said.of(&life);
-        let mut said = before;
-        change(&mut said);
-        if said != before {
-            self.said.keep(life, said);
-            if let Some(entry) = self.held(choice) {
-                entry.said = said;
-            }
-        }
-        before
-    }
-
     /// Whether a request may still be sent to the upstream that it was given to.
     pub fn may_send(&mut self, choice: &Choice, now: Millis) -> bool {
         let held = self.held(choice);
--- a/crates/routing/src/placement/said.rs
+++ b/crates/routing/src/placement/said.rs
@@ -1,8 +1,9 @@
 //! What upstreams said of themselves in answers. It holds for as long as an upstream lives,
 //! also where its entry is lost meanwhile and comes back.
 
+use super::{Choice, Placement};
 use crate::upstream::UpstreamLife;
-use brasswinch_types::Millis;
+use brasswinch_types::{Millis, UpstreamRest};
 use std::collections::{HashMap, VecDeque};
 
 /// Most upstreams whose words are kept; the oldest are forgotten first. Of 100 bytes each they
@@ -59,3 +60,50 @@
         }
     }
 }
+
+impl Placement {
+    /// The upstream says in an answer that it takes nothing new; gives whether that is news.
+    pub fn leaves(&mut self, choice: &Choice) -> bool {
+        let before = self.change_said(choice, |said| said.is_leaving = true);
+        !before.is_leaving
+    }
+
+    /// The upstream refused a request and wants nothing from this box for a time; gives whether it
+    /// did not rest yet.
+    pub fn rests(&mut self, choice: &Choice, rest: UpstreamRest, now: Millis) -> bool {
+        if rest.ms() == 0 {
+            return false;
+        }
+        let until = Some(now + rest.ms());
+        let before = self.change_said(choice, |said| {
+            said.rests_until = said.rests_until.max(until);
+        });
+        !before.is_resting(now)
+    }
+
+    /// The upstream says something that can't be read; gives whether that is news.
+    pub fn says_unreadable(&mut self, choice: &Choice) -> bool {
+        let before = self.change_said(choice, |said| said.is_unreadable = true);
+        !before.is_unreadable
+    }
+
+    /// The upstream has answered a request since its rest.
+    pub(super) fn serves_again(&mut self, choice: &Choice) {
+        self.change_said(choice, |said| said.rests_until = None);
+    }
+
+    /// Changes what the upstream of `choice` has said; gives what that was before.
+    fn change_said(&mut self, choice: &Choice, change: impl FnOnce(&mut Said)) -> Said {
+        let life = choice.life();
+        let before = self.said.of(&life);
+        let mut said = before;
+        change(&mut said);
+        if said != before {
+            self.said.keep(life, said);
+            if let Some(entry) = self.held(choice) {
+                entry.said = said;
+            }
+        }
+        before
+    }
+}
