--- a/crates/edge/tests/upstream_signals.rs
+++ b/crates/edge/tests/upstream_signals.rs
@@ -122,6 +122,24 @@
     }
 }
 
+/// An upstream turned cold while the store was silent; its health answers told it, and nobody asked.
+#[tokio::test]
+async fn an_upstream_that_turns_cold_while_the_store_is_silent_is_pressed() {
+    /// Of 9 requests a second, half as many again, and five.
+    const MOST_PER_S: usize = 18;
+    let fleet = Fleet::start(BOXES).await;
+    let home = fleet.home().await;
+    for store in &fleet.stores {
+        store.set_fault(StoreFault::Silent);
+    }
+    home.turn_cold(30);
+    fleet.press(UNDER_WAY * 2).await;
+    let from = Instant::now();
+    fleet.press(Duration::from_secs(1)).await;
+    let seen = seen_from(&home, from);
+    assert!(seen <= MOST_PER_S, "{seen} requests in a second");
+}
+
 /// A signal's row on the page of what upstreams say.
 struct Row<'a> {
     cells: Vec<&'a str>,
--- a/crates/lab/src/routed_upstream.rs
+++ b/crates/lab/src/routed_upstream.rs
@@ -12,6 +12,9 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
+/// Where it tells of its health.
+const HEALTH_PATH: &str = "/health";
+
 /// What the upstream does with a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Behaviour {
@@ -82,6 +85,8 @@
     leaving: Vec<String>,
     /// The values of `Retry-After` in each refusal.
     rests: Vec<String>,
+    /// How long it stays cold, in seconds, as it tells whoever asks for its health.
+    cold_s: Option<u32>,
     seen: Vec<Seen>,
     connections: usize,
     closed_early: usize,
@@ -186,6 +191,11 @@
         self.lock().rests = owned(rests);
     }
 
+    /// Is cold from now on, and tells so for `cold_s` seconds where its health is asked for.
+    pub fn turn_cold(&self, cold_s: u32) {
+        self.lock().cold_s = Some(cold_s);
+    }
+
     /// The requests that reached it.
     pub fn seen(&self) -> Vec<Seen> {
         self.lock().seen.clone()
@@ -244,6 +254,10 @@
         head: &str,
         behaviour: &Behaviour,
     ) -> std::io::Result<bool> {
+        if head.starts_with(&format!("GET {HEALTH_PATH} ")) {
+            stream.write_all(&self.health()).await?;
+            return Ok(true);
+        }
         let id = header(head, self.dialect.request_id.as_str()).unwrap_or_default();
         if *behaviour == Behaviour::AnswerEarly {
             stream.write_all(&self.answer(200, &id, true)).await?;
@@ -364,6 +378,12 @@
         limits + lines(&self.dialect.leaving, &state.leaving).as_str()
     }
 
+    fn health(&self) -> Vec<u8> {
+        let cold_s = self.lock().cold_s.unwrap_or(0);
+        format!("HTTP/1.1 200 Well\r\nbrasswinch-cold-s: {cold_s}\r\ncontent-length: 0\r\n\r\n")
+            .into_bytes()
+    }
+
     fn refusal(&self, status: u16, id: &str) -> Vec<u8> {
         let (request_id, not_run) = (&self.dialect.request_id, &self.dialect.not_run);
         let own_words = self.own_words();
