A zone that starts in a cut no longer takes itself for the whole fleet

Others' requests waited behind them.

Cause: a box took the boxes that it had ever heard for the fleet. One that starts in a cut hears its own zone, and its keeper held that zone's parts as if they were the whole quota.

From 18.7 s to 20.6 s four keepers told boxes at the same time that the workspace was tight, one for each group that had met: one each in the three zones that were cut off, one in the rest. Before the heal one keeper let 248 a second through at most, after it 184, 418 and 365 a second came from the formerly cut zones beside it.

Change: routing::fleet_size is the one count of the boxes that share a rate. It is told: by a record in the store, which outlives all boxes, and by boxes that are heard, each of which tells only what it heard or read itself. A box that starts waits up to 1.5 s for it before it serves; one that wasn't told, or that hears nobody and wasn't told, owns no part of a quota and asks. Quotas, the budgets of repeats and the pauses between calls to the store go by it; Placement::most_boxes is gone. BW227, BW228, brasswinch_fleet_boxes and status show it.

Why it works: parts are 1/N of the same N on both sides of a cut, so those of all keepers add up to one, whoever hears whom.

Tried: a model in which boxes are told by a changed harness of quotas.rs; taken out, since a box that hears nobody need not be told to own nothing. Counting zones of the settings that aren't heard: not built, a zone without boxes would take its part for good.

--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -6,6 +6,7 @@
 use crate::connections::ConnectionPool;
 use crate::dialect::Dialect;
 use crate::figures::Figures;
+use crate::fleet_size::KnownFleetSize;
 use crate::quarantine::QuarantineTasks;
 use crate::quotas::QuotaTasks;
 use crate::settings::EdgeSettings;
@@ -121,6 +122,8 @@
     pub(crate) quotas: QuotaTasks,
     /// Limits that upstreams name.
     pub(crate) upstream_limits: UpstreamLimitTasks,
+    /// How many boxes the fleet has.
+    pub(crate) fleet_size: KnownFleetSize,
     /// Requests that end upstreams.
     pub(crate) quarantine: QuarantineTasks,
     /// This box has something new to tell.
@@ -172,6 +175,7 @@
             watching: Watching::new(&settings, &swim),
             asking: Asking::new(socket),
             quotas: QuotaTasks::new(settings.id.clone(), settings.bounds.quota),
+            fleet_size: KnownFleetSize::default(),
             quarantine: QuarantineTasks::new(settings.id.clone()),
             upstream_limits: UpstreamLimitTasks::new(settings.id.clone(), settings.zones.clone()),
             telling: Telling::default(),
@@ -312,6 +316,7 @@
 
     /// Tells placement which boxes serve and what their callers ask for.
     pub(crate) fn publish_members(&self) {
+        self.publish_fleet_size();
         let swim = self.swim();
         let mut demand = DemandSample::default();
         let mut ids = Vec::new();
@@ -340,7 +345,7 @@
 
     /// Most boxes that may be spending shared budgets with this one.
     pub(crate) fn sharing_boxes(&self) -> usize {
-        let known = self.placement().most_boxes();
+        let known = self.fleet_size.boxes();
         known.max(self.settings.zones.len() * LEAST_BOXES_PER_ZONE)
     }
 
--- a/crates/edge/src/figures.rs
+++ b/crates/edge/src/figures.rs
@@ -105,6 +105,7 @@
         let alive = swim.members().filter(|m| m.liveness == Liveness::Alive);
         line(&mut text, "members_alive", "", alive.count() as f64);
         drop(swim);
+        line(&mut text, "fleet_boxes", "", self.fleet_size.boxes() as f64);
         for (scope, name) in [
             (Scope::Operator, "operator"),
             (Scope::Upstreams, "upstreams"),
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -20,6 +20,7 @@
 mod exchange;
 mod failure;
 mod figures;
+mod fleet_size;
 mod follow;
 mod gossip;
 mod look_up;
@@ -52,5 +53,6 @@
 pub use start::{EdgeError, EdgeHandle, start};
 pub use status::{BoxStatus, RepeatsLeft, ViewStatus};
 pub use store::{
-    Begun, BoxRegistry, FleetStore, LeaseId, QuarantineStore, Registration, StoreFailure, Watched,
+    Begun, BoxRegistry, FleetSizeStore, FleetStore, LeaseId, QuarantineStore, Registration,
+    StoreFailure, Watched,
 };
--- a/crates/edge/src/quotas.rs
+++ b/crates/edge/src/quotas.rs
@@ -216,14 +216,16 @@
         self.tell_tight();
     }
 
-    /// Takes the boxes that serve.
+    /// Takes the boxes that serve, and how many there are.
     pub(crate) fn set_quota_boxes(&self) {
         let swim = self.swim();
         let boxes = swim.serving_boxes().map(quota_box).collect();
         let count = swim.heard_boxes().count();
         drop(swim);
         let now = self.clock.now();
-        self.quotas.quotas().set_boxes(boxes, count, now);
+        let mut quotas = self.quotas.quotas();
+        quotas.set_fleet_size(self.known_fleet_size());
+        quotas.set_boxes(boxes, count, now);
     }
 
     /// Forgets the quotas that `config` no longer has.
--- a/crates/edge/src/start.rs
+++ b/crates/edge/src/start.rs
@@ -3,10 +3,14 @@
 use crate::context::{Context, Lifecycle, SCOPES};
 use crate::dialect::Dialect;
 use crate::settings::{EdgeAddresses, EdgeSettings};
-use crate::store::{BoxRegistry, FleetStore, QuarantineStore};
-use crate::{catch_up, follow, gossip, quarantine_store, refresh, registry, relay, server};
+use crate::store::{BoxRegistry, FleetSizeStore, FleetStore, QuarantineStore};
+use crate::{
+    catch_up, fleet_size, follow, gossip, quarantine_store, refresh, registry, relay, server,
+};
 use brasswinch_observe::{Event, emit};
-use brasswinch_routing::{MemberRecord, MemberState, Revision, Scope, Swim, SwimSettings};
+use brasswinch_routing::{
+    KnownSize, MemberRecord, MemberState, Revision, Scope, Swim, SwimSettings,
+};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -55,7 +59,7 @@
 }
 
 /// Starts a box on the current runtime.
-pub async fn start<S: FleetStore + BoxRegistry + QuarantineStore>(
+pub async fn start<S: FleetStore + BoxRegistry + QuarantineStore + FleetSizeStore>(
     settings: EdgeSettings,
     dialect: Dialect,
     store: S,
@@ -97,6 +101,7 @@
         Arc::clone(&context),
         Arc::clone(&store),
     ));
+    tokio::spawn(fleet_size::keep(Arc::clone(&context), Arc::clone(&store)));
     tokio::spawn(registry::find_strangers(Arc::clone(&context), store));
     tokio::spawn(gossip::take_part(Arc::clone(&context), Arc::clone(&socket)));
     tokio::spawn(relay::serve(Arc::clone(&context), relay_listener));
@@ -156,6 +161,7 @@
         upstream_revision: Revision::default(),
         reaches_store: true,
         link_mbps: settings.link_mbps,
+        fleet_size: 0,
     }
 }
 
@@ -205,15 +211,25 @@
     UdpSocket::from_std(socket)
 }
 
-/// Serves as soon as configuration and upstreams are known and other boxes were met.
+/// Longest time that a box which knows all else waits to be told how many boxes there are.
+const TOLD_FLEET_SIZE: Duration = Duration::from_millis(1_500);
+
+/// Serves as soon as configuration, upstreams and the fleet's size are known and other boxes were
+/// met.
 async fn serve_when_known(context: Arc<Context>) {
     let began = Instant::now();
+    let mut known_at = None;
     loop {
         let is_known =
             context.in_force.load().is_some() && context.fleet().newest(Scope::Upstreams).is_some();
         let has_met = context.swim().members().next().is_some();
         if is_known && (has_met || began.elapsed() >= MEET_OTHERS) {
-            break;
+            let known_at = known_at.get_or_insert_with(Instant::now);
+            if context.known_fleet_size() != KnownSize::Awaited
+                || known_at.elapsed() >= TOLD_FLEET_SIZE
+            {
+                break;
+            }
         }
         sleep(STAGE_POLL).await;
     }
--- a/crates/edge/src/status.rs
+++ b/crates/edge/src/status.rs
@@ -39,6 +39,8 @@
     pub limits: Vec<LimitStatus>,
     /// Requests under which upstreams ended, suspected or shut out.
     pub quarantine: Vec<ShutOutStatus>,
+    /// Boxes that share what the whole fleet may do, this one included.
+    pub fleet_size: usize,
     /// Other boxes that are heard.
     pub boxes_heard: usize,
     /// Other boxes that are not, and were within the last minute.
@@ -95,6 +97,7 @@
             quotas: self.quota_status(),
             limits: self.limit_status(),
             quarantine: self.quarantine_status(),
+            fleet_size: self.fleet_size.boxes(),
             boxes_heard,
             boxes_silent,
         }
@@ -150,7 +153,8 @@
         self.quarantine
             .iter()
             .try_for_each(|held| writeln!(f, "request {held}"))?;
-        writeln!(f, "boxes heard: {}", self.boxes_heard)?;
+        let (size, heard) = (self.fleet_size, self.boxes_heard);
+        writeln!(f, "boxes: {size} share limits; others heard: {heard}")?;
         for silent in &self.boxes_silent {
             writeln!(f, "box silent: {silent}")?;
         }
--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -92,6 +92,16 @@
     fn confirmed(&self) -> impl Future<Output = Result<Vec<RunReport>, StoreFailure>> + Send;
 }
 
+/// How many boxes the fleet has, so that boxes which start know it where all others are gone or
+/// out of reach.
+pub trait FleetSizeStore: Send + Sync + 'static {
+    /// The size that was last written; `None` before the first.
+    fn fleet_size(&self) -> impl Future<Output = Result<Option<u32>, StoreFailure>> + Send;
+
+    /// Writes the size. It stays until another one is written.
+    fn set_fleet_size(&self, boxes: u32) -> impl Future<Output = Result<(), StoreFailure>> + Send;
+}
+
 /// The store's list of boxes. A registration goes when its lease does.
 pub trait BoxRegistry: Send + Sync + 'static {
     /// Lists the box under a new lease that runs for `ttl` unless it is renewed.
--- a/crates/edge/src/store_calls.rs
+++ b/crates/edge/src/store_calls.rs
@@ -22,6 +22,10 @@
     Confirm,
     /// The requests that are.
     Confirmed,
+    /// How many boxes there are.
+    FleetSize,
+    /// That there are so many.
+    SetFleetSize,
 }
 
 /// Why a call is made.
@@ -37,6 +41,8 @@
     Meet,
     /// So that what is shut out stays so.
     Quarantine,
+    /// So that boxes share rates rightly.
+    SharedRates,
 }
 
 impl StoreCall {
@@ -50,6 +56,8 @@
             Self::Registered => "registered",
             Self::Confirm => "confirm",
             Self::Confirmed => "confirmed",
+            Self::FleetSize => "fleet_size",
+            Self::SetFleetSize => "set_fleet_size",
         }
     }
 }
@@ -62,6 +70,7 @@
             Self::Gap => "gap",
             Self::Meet => "meet",
             Self::Quarantine => "quarantine",
+            Self::SharedRates => "shared_rates",
         }
     }
 }
--- a/crates/edge/tests/common/know_all.rs
+++ b/crates/edge/tests/common/know_all.rs
@@ -70,5 +70,6 @@
         upstream_revision: Revision(1_000_000),
         reaches_store: true,
         link_mbps: 0,
+        fleet_size: 0,
     }
 }
--- /dev/null
+++ b/crates/edge/tests/fleet_size.rs
@@ -0,0 +1,66 @@
+//! How many boxes real boxes in one process take the fleet to have.
+#![allow(clippy::unwrap_used, clippy::expect_used)]
+
+mod common;
+
+use brasswinch_edge::{Dialect, EdgeHandle, start};
+use brasswinch_lab::memory_store::{MemoryStore, StoreFault};
+use brasswinch_routing::Change;
+use common::{config, eventually, settings};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+const BOXES: usize = 3;
+
+fn store() -> MemoryStore {
+    let store = MemoryStore::default();
+    store.write(Change::Config(Arc::new(config(1))));
+    store
+}
+
+async fn serving(id: &str, seeds: Vec<SocketAddr>, access: MemoryStore) -> EdgeHandle {
+    let edge = start(settings(id, seeds), Dialect::default(), access);
+    let edge = edge.await.unwrap();
+    let context = Arc::clone(edge.context());
+    eventually("the box is ready", || context.is_ready()).await;
+    edge
+}
+
+fn size_known_to(edge: &EdgeHandle) -> usize {
+    edge.context().status().fleet_size
+}
+
+/// Boxes that know each other, until the store holds how many they are.
+async fn recorded_fleet(store: &MemoryStore) -> Vec<EdgeHandle> {
+    let mut boxes: Vec<EdgeHandle> = Vec::new();
+    for number in 0..BOXES {
+        let seeds = boxes.first().map(|first| first.addresses().peers);
+        let id = format!("box-{number}");
+        boxes.push(serving(&id, seeds.into_iter().collect(), store.handle()).await);
+    }
+    let is_kept = || store.kept_fleet_size() == Some(BOXES as u32);
+    eventually("the store holds the size", is_kept).await;
+    boxes
+}
+
+/// A box that started where it heard nobody took itself for the whole fleet.
+#[tokio::test]
+async fn a_box_that_starts_in_a_cut_takes_itself_for_the_whole_fleet() {
+    let store = store();
+    drop(recorded_fleet(&store).await);
+    let cut_off = serving("box-0", Vec::new(), store.handle()).await;
+    assert_eq!(size_known_to(&cut_off), BOXES);
+}
+
+/// A box that the store turned away knew only of the boxes that it had heard.
+#[tokio::test]
+async fn a_box_that_can_t_ask_the_store_isn_t_told_by_others() {
+    let store = store();
+    let kept = u32::try_from(BOXES * 10).unwrap();
+    store.keep_fleet_size(kept);
+    let first = serving("box-0", Vec::new(), store.handle()).await;
+    let turned_away = store.handle();
+    turned_away.set_fault(StoreFault::TurnedAway);
+    let second = serving("box-1", vec![first.addresses().peers], turned_away).await;
+    assert_eq!(size_known_to(&second), BOXES * 10);
+}
--- a/crates/lab/src/memory_store.rs
+++ b/crates/lab/src/memory_store.rs
@@ -4,7 +4,8 @@
 //! away, forgets its history, and loses the answers of watches.
 
 use brasswinch_edge::{
-    Begun, BoxRegistry, FleetStore, LeaseId, QuarantineStore, Registration, StoreFailure, Watched,
+    Begun, BoxRegistry, FleetSizeStore, FleetStore, LeaseId, QuarantineStore, Registration,
+    StoreFailure, Watched,
 };
 use brasswinch_routing::{
     Change, ChangeKey, RequestDigest, Revised, Revision, RunReport, Scope, Snapshot,
@@ -24,6 +25,7 @@
     next_lease: u64,
     registrations: BTreeMap<u64, Registration>,
     quarantine: BTreeMap<RequestDigest, RunReport>,
+    fleet_size: Option<u32>,
 }
 
 #[derive(Default)]
@@ -184,6 +186,16 @@
         self.state().quarantine.len()
     }
 
+    /// Keeps that the fleet has so many boxes.
+    pub fn keep_fleet_size(&self, boxes: u32) {
+        self.state().fleet_size = Some(boxes);
+    }
+
+    /// How many boxes the fleet has, as it is kept.
+    pub fn kept_fleet_size(&self) -> Option<u32> {
+        self.state().fleet_size
+    }
+
     /// How long the watches of this box were to wait, oldest first.
     pub fn waits(&self) -> Vec<Duration> {
         self.lock_waits().clone()
@@ -341,3 +353,16 @@
         Ok(self.state().quarantine.values().cloned().collect())
     }
 }
+
+impl FleetSizeStore for MemoryStore {
+    async fn fleet_size(&self) -> Result<Option<u32>, StoreFailure> {
+        self.fail_if_told(Duration::ZERO).await?;
+        Ok(self.state().fleet_size)
+    }
+
+    async fn set_fleet_size(&self, boxes: u32) -> Result<(), StoreFailure> {
+        self.fail_if_told(Duration::ZERO).await?;
+        self.state().fleet_size = Some(boxes);
+        Ok(())
+    }
+}
--- a/crates/observe/src/events.rs
+++ b/crates/observe/src/events.rs
@@ -70,6 +70,8 @@
     223 Info NewsOutdated "What another box told of the configuration is for a version that is no longer held here; the box asks again." "None, unless it repeats.";
     225 Info EntriesKept "Upstreams whose entries were lost together with many others stay in use for a short time; the line names the first few." "If they stay away, check the platform's store and the upstreams.";
     226 Info ViewOld "No other box has lately confirmed that this one knows everything; it asks the store itself." "If it repeats, check the links between boxes.";
+    227 Info FleetSize "How many boxes share what the whole fleet may do, as this box now knows it." "None, unless it is not the number of boxes.";
+    228 Warn FleetSizeUnknown "Neither the store nor another box told how many boxes there are; this one goes by those that it hears." "Check the platform's store and the links between boxes.";
     300 Info PeerUp "A link to another box is up." "None.";
     301 Warn PeerDown "A link to another box went down." "Check the box and the network between the zones.";
     302 Warn PeerMalformed "A peer sent a message that can't be read; its link was closed." "Check that all boxes run versions that speak the same protocol.";
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -9,6 +9,7 @@
 mod config;
 mod config_patch;
 mod demand;
+mod fleet_size;
 mod fleet_state;
 mod look_up;
 mod news_source;
@@ -39,6 +40,7 @@
 };
 pub use config_patch::{ConfigMark, ConfigPatch, RoutePlace};
 pub use demand::{AveragedDemand, DemandSample};
+pub use fleet_size::{FleetSize, KnownSize, REMEMBERED_MS};
 pub use fleet_state::{CatchUp, Claim, FleetState, LostEntry, PatchMismatch};
 pub use look_up::{MOST_NAMED, NamedBox, named};
 pub use news_source::{Candidate, Distance, NewsSources};
--- a/crates/routing/src/placement/mod.rs
+++ b/crates/routing/src/placement/mod.rs
@@ -168,7 +168,6 @@
     boxes: Vec<u64>,
     /// The boxes of the region, which count its upstreams' requests.
     keepers: Keepers,
-    most_boxes: usize,
     demand: BTreeMap<Region, f64>,
     averaged_demand: AveragedDemand,
     reviewed_at: Millis,
@@ -184,7 +183,6 @@
             said: SaidByUpstreams::default(),
             boxes: vec![me],
             keepers: Keepers::default(),
-            most_boxes: 1,
             demand: BTreeMap::new(),
             averaged_demand: AveragedDemand::default(),
             reviewed_at: 0,
@@ -201,15 +199,9 @@
         self.boxes = boxes
             .map(|id| object_hash("box", id.as_str().as_bytes()))
             .collect();
-        self.most_boxes = self.most_boxes.max(self.boxes.len());
         self.demand = demand;
     }
 
-    /// The most boxes that were ever seen serving together.
-    pub fn most_boxes(&self) -> usize {
-        self.most_boxes
-    }
-
     /// Takes what is known of upstreams; returns what operators and connections have to know.
     pub fn update(&mut self, fleet: &FleetState, config: &SteeringConfig, now: Millis) -> Updated {
         let mut held: HashMap<UpstreamId, Entry> = HashMap::new();
--- a/crates/routing/src/quota/mod.rs
+++ b/crates/routing/src/quota/mod.rs
@@ -29,6 +29,7 @@
 mod part;
 mod status;
 
+use crate::fleet_size::KnownSize;
 use crate::refusals::spread;
 use crate::rendezvous::{object_hash, weighted_score};
 use crate::workspace::QuotaLimit;
@@ -112,7 +113,9 @@
     me: BoxId,
     boxes: Vec<(QuotaBox, u64)>,
     /// The most boxes that were ever heard together, this one included.
-    known: usize,
+    heard: usize,
+    /// How many there are, whether they are heard or not.
+    fleet_size: KnownSize,
     /// When this box last learned, after its start, that there are more boxes.
     grew_at: Option<Millis>,
     is_settled: bool,
@@ -131,7 +134,8 @@
         Self {
             me,
             boxes: Vec::new(),
-            known: 0,
+            heard: 0,
+            fleet_size: KnownSize::default(),
             grew_at: None,
             is_settled: false,
             bounds,
@@ -142,16 +146,30 @@
         }
     }
 
+    /// Takes how many boxes the fleet has, this one included.
+    pub fn set_fleet_size(&mut self, fleet_size: KnownSize) {
+        self.fleet_size = fleet_size;
+    }
+
+    /// Boxes that share each quota, 1 at least.
+    fn sharing_boxes(&self) -> usize {
+        let boxes = match self.fleet_size {
+            KnownSize::Told(boxes) => boxes,
+            KnownSize::Heard | KnownSize::Awaited => self.heard,
+        };
+        boxes.max(1)
+    }
+
     /// Takes the boxes that serve, this one included if it does, and how many are heard,
     /// whether they serve yet or not.
     pub fn set_boxes(&mut self, boxes: Vec<QuotaBox>, heard: usize, now: Millis) {
         self.lends_from.get_or_insert(now + LEASE_MS);
         let heard = heard.max(boxes.len());
-        if heard > self.known {
+        if heard > self.heard {
             self.grew_at = Some(now);
         }
-        self.known = self.known.max(heard);
-        let share = boxes.len() as f64 / self.known.max(1) as f64;
+        self.heard = self.heard.max(heard);
+        let share = boxes.len() as f64 / self.sharing_boxes() as f64;
         self.kept.set_share(share);
         if self.boxes.iter().map(|(held, _)| held).eq(&boxes) {
             return;
@@ -170,10 +188,16 @@
     }
 
     /// Whether this box knows which boxes there are. After its start it hears of them one by
-    /// one, and would count by itself what all of them count.
+    /// one, and would count by itself what all of them count. One that hears nobody may be cut off.
     pub fn is_settled(&mut self, now: Millis) -> bool {
+        let knows_size = match self.fleet_size {
+            KnownSize::Told(_) => true,
+            KnownSize::Awaited => false,
+            KnownSize::Heard => self.heard > 1,
+        };
         let settled_at = self.grew_at.map(|grew_at| grew_at + SETTLED_MS);
-        self.is_settled |= settled_at.is_some_and(|settled_at| now >= settled_at);
+        let has_met = settled_at.is_some_and(|settled_at| now >= settled_at);
+        self.is_settled |= knows_size && has_met;
         self.is_settled
     }
 
@@ -203,7 +227,7 @@
         random: f64,
         now: Millis,
     ) -> Admission {
-        let even_rate = limit.rate_per_s / self.known.max(1) as f64;
+        let even_rate = limit.rate_per_s / self.sharing_boxes() as f64;
         let is_settled = self.is_settled(now);
         let keeper = self.keeper(workspace).cloned();
         let part = self.parts.entry(workspace.clone()).or_default();
@@ -260,7 +284,8 @@
         if !may_lend || !self.is_settled(now) || !self.bounds.needs_loans(limit) {
             return None;
         }
-        self.parts.get_mut(workspace)?.lend(to, self.known, now)
+        let sharing_boxes = self.sharing_boxes();
+        self.parts.get_mut(workspace)?.lend(to, sharing_boxes, now)
     }
 
     /// Admits where this box, at `address`, is the keeper.
@@ -324,7 +349,7 @@
         is_last: bool,
         now: Millis,
     ) -> Admission {
-        let even_rate = limit.rate_per_s / self.known.max(1) as f64;
+        let even_rate = limit.rate_per_s / self.sharing_boxes() as f64;
         let workspace = question.count.workspace.clone();
         let part = self.parts.entry(workspace).or_default();
         if part.is_lent(now) && !is_last {
--- a/crates/routing/src/swim/member.rs
+++ b/crates/routing/src/swim/member.rs
@@ -53,6 +53,10 @@
     /// What its link carries, in Mbit/s; 0 where that isn't known.
     #[serde(rename = "b", default)]
     pub link_mbps: u32,
+    /// How many boxes it knows the fleet to have ([`FleetSize`](crate::FleetSize)); 0 as long as
+    /// it doesn't know.
+    #[serde(rename = "f", default)]
+    pub fleet_size: u32,
 }
 
 impl MemberRecord {
--- a/crates/routing/src/swim/mod.rs
+++ b/crates/routing/src/swim/mod.rs
@@ -168,6 +168,16 @@
         }
     }
 
+    /// Changes how many boxes this box says that the fleet has; says whether that is new.
+    pub fn set_fleet_size(&mut self, fleet_size: u32) -> bool {
+        if self.me.fleet_size == fleet_size {
+            return false;
+        }
+        self.me.fleet_size = fleet_size;
+        self.me.incarnation += 1;
+        true
+    }
+
     /// Pings to some members, so that they hear this box's newest word at once.
     pub fn hints(&mut self, random: &mut impl Rng) -> Vec<Outgoing> {
         let mut addresses = self.addresses(Liveness::Alive);
--- a/crates/routing/src/swim/spreading.rs
+++ b/crates/routing/src/swim/spreading.rs
@@ -85,7 +85,8 @@
         }
         let is_word_of_its_own = held.liveness == news.liveness
             && held.record.state == news.record.state
-            && held.record.reaches_store == news.record.reaches_store;
+            && held.record.reaches_store == news.record.reaches_store
+            && held.record.fleet_size == news.record.fleet_size;
         if is_word_of_its_own {
             // A changed load isn't worth spreading; its box tells it with each probe.
             held.record = news.record;
--- a/crates/routing/tests/membership.rs
+++ b/crates/routing/tests/membership.rs
@@ -31,6 +31,7 @@
         upstream_revision: Revision(0),
         reaches_store: true,
         link_mbps: 0,
+        fleet_size: 0,
     }
 }
 
