Upstreams are asked whether they are cold while the store is silent

What callers saw: an upstream that turned cold while the store was silent got 57 requests in a second of 18 that it bears with its allowance; what waits at one that falls over is lost.

Cause: its entry and its health answers tell how long it stays cold, and boxes read entries only.

Change: while the view of upstreams is older than the age at which boxes ask the store themselves, one box for each upstream, by rendezvous near it, asks for its health once a second and tells all that serve when it is cold (edge::health, routing::health_askers). Only an answer that names the upstream counts, and no more than its service's cold period; a later entry knows better.

Why it works: the age of the view shows a silent store whatever its calls wait for, and each upstream has exactly one asker among the boxes that hear each other.

--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -7,6 +7,7 @@
 use crate::dialect::Dialect;
 use crate::figures::Figures;
 use crate::fleet_size::KnownFleetSize;
+use crate::health::HealthQuestions;
 use crate::quarantine::QuarantineTasks;
 use crate::quotas::QuotaTasks;
 use crate::settings::EdgeSettings;
@@ -122,6 +123,8 @@
     pub(crate) quotas: QuotaTasks,
     /// Limits that upstreams name.
     pub(crate) upstream_limits: UpstreamLimitTasks,
+    /// Questions to upstreams how they are.
+    pub(crate) health_questions: HealthQuestions,
     /// How many boxes the fleet has.
     pub(crate) fleet_size: KnownFleetSize,
     /// Requests that end upstreams.
@@ -175,6 +178,7 @@
             watching: Watching::new(&settings, &swim),
             asking: Asking::new(socket),
             quotas: QuotaTasks::new(settings.id.clone(), settings.bounds.quota),
+            health_questions: HealthQuestions::default(),
             fleet_size: KnownFleetSize::default(),
             quarantine: QuarantineTasks::new(settings.id.clone()),
             upstream_limits: UpstreamLimitTasks::new(settings.id.clone(), settings.zones.clone()),
--- a/crates/edge/src/datagram.rs
+++ b/crates/edge/src/datagram.rs
@@ -1,5 +1,6 @@
 //! What boxes send each other in datagrams, in CBOR.
 
+use crate::health::ColdNews;
 use brasswinch_routing::{
     Advice, Ending, LimitNews, LimitQuestion, LimitWord, Question, QuotaCount, QuotaWord,
     RunReport, SwimMessage,
@@ -39,4 +40,7 @@
     /// An upstream names a limit, or none any more.
     #[serde(rename = "n")]
     LimitNews(LimitNews),
+    /// An upstream is cold.
+    #[serde(rename = "k")]
+    ColdNews(ColdNews),
 }
--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -22,6 +22,10 @@
     pub limit: HeaderName,
     /// `1` in all answers of an upstream that leaves.
     pub leaving: HeaderName,
+    /// The upstream that answers, in its health answers.
+    pub instance: HeaderName,
+    /// How much longer an upstream stays cold, in seconds, in its health answers.
+    pub cold_remaining: HeaderName,
     /// The cookie that names the object of a request.
     pub object_cookie: String,
     /// The scheme with which clients show their key.
@@ -41,6 +45,8 @@
             load: HeaderName::from_static("brasswinch-load"),
             limit: HeaderName::from_static("brasswinch-limit"),
             leaving: HeaderName::from_static("brasswinch-leaving"),
+            instance: HeaderName::from_static("brasswinch-instance"),
+            cold_remaining: HeaderName::from_static("brasswinch-cold-s"),
             object_cookie: "brasswinch-object".into(),
             key_scheme: "Bearer".into(),
             workspace: HeaderName::from_static("brasswinch-workspace"),
--- a/crates/edge/src/figures.rs
+++ b/crates/edge/src/figures.rs
@@ -119,6 +119,15 @@
                 line(&mut text, "view_age_seconds", &labels, age_ms as f64 / 1e3);
             }
         }
+        let questions = &self.health_questions;
+        for (outcome, count) in [
+            ("answered", &questions.answered),
+            ("unanswered", &questions.unanswered),
+        ] {
+            let labels = format!("outcome=\"{outcome}\"");
+            let count = count.load(Ordering::Relaxed) as f64;
+            line(&mut text, "health_questions_total", &labels, count);
+        }
         let limited = self.limit_status().len() as f64;
         line(&mut text, "upstreams_limited", "", limited);
         self.write_upstreams(&mut text);
--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -102,6 +102,7 @@
         Ok(Datagram::LimitQuestion(question)) => context.hear_limit_question(&question, from),
         Ok(Datagram::LimitWord(word)) => context.hear_limit_word(word),
         Ok(Datagram::LimitNews(news)) => context.hear_limit_news(&news),
+        Ok(Datagram::ColdNews(news)) => context.hear_cold(&news),
         Ok(Datagram::Swim(message)) => {
             if let SwimMessage::Known { id, views, failing } = &message {
                 context.hear_known(id, views, *failing);
--- a/crates/edge/src/start.rs
+++ b/crates/edge/src/start.rs
@@ -5,7 +5,8 @@
 use crate::settings::{EdgeAddresses, EdgeSettings};
 use crate::store::{BoxRegistry, FleetSizeStore, FleetStore, QuarantineStore};
 use crate::{
-    catch_up, fleet_size, follow, gossip, quarantine_store, refresh, registry, relay, server,
+    catch_up, fleet_size, follow, gossip, health, quarantine_store, refresh, registry, relay,
+    server,
 };
 use brasswinch_observe::{Event, emit};
 use brasswinch_routing::{
@@ -107,6 +108,7 @@
     tokio::spawn(relay::serve(Arc::clone(&context), relay_listener));
     tokio::spawn(server::serve(Arc::clone(&context), listener));
     tokio::spawn(serve_when_known(Arc::clone(&context)));
+    tokio::spawn(health::ask_while_silent(Arc::clone(&context)));
     tokio::spawn(sweep(Arc::clone(&context)));
     Ok(EdgeHandle { context, socket })
 }
--- a/crates/edge/src/upstream_signals.rs
+++ b/crates/edge/src/upstream_signals.rs
@@ -5,8 +5,10 @@
 use crate::dialect::Dialect;
 use crate::upstream_limits::Grant;
 use brasswinch_observe::{Event, emit};
-use brasswinch_routing::{Choice, LoadReport, UpstreamLimit};
-use brasswinch_types::{UpstreamRest, UpstreamSignal, UpstreamSignalError, only_value};
+use brasswinch_routing::{Choice, LoadReport, UpstreamLife, UpstreamLimit};
+use brasswinch_types::{
+    ColdTime, UpstreamId, UpstreamRest, UpstreamSignal, UpstreamSignalError, only_value,
+};
 use http::response::Parts;
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
 
@@ -140,13 +142,32 @@
         if signals.unreadable.is_empty() || !self.placement().says_unreadable(choice) {
             return;
         }
-        for Unreadable { signal, error } in &signals.unreadable {
-            let told = format_args!("upstream={upstream} signal={signal}: {error}");
-            emit(Event::SignalUnreadable, told);
+        report_unreadable(upstream, &signals.unreadable);
+    }
+
+    /// Takes that an upstream's health answer says of `signal` what can't be meant.
+    pub(crate) fn hear_unreadable(&self, life: &UpstreamLife, unreadable: Unreadable) {
+        if self.placement().health_is_unreadable(life) {
+            report_unreadable(&life.upstream, &[unreadable]);
         }
     }
 }
 
+fn report_unreadable(upstream: &UpstreamId, unreadable: &[Unreadable]) {
+    for Unreadable { signal, error } in unreadable {
+        let told = format_args!("upstream={upstream} signal={signal}: {error}");
+        emit(Event::SignalUnreadable, told);
+    }
+}
+
+/// How much longer an upstream says in a health answer that it stays cold.
+pub(crate) fn cold_time(
+    headers: &HeaderMap,
+    dialect: &Dialect,
+) -> Result<Option<ColdTime>, UpstreamSignalError> {
+    parsed(headers, &dialect.cold_remaining)
+}
+
 /// The only value of a header, if it is there.
 fn header_value<'a>(
     headers: &'a HeaderMap,
--- a/crates/edge/tests/common/fleet.rs
+++ b/crates/edge/tests/common/fleet.rs
@@ -2,7 +2,7 @@
 
 use super::{Answer, Kept, call, config, eventually, record, request, settings};
 use brasswinch_edge::{Dialect, EdgeHandle, start};
-use brasswinch_lab::memory_store::MemoryStore;
+use brasswinch_lab::memory_store::{MemoryStore, StoreFault};
 use brasswinch_lab::routed_upstream::{Behaviour, Upstream};
 use brasswinch_routing::Change;
 use brasswinch_types::{Region, Zone};
@@ -79,6 +79,13 @@
         }
     }
 
+    /// Silences the store for all boxes.
+    pub fn silence_store(&self) {
+        for store in &self.stores {
+            store.set_fault(StoreFault::Silent);
+        }
+    }
+
     pub fn clients(&self) -> Vec<SocketAddr> {
         let addresses = self.boxes.iter().map(|held| held.addresses().clients);
         addresses.collect()
--- a/crates/edge/tests/common/mod.rs
+++ b/crates/edge/tests/common/mod.rs
@@ -95,6 +95,7 @@
         max_connections: 100,
         cold_period_s: 3.0,
         cold_per_s: 9.0,
+        health_path: "/health".into(),
     };
     SteeringConfig {
         version: ConfigVersion(version),
--- a/crates/lab/src/replay/fleet.rs
+++ b/crates/lab/src/replay/fleet.rs
@@ -203,6 +203,7 @@
         max_connections: 5_400,
         cold_period_s: COLD_S,
         cold_per_s: COLD_PER_S,
+        health_path: String::new(),
     };
     let route = Route {
         name: "prices".into(),
--- a/crates/lab/src/routed_upstream.rs
+++ b/crates/lab/src/routed_upstream.rs
@@ -85,8 +85,12 @@
     leaving: Vec<String>,
     /// The values of `Retry-After` in each refusal.
     rests: Vec<String>,
-    /// How long it stays cold, in seconds, as it tells whoever asks for its health.
-    cold_s: Option<u32>,
+    /// What it says of how long it stays cold, to whoever asks for its health.
+    cold: Option<String>,
+    /// The name that it gives there, if not its own.
+    other_name: Option<String>,
+    /// How often it was asked.
+    health_questions: usize,
     seen: Vec<Seen>,
     connections: usize,
     closed_early: usize,
@@ -193,7 +197,22 @@
 
     /// Is cold from now on, and tells so for `cold_s` seconds where its health is asked for.
     pub fn turn_cold(&self, cold_s: u32) {
-        self.lock().cold_s = Some(cold_s);
+        self.say_cold(&cold_s.to_string());
+    }
+
+    /// Says `cold` where its health is asked for.
+    pub fn say_cold(&self, cold: &str) {
+        self.lock().cold = Some(cold.to_owned());
+    }
+
+    /// Says in its health answers that it is another upstream.
+    pub fn answer_health_as(&self, name: &str) {
+        self.lock().other_name = Some(name.to_owned());
+    }
+
+    /// How often it was asked for its health.
+    pub fn health_questions(&self) -> usize {
+        self.lock().health_questions
     }
 
     /// The requests that reached it.
@@ -379,9 +398,15 @@
     }
 
     fn health(&self) -> Vec<u8> {
-        let cold_s = self.lock().cold_s.unwrap_or(0);
-        format!("HTTP/1.1 200 Well\r\nbrasswinch-cold-s: {cold_s}\r\ncontent-length: 0\r\n\r\n")
-            .into_bytes()
+        let mut state = self.lock();
+        state.health_questions += 1;
+        let (instance, remaining) = (&self.dialect.instance, &self.dialect.cold_remaining);
+        let id = state.other_name.as_ref().unwrap_or(&self.id);
+        let cold = state.cold.as_deref().unwrap_or("0");
+        format!(
+            "HTTP/1.1 200 Well\r\n{instance}: {id}\r\n{remaining}: {cold}\r\ncontent-length: 0\r\n\r\n"
+        )
+        .into_bytes()
     }
 
     fn refusal(&self, status: u16, id: &str) -> Vec<u8> {
--- a/crates/routing/src/config.rs
+++ b/crates/routing/src/config.rs
@@ -85,6 +85,9 @@
     pub cold_period_s: f64,
     /// Requests a second that a cold upstream bears.
     pub cold_per_s: f64,
+    /// Where upstreams tell how they are when they are asked; empty where they don't.
+    #[serde(default)]
+    pub health_path: String,
 }
 
 /// What a client may send, and how long it may take.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -11,6 +11,7 @@
 mod demand;
 mod fleet_size;
 mod fleet_state;
+mod health_askers;
 mod look_up;
 mod news_source;
 mod placement;
@@ -42,6 +43,7 @@
 pub use demand::{AveragedDemand, DemandSample};
 pub use fleet_size::{FleetSize, KnownSize, REMEMBERED_MS};
 pub use fleet_state::{CatchUp, Claim, FleetState, LostEntry, PatchMismatch};
+pub use health_askers::{HealthAsker, HealthAskers};
 pub use look_up::{MOST_NAMED, NamedBox, named};
 pub use news_source::{Candidate, Distance, NewsSources};
 pub use placement::{
--- a/crates/routing/src/placement/entry.rs
+++ b/crates/routing/src/placement/entry.rs
@@ -4,7 +4,7 @@
 use super::said::Said;
 use super::shared_load::SharedLoad;
 use crate::cold_pacing::ColdPacing;
-use crate::upstream::{UpstreamRecord, UpstreamState};
+use crate::upstream::{UpstreamLife, UpstreamRecord, UpstreamState};
 use crate::upstream_load::UpstreamLoad;
 use brasswinch_types::{Millis, Region};
 use std::collections::VecDeque;
@@ -115,6 +115,11 @@
         self.held_off_until.is_some_and(|until| now < until)
     }
 
+    /// Whether it is this life of the upstream.
+    pub(super) fn is_of(&self, life: &UpstreamLife) -> bool {
+        self.record.id == life.upstream && self.record.started == life.started
+    }
+
     pub(super) fn is_cold(&self, now: Millis) -> bool {
         now < self.cold_until
     }
--- a/crates/routing/src/placement/mod.rs
+++ b/crates/routing/src/placement/mod.rs
@@ -231,6 +231,8 @@
         for (name, service) in &mut self.services {
             let configured = config.services.get(name);
             service.cold_per_s = configured.map_or(0.0, |service| service.cold_per_s);
+            let period_s = configured.map_or(0.0, |service| service.cold_period_s);
+            service.cold_period_ms = (period_s * 1_000.0) as Millis;
             service.most_urgent = config.most_urgent(name);
         }
         self.services
@@ -286,7 +288,13 @@
         let after_evacuation = fleet
             .evacuation_ended_at(&record.zone)
             .map_or(0, |ended_at| ended_at + self.settings.after_evacuation_ms);
-        let cold_until = (learned_at + cold_ms + margin).max(after_evacuation);
+        let said = match &held {
+            Some(held) => held.said,
+            None => self.said.of(&record.life()),
+        };
+        let cold_until = (learned_at + cold_ms + margin)
+            .max(after_evacuation)
+            .max(said.cold_until(learned_at).unwrap_or(0));
         Entry {
             region: region.cloned().unwrap_or_else(|| Region::new("")),
             hash,
@@ -301,10 +309,7 @@
             is_evacuated: fleet.is_evacuated(&record.zone),
             held_off_until: held.as_ref().and_then(|held| held.held_off_until),
             is_replaced: held.as_ref().is_some_and(|held| held.is_replaced),
-            said: match &held {
-                Some(held) => held.said,
-                None => self.said.of(&record.life()),
-            },
+            said,
             senders: held.as_ref().map_or(1.0, |held| held.senders),
             load: held.as_ref().map(|held| held.load).unwrap_or_default(),
             pacing: held.as_ref().map(|held| held.pacing).unwrap_or_default(),
@@ -437,9 +442,18 @@
 
     /// Whether this life of the upstream is known.
     pub fn holds(&self, life: &UpstreamLife) -> bool {
+        self.entry_of(life).is_some()
+    }
+
+    fn entry_of(&self, life: &UpstreamLife) -> Option<&Entry> {
         let mut entries = self.services.values().flat_map(|held| &held.entries);
-        entries
-            .any(|entry| entry.record.id == life.upstream && entry.record.started == life.started)
+        entries.find(|entry| entry.is_of(life))
+    }
+
+    fn held_by(&mut self, life: &UpstreamLife) -> Option<&mut Entry> {
+        let services = self.services.values_mut();
+        let mut entries = services.flat_map(|held| &mut held.entries);
+        entries.find(|entry| entry.is_of(life))
     }
 
     fn held(&mut self, choice: &Choice) -> Option<&mut Entry> {
--- a/crates/routing/src/placement/said.rs
+++ b/crates/routing/src/placement/said.rs
@@ -1,7 +1,7 @@
 //! What upstreams said of themselves in answers. It holds for as long as an upstream lives,
 //! also where its entry is lost meanwhile and comes back.
 
-use super::{Choice, Placement};
+use super::{COLD_MARGIN_MS, Choice, Placement};
 use crate::upstream::UpstreamLife;
 use brasswinch_types::{Millis, UpstreamRest};
 use std::collections::{HashMap, VecDeque};
@@ -17,11 +17,27 @@
     pub(super) is_leaving: bool,
     /// It wants nothing from this box before then; `None` once it has answered a request since.
     pub(super) rests_until: Option<Millis>,
+    /// It was asked, and said that it is cold.
+    pub(super) cold: Option<SaidCold>,
     /// It has said something that can't be read.
     pub(super) is_unreadable: bool,
 }
 
+/// An upstream's word that it is cold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct SaidCold {
+    heard_at: Millis,
+    until: Millis,
+}
+
 impl Said {
+    /// Until when it said that it is cold, where its entry has not changed since `learned_at`: an
+    /// entry that came later knows better.
+    pub(super) fn cold_until(&self, learned_at: Millis) -> Option<Millis> {
+        let cold = self.cold.filter(|cold| cold.heard_at >= learned_at)?;
+        Some(cold.until)
+    }
+
     /// Whether it wants nothing from this box now.
     pub(super) fn is_resting(&self, now: Millis) -> bool {
         self.rests_until.is_some_and(|until| now < until)
@@ -81,12 +97,49 @@
         !before.is_resting(now)
     }
 
-    /// The upstream says something that can't be read; gives whether that is news.
+    /// The upstream says something in an answer that can't be read; gives whether that is news.
     pub fn says_unreadable(&mut self, choice: &Choice) -> bool {
-        let before = self.change_said(choice, |said| said.is_unreadable = true);
+        self.health_is_unreadable(&choice.life())
+    }
+
+    /// The upstream says something in a health answer that can't be read; gives whether it is the
+    /// first such thing that it says.
+    pub fn health_is_unreadable(&mut self, life: &UpstreamLife) -> bool {
+        let before = self.change_said_by(life, |said| said.is_unreadable = true);
         !before.is_unreadable
     }
 
+    /// The upstream says that it stays cold for `for_ms`, of which no more than its service's cold
+    /// period is believed; gives whether it was not known to be cold.
+    pub fn turned_cold(&mut self, life: &UpstreamLife, for_ms: Millis, now: Millis) -> bool {
+        let Some(longest_ms) = self.cold_period_ms(life) else {
+            return false;
+        };
+        let was_cold = self.is_cold(life, now);
+        let until = now + for_ms.min(longest_ms) + COLD_MARGIN_MS;
+        let cold = SaidCold {
+            heard_at: now,
+            until,
+        };
+        self.change_said_by(life, |said| said.cold = Some(cold));
+        if let Some(entry) = self.held_by(life) {
+            entry.cold_until = entry.cold_until.max(until);
+        }
+        !was_cold
+    }
+
+    /// Whether this life of the upstream is known to be cold.
+    pub fn is_cold(&self, life: &UpstreamLife, now: Millis) -> bool {
+        let entry = self.entry_of(life);
+        entry.is_some_and(|entry| entry.is_cold(now))
+    }
+
+    /// How long upstreams of its service are cold at most.
+    fn cold_period_ms(&self, life: &UpstreamLife) -> Option<Millis> {
+        let service = &self.entry_of(life)?.record.service;
+        Some(self.services.get(service)?.cold_period_ms)
+    }
+
     /// The upstream has answered a request since its rest.
     pub(super) fn serves_again(&mut self, choice: &Choice) {
         self.change_said(choice, |said| said.rests_until = None);
@@ -94,13 +147,17 @@
 
     /// Changes what the upstream of `choice` has said; gives what that was before.
     fn change_said(&mut self, choice: &Choice, change: impl FnOnce(&mut Said)) -> Said {
-        let life = choice.life();
-        let before = self.said.of(&life);
+        self.change_said_by(&choice.life(), change)
+    }
+
+    /// Changes what an upstream has said; gives what that was before.
+    fn change_said_by(&mut self, life: &UpstreamLife, change: impl FnOnce(&mut Said)) -> Said {
+        let before = self.said.of(life);
         let mut said = before;
         change(&mut said);
         if said != before {
-            self.said.keep(life, said);
-            if let Some(entry) = self.held(choice) {
+            self.said.keep(life.clone(), said);
+            if let Some(entry) = self.held_by(life) {
                 entry.said = said;
             }
         }
--- a/crates/routing/src/placement/service_upstreams.rs
+++ b/crates/routing/src/placement/service_upstreams.rs
@@ -54,6 +54,8 @@
     pub(super) entries: Vec<Entry>,
     pub(super) plan: RegionPlan,
     pub(super) cold_per_s: f64,
+    /// How long its upstreams are cold at most.
+    pub(super) cold_period_ms: Millis,
     /// Rank of the most urgent requests that come here.
     pub(super) most_urgent: Rank,
     /// A request for it has come to this box.
--- a/crates/routing/src/view_limits.rs
+++ b/crates/routing/src/view_limits.rs
@@ -48,6 +48,12 @@
         }
     }
 
+    /// The age, in milliseconds, from which on a box takes the store for silent: those that
+    /// follow it have asked, and confirmed nothing.
+    pub fn silent_ms(&self) -> Millis {
+        (self.oldest_ms * OTHERS_PART) as Millis
+    }
+
     /// The age, in milliseconds, at which a box with this duty asks the store; `random` is
     /// drawn from 0 to 1.
     pub fn limit_ms(&self, duty: StoreDuty, random: f64) -> Millis {
--- a/crates/routing/tests/common/mod.rs
+++ b/crates/routing/tests/common/mod.rs
@@ -65,6 +65,7 @@
         max_connections: 100,
         cold_period_s: 3.0,
         cold_per_s: 9.0,
+        health_path: String::new(),
     };
     SteeringConfig {
         version: ConfigVersion(version),
--- a/crates/routing/tests/lives.rs
+++ b/crates/routing/tests/lives.rs
@@ -157,3 +157,41 @@
     let next = test.choose(50).unwrap();
     assert!(test.placement.says_unreadable(&next));
 }
+
+/// An upstream that said for a year that it is cold was taken for cold for a year.
+#[test]
+fn an_upstream_is_taken_for_cold_for_longer_than_its_service_s_are() {
+    const YEAR_MS: u64 = 31_536_000_000;
+    let mut test = Test::new(placement_in("west"));
+    let life = test.choose(20).unwrap().life();
+    assert!(test.placement.turned_cold(&life, YEAR_MS, 100));
+    assert!(
+        !test.placement.turned_cold(&life, YEAR_MS, 110),
+        "that is no news"
+    );
+    assert!(test.placement.is_cold(&life, 3_000));
+    assert!(
+        !test.placement.is_cold(&life, 3_000 + 1_000),
+        "a cold period and the way of the news"
+    );
+}
+
+/// What an upstream had said of being cold held against its later entry, and for its next life.
+#[test]
+fn an_upstream_s_word_that_it_is_cold_outlives_what_its_entry_tells() {
+    let mut test = Test::new(placement_in("west"));
+    let cold = test.choose(20).unwrap().life();
+    test.placement.turned_cold(&cold, 3_000, 100);
+    test.placement.update(&test.fleet, &config(1), 150);
+    assert!(
+        test.placement.is_cold(&cold, 200),
+        "its entry is older than its word"
+    );
+    let mut entry = life(1_000);
+    entry.slots += 1;
+    test.write(2, entry, 300);
+    assert!(!test.placement.is_cold(&cold, 400));
+    test.placement.turned_cold(&cold, 3_000, 500);
+    test.write(3, life(5_000), 600);
+    assert!(!test.placement.is_cold(&life(5_000).life(), 700));
+}
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -22,4 +22,6 @@
 pub use plan::{Plan, ServicePlan, ShiftCap, WeightRow};
 pub use tickets::{Ticket, TicketError, TicketKey};
 pub use units::{UNITS, UnitOwner, UnitTable, unit_of_slot};
-pub use upstream_signal::{UpstreamRest, UpstreamSignal, UpstreamSignalError, decimal, only_value};
+pub use upstream_signal::{
+    ColdTime, UpstreamRest, UpstreamSignal, UpstreamSignalError, decimal, only_value,
+};
--- a/crates/types/src/upstream_signal.rs
+++ b/crates/types/src/upstream_signal.rs
@@ -11,6 +11,9 @@
 /// would leave the upstream unused until it starts again.
 const LONGEST_REST_MS: Millis = 3_600_000;
 
+/// Longest time that an upstream is taken for cold, in milliseconds: as long as entries may say.
+const LONGEST_COLD_MS: Millis = 86_400_000;
+
 /// Something that an upstream can say of itself, as log lines name it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum UpstreamSignal {
@@ -22,11 +25,19 @@
     Leaving,
     /// It wants nothing from the box that it refused for a time.
     Rest,
+    /// It bears few requests for a time.
+    Cold,
 }
 
 impl UpstreamSignal {
     /// All of them.
-    pub const ALL: [Self; 4] = [Self::Load, Self::Limit, Self::Leaving, Self::Rest];
+    pub const ALL: [Self; 5] = [
+        Self::Load,
+        Self::Limit,
+        Self::Leaving,
+        Self::Rest,
+        Self::Cold,
+    ];
 }
 
 impl fmt::Display for UpstreamSignal {
@@ -36,6 +47,7 @@
             Self::Limit => "limit",
             Self::Leaving => "leaving",
             Self::Rest => "rest",
+            Self::Cold => "cold",
         })
     }
 }
@@ -73,13 +85,38 @@
 
     /// Reads seconds, with or without a fraction.
     fn from_str(text: &str) -> Result<Self, Self::Err> {
-        let seconds = decimal(text)?;
-        if !seconds.is_finite() || seconds < 0.0 {
-            return Err(UpstreamSignalError::OutOfRange);
-        }
-        let ms = (seconds * 1_000.0).ceil().min(LONGEST_REST_MS as f64);
-        Ok(Self(ms as Millis))
+        seconds(text, LONGEST_REST_MS).map(Self)
+    }
+}
+
+/// How much longer an upstream stays cold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ColdTime(Millis);
+
+impl ColdTime {
+    /// The time in milliseconds, a day at most.
+    pub fn ms(self) -> Millis {
+        self.0
+    }
+}
+
+impl FromStr for ColdTime {
+    type Err = UpstreamSignalError;
+
+    /// Reads seconds, with or without a fraction.
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        seconds(text, LONGEST_COLD_MS).map(Self)
+    }
+}
+
+/// Reads seconds as milliseconds, cut to `longest_ms`.
+fn seconds(text: &str, longest_ms: Millis) -> Result<Millis, UpstreamSignalError> {
+    let seconds = decimal(text)?;
+    if !seconds.is_finite() || seconds < 0.0 {
+        return Err(UpstreamSignalError::OutOfRange);
     }
+    let ms = (seconds * 1_000.0).ceil().min(longest_ms as f64);
+    Ok(ms as Millis)
 }
 
 /// Reads a number of at most 32 bytes.
