Embedded path: a request waits for a warming upstream instead of being refused beside idle slots

Cause: an upstream that a box has used for under 5 s gets one request at a time, then two. What finds none ready waits 100 ms, a time made for loans between boxes, and was refused after it though slots were idle.

Change: where slots are idle and only warming upstreams withhold them, the request waits until one of these takes one more, or until its deadline. Else it is refused after 100 ms as before.

Why it works: a slot that warming up withholds becomes free with the next answer, or with time; one that is in use or lent may not.

The test that failed before: a_request_is_refused_while_slots_are_idle (refused, at_capacity, on the code before).

--- a/crates/daemon/src/gate.rs
+++ b/crates/daemon/src/gate.rs
@@ -1,17 +1,19 @@
 //! Admission of requests to the slots of one service.
 //!
 //! A request that finds no slot waits a short, bounded time in a bounded queue:
-//! a loan from a neighbour takes about a round trip. Then it is told no, at once.
+//! a loan from a neighbour takes about a round trip. Then it is told no, at once, unless slots are
+//! idle and only the warming up of upstreams withholds them: these soon take one more.
 
 use crate::control::Command;
 use crate::service::ServiceRuntime;
 use brasswinch_decide::health::{UpstreamHealth, UpstreamReport};
 use brasswinch_decide::retry_budget::RetryBudget;
 use brasswinch_decide::slots::{HoldBack, Loan, LoanTerms, Returned, SlotCounts, SlotPool};
+use brasswinch_observe::{Event, emit};
 use brasswinch_types::{BoxId, ErrorKind, Millis, UnitTable};
 use std::collections::VecDeque;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::sync::{mpsc, oneshot};
 
 use crate::clock::Clock;
@@ -66,6 +68,26 @@
     closed: bool,
 }
 
+fn report_missing_slot(service: &ServiceRuntime, state: &State, now: Millis, waited: Duration) {
+    let SlotCounts {
+        held,
+        idle,
+        busy,
+        borrowed,
+        lent,
+    } = state.pool.counts(now);
+    let (waited_ms, waiting) = (waited.as_millis(), state.waiting.len());
+    let asked_ms = now.saturating_sub(state.asked_at);
+    emit(
+        Event::SlotMissing,
+        format_args!(
+            "service={} waited_ms={waited_ms} held={held} idle={idle} busy={busy} \
+             borrowed={borrowed} lent={lent} waiting={waiting} asked_ms_ago={asked_ms}",
+            service.key
+        ),
+    );
+}
+
 /// The gate of one service.
 pub(crate) struct Gate {
     state: Mutex<State>,
@@ -136,19 +158,48 @@
             }
             self.want_loan(&mut state, service, now);
             if state.waiting.len() >= self.most_waiting {
+                report_missing_slot(service, &state, now, Duration::ZERO);
                 return Err(ErrorKind::AtCapacity);
             }
             let (answer, receiver) = oneshot::channel();
             state.waiting.push_back(Waiter { answer });
             receiver
         };
-        let left = Duration::from_millis(until.saturating_sub(self.clock.now()));
-        let wait = self.queue_wait.min(left);
-        match tokio::time::timeout(wait, receiver).await {
-            Ok(Ok(permit)) => Ok(permit),
-            Ok(Err(_)) => Err(ErrorKind::BoxLeaving),
-            Err(_) => Err(ErrorKind::AtCapacity),
+        self.wait(service, until, receiver).await
+    }
+
+    /// Waits for the slot that `receiver` brings: the queue's wait, and where idle slots are withheld
+    /// only while upstreams warm up, until one of these takes more.
+    async fn wait(
+        &self,
+        service: &Arc<ServiceRuntime>,
+        until: Millis,
+        mut receiver: oneshot::Receiver<Permit>,
+    ) -> Result<Permit, ErrorKind> {
+        let began = Instant::now();
+        let mut wait = self.queue_wait;
+        let mut is_last = false;
+        loop {
+            let left = Duration::from_millis(until.saturating_sub(self.clock.now()));
+            match tokio::time::timeout(wait.min(left), &mut receiver).await {
+                Ok(Ok(permit)) => return Ok(permit),
+                Ok(Err(_)) => return Err(ErrorKind::BoxLeaving),
+                Err(_) => {}
+            }
+            // A slot that is ready by now is known to nobody yet.
+            let warmer_in = self.change(service, |state, now| state.warmer_in(now));
+            if let Ok(permit) = receiver.try_recv() {
+                return Ok(permit);
+            }
+            match warmer_in.filter(|_| !is_last) {
+                Some(warmer_ms) => wait = Duration::from_millis(warmer_ms),
+                None => break,
+            }
+            is_last = true;
         }
+        let (state, now) = (self.lock(), self.clock.now());
+        report_missing_slot(service, &state, now, began.elapsed());
+        Err(ErrorKind::AtCapacity)
     }
 
     /// Takes one retry out of the budget.
@@ -376,6 +427,19 @@
         })
     }
 
+    /// How long it takes until an upstream that is warming up takes one more request, in
+    /// milliseconds, where there is an idle slot for it.
+    fn warmer_in(&self, now: Millis) -> Option<Millis> {
+        if self.pool.counts(now).idle == 0 {
+            return None;
+        }
+        let eligible = self.eligible.iter();
+        let warming = eligible
+            .filter_map(|upstream| self.health.get(*upstream))
+            .filter_map(|health| health.warmer_in(self.slots_per_upstream, now));
+        warming.min()
+    }
+
     fn serve_waiters(
         &mut self,
         service: &Arc<ServiceRuntime>,
--- a/crates/daemon/src/traffic/proxy.rs
+++ b/crates/daemon/src/traffic/proxy.rs
@@ -291,6 +291,11 @@
             return Err(ErrorKind::DeadlineBeforeSend.into());
         }
         if !permit.may_send(now) {
+            let service = &self.service.key;
+            emit(
+                Event::SlotMissing,
+                format_args!("service={service} borrowed slot given back before it was used"),
+            );
             return Err(Failure {
                 kind: ErrorKind::AtCapacity,
                 unsent: Some(outgoing),
--- a/crates/daemon/tests/path.rs
+++ b/crates/daemon/tests/path.rs
@@ -66,6 +66,31 @@
     assert_eq!(finished as usize, REQUESTS, "each ran exactly once");
 }
 
+/// A box told callers that its load was in full use while its slots were idle and upstreams warmed up.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_is_refused_while_slots_are_idle() {
+    /// An upstream's work: longer than a request waits for a slot that another box lends.
+    const WORK_MS: u64 = 300;
+    /// Twice as many as two upstreams that warm up take at once.
+    const AT_ONCE: usize = 4;
+    let _alone = alone().await;
+    let spec = one_region();
+    let policy = spec.policy(0.2, 5.0);
+    let fleet = Fleet::serving(spec, &policy).await;
+    for upstreams in fleet.site.upstreams.values() {
+        upstreams.control(|control| control.service_ms = WORK_MS);
+    }
+    let daemon = &fleet.daemons[&fleet.site.box_name(0, 1)];
+    let (caller, job) = (fleet.caller(0), fleet.job("rate-desk", 0));
+    let tags: Vec<_> = (0..AT_ONCE).map(|_| new_tag()).collect();
+    let runs = tags
+        .iter()
+        .map(|tag| caller.send_to(daemon.callers, &job, None, tag));
+    for outcome in futures_util::future::join_all(runs).await {
+        assert_eq!(outcome, Outcome::Whole);
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_large_upload_streams_through_without_being_held() {
     let _alone = alone().await;
--- a/crates/decide/src/health.rs
+++ b/crates/decide/src/health.rs
@@ -130,6 +130,21 @@
         Some(self.in_flight * 256 + reported.min(255))
     }
 
+    /// How long it takes until one more request may be given to it, in milliseconds, where only
+    /// its warming up stands against that.
+    pub fn warmer_in(&self, slots: u32, now: Millis) -> Option<Millis> {
+        if self.is_leaving() || now < self.closed_until {
+            return None;
+        }
+        let ready = self.ready_slots(slots, now);
+        if self.in_flight < ready || ready >= slots {
+            return None;
+        }
+        let since = self.warm_since.unwrap_or(now);
+        let next_at = since + (WARM_UP_MS * u64::from(ready + 1)).div_ceil(u64::from(slots));
+        Some(next_at.saturating_sub(now))
+    }
+
     fn ready_slots(&self, slots: u32, now: Millis) -> u32 {
         let Some(since) = self.warm_since else {
             return 1;
--- a/crates/decide/tests/places.rs
+++ b/crates/decide/tests/places.rs
@@ -192,6 +192,20 @@
     assert!(health.cost(4, 5_000).is_some());
 }
 
+#[test]
+fn an_upstream_that_warms_up_tells_when_it_takes_one_more() {
+    let mut health = UpstreamHealth::default();
+    assert_eq!(health.warmer_in(4, 0), None, "it takes one now");
+    health.started(0);
+    assert_eq!(health.warmer_in(4, 100), Some(2_400));
+    assert!(health.cost(4, 2_499).is_none() && health.cost(4, 2_500).is_some());
+    assert_eq!(health.warmer_in(4, 2_500), None);
+    (0..3).for_each(|_| health.started(2_500));
+    assert_eq!(health.warmer_in(4, 5_000), None, "its slots are in use");
+    health.set_listed_leaving(true);
+    assert_eq!(health.warmer_in(4, 100), None);
+}
+
 #[test]
 fn an_upstream_that_fails_is_left_alone_longer_each_time() {
     let mut health = UpstreamHealth::default();
