--- a/crates/edge/src/health.rs
+++ b/crates/edge/src/health.rs
@@ -90,7 +90,7 @@
     }
 }
 
-/// Asks each upstream that this box asks for all, spread over `ASK_EVERY` after the first time.
+/// Asks each upstream that this box asks for all, and waits until they are to be asked again.
 async fn ask_all(context: &Arc<Context>) {
     let due = tokio::time::Instant::now() + ASK_EVERY;
     let mut asking = JoinSet::new();
--- a/crates/edge/tests/fleet_size.rs
+++ b/crates/edge/tests/fleet_size.rs
@@ -6,7 +6,7 @@
 use brasswinch_edge::{Dialect, EdgeHandle, start};
 use brasswinch_lab::memory_store::{MemoryStore, StoreFault};
 use brasswinch_routing::Change;
-use common::{config, eventually, settings};
+use common::{call, config, eventually, request, settings};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -52,6 +52,24 @@
     assert_eq!(size_known_to(&cut_off), BOXES);
 }
 
+/// A box that started where it heard nobody spent the whole fleet's budget of repeats.
+#[tokio::test]
+async fn a_box_that_starts_in_a_cut_spends_the_repeats_of_all() {
+    const FLEET: u32 = 100;
+    let store = store();
+    store.keep_fleet_size(FLEET);
+    let cut_off = serving("box-0", Vec::new(), store.handle()).await;
+    // The service has no upstream; the request is counted all the same.
+    let address = cut_off.addresses().clients;
+    call(address, request("GET", "/safe/1", "")).await.unwrap();
+    let settings = settings("box-0", Vec::new());
+    let own_part = settings.bounds.retry_extra / f64::from(FLEET) + settings.bounds.retry_ratio;
+    let status = cut_off.context().status();
+    let left: f64 = status.repeats_left.iter().map(|budget| budget.left).sum();
+    assert_eq!(status.repeats_left.len(), 1);
+    assert!(left <= own_part, "{left} of {own_part}");
+}
+
 /// A box that the store turned away knew only of the boxes that it had heard.
 #[tokio::test]
 async fn a_box_that_can_t_ask_the_store_isn_t_told_by_others() {
--- a/crates/routing/tests/quota_loans.rs
+++ b/crates/routing/tests/quota_loans.rs
@@ -2,8 +2,8 @@
 #![allow(clippy::unwrap_used, clippy::expect_used)]
 
 use brasswinch_routing::{
-    Admission, QuotaBounds, QuotaBox, QuotaCount, QuotaLimit, QuotaLoan, QuotaWord, Quotas,
-    ToKeeper,
+    Admission, KnownSize, QuotaBounds, QuotaBox, QuotaCount, QuotaLimit, QuotaLoan, QuotaWord,
+    Quotas, ToKeeper,
 };
 use brasswinch_types::{BoxId, Workspace};
 use std::net::SocketAddr;
@@ -209,3 +209,44 @@
     quotas.answered(&word(id, 80), keeper, 0.5, 811);
     assert!(question(&mut quotas, 812).count.loan.is_some());
 }
+
+/// A box that was not told how many there are lent its side's part, or kept the quota for it.
+#[test]
+fn a_box_that_was_not_told_the_fleet_s_size_owns_a_part() {
+    let (mut quotas, keeper) = box_and_keeper();
+    quotas.set_fleet_size(KnownSize::Awaited);
+    let asked = question(&mut quotas, KNOWN);
+    let word = QuotaWord {
+        id: asked.count.id,
+        workspace: workspace(),
+        is_granted: true,
+        is_tight: true,
+        retry_after_ms: 0,
+        stamp: KNOWN,
+    };
+    quotas.answered(&word, keeper, 0.5, KNOWN + 20);
+    assert_eq!(question(&mut quotas, KNOWN + 30).count.loan, None);
+    let count = asked.count;
+    let word = quotas.hear_count(&count, address(9), LIMIT, KNOWN + 40);
+    assert_eq!(word, None, "it keeps nothing");
+    quotas.set_fleet_size(KnownSize::Told(40));
+    let loan = question(&mut quotas, KNOWN + 50).count.loan.unwrap();
+    assert_eq!(loan.boxes, 40);
+}
+
+/// A box that hears nobody, and was told nothing, kept the whole quota for itself.
+#[test]
+fn a_box_that_hears_nobody_keeps_the_whole_quota() {
+    let alone = || vec![quota_box(0)];
+    let mut quotas = Quotas::new(quota_box(0).id, BOUNDS);
+    quotas.set_boxes(alone(), 1, 1);
+    let mut sent = 0;
+    for now in (KNOWN..KNOWN + 5_000).step_by(10) {
+        let admission = quotas.admit(&workspace(), LIMIT, now, 0.5, now);
+        sent += usize::from(matches!(admission, Admission::Send(_)));
+    }
+    assert!(sent <= 1, "{sent} in 5 s");
+    quotas.set_fleet_size(KnownSize::Told(1));
+    let admission = quotas.admit(&workspace(), LIMIT, 1, 0.5, KNOWN + 6_000);
+    assert_eq!(admission, Admission::Send(None));
+}
