A quota's keeper begins with one request at least

Cause: a new keeper's bucket begins with a part of the overage, times the part of the fleet that it hears. With 12 of 75 boxes that is under one request for a small workspace, whose first request then waits for a part of a second's rate.

Change: the bucket holds one request at its start.

Why it is within the bound: each change of keeper adds one request at most.

Left: boxes that are out of reach hold their parts, and a keeper that starts knows nothing of what is usual. The model's tests pass.

--- a/crates/routing/src/quota/keeper.rs
+++ b/crates/routing/src/quota/keeper.rs
@@ -12,6 +12,10 @@
 /// Part of the overage that a new keeper's bucket holds: nobody knows what ran before.
 const START_PART: f64 = 0.1;
 
+/// Requests that it holds at least: one of a workspace that asks for little is not to wait until
+/// some part of a second's rate has come.
+const LEAST_START: f64 = 1.0;
+
 /// Part of the burst that a bucket holds. The rest is for a keeper that is cut off for less
 /// time than others need to notice: it fills up meanwhile. Of 400 replays with 7.5 times the usual
 /// requests and such cuts one passed the bound with the whole burst, none with this part.
@@ -153,7 +157,7 @@
             rate_per_s: limit.rate_per_s * shares.of_rate,
             capacity: (capacity * shares.of_capacity).max(1.0),
         };
-        let start = (overage * START_PART * self.share).min(filling.capacity);
+        let start = (overage * START_PART * self.share).clamp(LEAST_START, filling.capacity);
         let kept = self.kept.entry(count.workspace.clone());
         let kept = kept.or_insert_with(|| Kept {
             bucket: TokenBucket::new(start, now),
