edge: pipelined requests run side by side, and their responses leave in order

A client that left was not noticed while pipelined bytes lay in the library's buffer, so its request ran on.

Change: ReadAhead stands between the socket and the library. It hands over one message at a time, reads on, and starts the requests behind the one in turn if all from that one on may run more than once and have no body: 8 of a connection at most, 32 KiB of its response each, counted against the box's memory. The library still parses each request that is answered and writes each response; a turn takes the early run only if method, target and headers are the same. What stands inside a body can't run: chunked bodies, upgrades and the like end the reading ahead.

Failed before: pipelined_requests_run_side_by_side_and_are_answered_in_their_order (1 of 3 seen by the upstream), requests_that_arrive_one_by_one_behind_a_slow_one_do_not_wait_for_it, a_client_that_leaves_cancels_what_it_pipelined.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -19,7 +19,7 @@
 use tokio::time::timeout_at;
 
 /// Responses up to this length are buffered whole before the first byte goes to the client.
-const MAX_BUFFERED_RESPONSE_BYTES: usize = 256 * 1024;
+pub(crate) const MAX_BUFFERED_RESPONSE_BYTES: usize = 256 * 1024;
 
 /// Maximum length of a response body.
 const MAX_RESPONSE_BYTES: u64 = 1 << 32;
@@ -40,6 +40,8 @@
     pub(crate) deadline: &'a Deadline,
     /// Whether it may run more than once.
     pub(crate) is_repeatable: bool,
+    /// Longer response bodies are streamed, in bytes.
+    pub(crate) max_buffered_response: usize,
     pub(crate) identity: Identity<'a>,
     /// The request's digest, if it has been computed for the quarantine.
     pub(crate) digest: Option<RequestDigest>,
@@ -165,7 +167,11 @@
         };
         match exchange(connection, &head, body, &active).await {
             ExchangeOutcome::Response(response, connection) => {
-                return read_response(response, connection, active, outgoing.deadline).await;
+                let limits = ResponseLimits {
+                    deadline: outgoing.deadline,
+                    max_buffered: outgoing.max_buffered_response,
+                };
+                return read_response(response, connection, active, limits).await;
             }
             // The upstream closed the idle connection. A new one shows whether it still serves.
             ExchangeOutcome::NotSent(unsent) if is_pooled => body = unsent,
@@ -293,13 +299,21 @@
     HeaderValue::from_str(workspace.as_str()).unwrap_or(HeaderValue::from_static(""))
 }
 
+/// Limits of a response.
+struct ResponseLimits<'a> {
+    deadline: &'a Deadline,
+    /// Longer bodies are streamed, in bytes.
+    max_buffered: usize,
+}
+
 /// Validates the response, applies its signals, and buffers or streams its body.
 async fn read_response(
     response: Response<Incoming>,
     mut connection: Connection,
     mut active: ActiveAttempt,
-    deadline: &Deadline,
+    limits: ResponseLimits<'_>,
 ) -> AttemptOutcome {
+    let deadline = limits.deadline;
     active.outcome = UpstreamOutcome::Unanswered;
     let context = Arc::clone(&active.context);
     let (parts, body) = response.into_parts();
@@ -315,11 +329,7 @@
     if !refused && parts.status.is_success() && !signals.is_signed {
         return AttemptOutcome::InvalidResponse;
     }
-    let buffered = match timeout_at(
-        deadline.timer(),
-        buffer_body(body, MAX_BUFFERED_RESPONSE_BYTES),
-    )
-    .await
+    let buffered = match timeout_at(deadline.timer(), buffer_body(body, limits.max_buffered)).await
     {
         Ok(Ok(buffered)) => buffered,
         Ok(Err(_)) => return AttemptOutcome::ConnectionLost,
--- a/crates/edge/src/body.rs
+++ b/crates/edge/src/body.rs
@@ -32,6 +32,14 @@
         .boxed()
 }
 
+/// The body of a client's request.
+pub(crate) enum ClientBody {
+    /// The body as it arrives.
+    Incoming(Incoming),
+    /// No body.
+    Empty,
+}
+
 /// A body that is buffered, whole or in part.
 pub(crate) struct BufferedBody {
     /// The buffered bytes.
@@ -41,6 +49,14 @@
 }
 
 impl BufferedBody {
+    /// Returns a body without bytes.
+    pub(crate) fn empty() -> Self {
+        Self {
+            bytes: Bytes::new(),
+            remainder: None,
+        }
+    }
+
     /// Whether the whole body is buffered, so that it can be sent again.
     pub(crate) fn is_complete(&self) -> bool {
         self.remainder.is_none()
@@ -183,3 +199,38 @@
         }
     }
 }
+
+/// A body that holds a guard until it has been passed on or dropped.
+pub(crate) struct GuardedBody<G> {
+    body: AnyBody,
+    _guard: G,
+}
+
+impl<G> GuardedBody<G> {
+    pub(crate) fn new(body: AnyBody, guard: G) -> Self {
+        Self {
+            body,
+            _guard: guard,
+        }
+    }
+}
+
+impl<G: Unpin> Body for GuardedBody<G> {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/crates/edge/src/counted.rs
+++ b/crates/edge/src/counted.rs
@@ -1,6 +1,7 @@
 //! Counters that a request holds while it is in flight.
 
 use crate::context::Context;
+use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
 /// Buffered bodies may use at most the process's allowed memory divided by this.
@@ -23,23 +24,26 @@
 }
 
 /// Counts the bytes of a body while it is buffered.
-pub(crate) struct BufferedBytes<'a> {
-    context: &'a Context,
+pub(crate) struct BufferedBytes {
+    context: Arc<Context>,
     bytes: usize,
 }
 
-impl<'a> BufferedBytes<'a> {
+impl BufferedBytes {
     /// Reserves `bytes` for a body. Returns `None` if buffered bodies would exceed their part of
     /// the memory.
-    pub(crate) fn reserve(context: &'a Context, bytes: usize) -> Option<Self> {
+    pub(crate) fn reserve(context: &Arc<Context>, bytes: usize) -> Option<Self> {
         let max_bytes = context.settings.memory_bytes / BUFFER_MEMORY_DIVISOR;
         let before = context.buffered_bytes.fetch_add(bytes, Ordering::Relaxed);
-        let reservation = Self { context, bytes };
+        let reservation = Self {
+            context: Arc::clone(context),
+            bytes,
+        };
         (before + bytes <= max_bytes).then_some(reservation)
     }
 }
 
-impl Drop for BufferedBytes<'_> {
+impl Drop for BufferedBytes {
     fn drop(&mut self) {
         self.context
             .buffered_bytes
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -6,7 +6,9 @@
 use crate::advice;
 use crate::answer::{error_response, refusal_response};
 use crate::attempt::{AttemptOutcome, Chosen, Identity, Outgoing, OutgoingBody, attempt};
-use crate::body::{AnyBody, BodyError, BufferedBody, StreamLimits, StreamedBody, buffer_body};
+use crate::body::{
+    AnyBody, BodyError, BufferedBody, ClientBody, StreamLimits, StreamedBody, buffer_body,
+};
 use crate::clock::Deadline;
 use crate::context::{ActiveConfig, Context};
 use crate::counted::{BufferedBytes, InFlight};
@@ -17,13 +19,12 @@
 use brasswinch_observe::{Event, emit};
 use brasswinch_routing::{
     ConfigVersion, KnownWorkspace, Rank, Refusal, RegionLimits, RequestDigest, RequestIdentity,
-    RequestShape, Route, Suspect, UpstreamIncarnation, UpstreamRequest, Verdict,
+    RequestShape, Route, RouteKind, Suspect, UpstreamIncarnation, UpstreamRequest, Verdict,
 };
 use brasswinch_types::{ErrorKind, Ran, Service};
 use http::request::Parts;
 use http::{Request, Response};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use tokio::time::{Instant, timeout_at};
@@ -40,16 +41,23 @@
 /// asking.
 const MAX_GRANT_REQUESTS: u32 = 3;
 
-/// Handles one request and returns its response.
+/// Handles one request and returns its response. Longer response bodies than
+/// `max_buffered_response` bytes are streamed.
 pub(crate) async fn handle_request(
     context: &Arc<Context>,
-    request: Request<Incoming>,
+    request: Request<ClientBody>,
+    max_buffered_response: usize,
 ) -> Response<AnyBody> {
     context.requests.fetch_add(1, Ordering::Relaxed);
     let _counted = InFlight::new(context);
     let arrived = Instant::now();
     let (parts, body) = request.into_parts();
-    match route_request(context, &parts, body, arrived).await {
+    let incoming = IncomingRequest {
+        parts: &parts,
+        arrived,
+        max_buffered_response,
+    };
+    match route_request(context, &incoming, body).await {
         Ok(response) => response,
         Err(failure) => {
             log_failure(context, &parts, &failure, arrived);
@@ -121,6 +129,13 @@
     }
 }
 
+/// A request before it is routed.
+struct IncomingRequest<'a> {
+    parts: &'a Parts,
+    arrived: Instant,
+    max_buffered_response: usize,
+}
+
 /// A request that has matched a route.
 struct RoutedRequest<'a> {
     context: &'a Arc<Context>,
@@ -136,14 +151,30 @@
     config: ConfigVersion,
     arrived: Instant,
     deadline: Deadline,
+    /// Longer response bodies are streamed, in bytes.
+    max_buffered_response: usize,
+}
+
+/// Returns whether a request without a body may run before a client's earlier requests have been
+/// answered.
+pub(crate) fn may_run_early(context: &Context, parts: &Parts) -> bool {
+    let in_force = context.in_force.load();
+    let Some(in_force) = in_force.as_ref() else {
+        return false;
+    };
+    let Ok(facts) = RequestFacts::read(parts, &context.dialect) else {
+        return false;
+    };
+    let route = in_force.routes.find(facts.host, facts.path);
+    route.is_some_and(|route| route.kind == RouteKind::Repeatable)
 }
 
 async fn route_request(
     context: &Arc<Context>,
-    parts: &Parts,
-    body: Incoming,
-    arrived: Instant,
+    incoming: &IncomingRequest<'_>,
+    body: ClientBody,
 ) -> Result<Response<AnyBody>, Failure> {
+    let (parts, arrived) = (incoming.parts, incoming.arrived);
     let in_force = context.in_force.load_full();
     let in_force = in_force.ok_or(ErrorKind::NotConfigured)?;
     let facts = RequestFacts::read(parts, &context.dialect)?;
@@ -159,6 +190,7 @@
     context.count_request(&service);
     let routed = RoutedRequest {
         config: in_force.config.version,
+        max_buffered_response: incoming.max_buffered_response,
         arrived,
         deadline: facts.deadline(&context.clock, route.timeout_s),
         strips_credential: in_force.keys.has_workspaces(),
@@ -230,7 +262,7 @@
 impl RoutedRequest<'_> {
     async fn serve(
         &self,
-        body: Incoming,
+        body: ClientBody,
         length: u64,
         in_force: &ActiveConfig,
     ) -> Result<Response<AnyBody>, Failure> {
@@ -245,7 +277,10 @@
         self.send(buffered, in_force, permit.as_mut()).await
     }
 
-    async fn read_body(&self, body: Incoming) -> Result<BufferedBody, Failure> {
+    async fn read_body(&self, body: ClientBody) -> Result<BufferedBody, Failure> {
+        let ClientBody::Incoming(body) = body else {
+            return Ok(BufferedBody::empty());
+        };
         match timeout_at(
             self.deadline.timer(),
             buffer_body(body, MAX_BUFFERED_BODY_BYTES),
@@ -287,6 +322,7 @@
                 },
                 deadline: &self.deadline,
                 is_repeatable: self.route.kind.is_repeatable(),
+                max_buffered_response: self.max_buffered_response,
                 identity: Identity {
                     workspace: self.workspace.map(|workspace| &workspace.name),
                     strips_credential: self.strips_credential,
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -26,6 +26,7 @@
 mod look_up;
 mod metrics;
 mod pending_replies;
+mod pipeline;
 mod quarantine;
 mod quarantine_store;
 mod quotas;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -6,7 +6,7 @@
 use brasswinch_types::{Class, OnceProof, Service, Workspace};
 use std::collections::BTreeMap;
 use std::fmt::Write;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
@@ -23,6 +23,8 @@
     /// Requests to upstreams with limits, by service and whether the limit had room.
     limited: Mutex<BTreeMap<(Service, bool), u64>>,
     latency: LatencyTable,
+    /// Pipelined requests that ran before their turn.
+    pub(crate) early_requests: AtomicU64,
 }
 
 impl Metrics {
@@ -93,6 +95,8 @@
         self.metrics.write(&mut text);
         let in_flight = self.in_flight.load(Ordering::Relaxed) as f64;
         line(&mut text, "requests_in_flight", "", in_flight);
+        let early = self.metrics.early_requests.load(Ordering::Relaxed) as f64;
+        line(&mut text, "early_requests_total", "", early);
         line(
             &mut text,
             "log_lines_dropped_total",
--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -5,7 +5,7 @@
 //! connections left in the listener's queue and closes the listener.
 
 use crate::context::{Context, Lifecycle};
-use crate::exchange::handle_request;
+use crate::pipeline::{Pipeline, ReadAhead};
 use http::{HeaderValue, header};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -58,11 +58,14 @@
 
 async fn serve_connection(context: Arc<Context>, stream: TcpStream) {
     let _ = stream.set_nodelay(true);
+    let pipeline = Arc::new(Pipeline::new(Arc::clone(&context)));
+    let io = ReadAhead::new(stream, Arc::clone(&pipeline));
     let service = service_fn(|request| {
-        let context = Arc::clone(&context);
+        let (context, pipeline) = (Arc::clone(&context), Arc::clone(&pipeline));
         async move {
-            let mut response = handle_request(&context, request).await;
-            if context.lifecycle() >= Lifecycle::Leaving {
+            let mut response = pipeline.handle(request).await;
+            // Requests that run before their turn are answered before the connection closes.
+            if context.lifecycle() >= Lifecycle::Leaving && pipeline.is_idle() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
             }
@@ -75,12 +78,16 @@
             .timer(TokioTimer::new())
             .header_read_timeout(idle + IDLE_MARGIN)
             .max_buf_size(MAX_CONNECTION_BUFFER_BYTES)
-            .serve_connection(TokioIo::new(stream), service)
+            .serve_connection(TokioIo::new(io), service)
     );
+    let is_closed = async {
+        context.reached(Lifecycle::Closed).await;
+        pipeline.idle().await;
+    };
     tokio::select! {
         // A client that disconnects needs no response.
         _ = connection.as_mut() => return,
-        () = context.reached(Lifecycle::Closed) => {}
+        () = is_closed => {}
     }
     if timeout(CLOSE_GRACE, connection.as_mut()).await.is_ok() {
         return;
