Downloads: large responses are streamed with bounded buffers

Routes of the kind "download" were read as any repeatable one: up to 256 KiB of a response were buffered before its first byte left, outside of what a box counts as memory for bodies, and a client that stopped reading held all of it, a connection and a slot until it left.

Change: from its first bytes on the response is streamed; before them the request may go to another upstream. 16 KiB at most are read ahead from an upstream, and what waits to be written is as much as the operators' longest head and 2 KiB. 24 KiB are counted for each download, and what doesn't fit a quarter of the box's memory is refused before it runs. A client that takes nothing for as long as connections may rest is cut off (WriteTimeout). A response whose first frame is its whole body gives its connection back.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -329,8 +329,13 @@
     if !refused && parts.status.is_success() && !signals.is_signed {
         return AttemptOutcome::InvalidResponse;
     }
-    let buffered = match timeout_at(deadline.timer(), buffer_body(body, limits.max_buffered)).await
-    {
+    // Refusals and errors are short, whatever the route's responses are.
+    let max_buffered = if refused || !parts.status.is_success() {
+        MAX_BUFFERED_RESPONSE_BYTES
+    } else {
+        limits.max_buffered
+    };
+    let buffered = match timeout_at(deadline.timer(), buffer_body(body, max_buffered)).await {
         Ok(Ok(buffered)) => buffered,
         Ok(Err(_)) => return AttemptOutcome::ConnectionLost,
         Err(_) => return AttemptOutcome::TimedOut,
--- a/crates/edge/src/body.rs
+++ b/crates/edge/src/body.rs
@@ -159,6 +159,9 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         if let Some(beginning) = self.beginning.take() {
+            if self.remainder.is_end_stream() {
+                self.complete();
+            }
             return Poll::Ready(Some(Ok(Frame::data(beginning))));
         }
         match Pin::new(&mut self.remainder).poll_frame(cx) {
--- a/crates/edge/src/connections.rs
+++ b/crates/edge/src/connections.rs
@@ -14,6 +14,10 @@
 use tokio::net::TcpSocket;
 use tokio::task::AbortHandle;
 
+/// Maximum bytes read from an upstream that have not been passed on. Bounds what a slow client
+/// holds, and the head of a response.
+const MAX_READ_BUFFER_BYTES: usize = 16 * 1024;
+
 /// Timeout for establishing a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
 
@@ -116,6 +120,7 @@
             .await
             .map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
         let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_READ_BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
             .await
             .map_err(std::io::Error::other)?;
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -7,7 +7,8 @@
 use crate::answer::{error_response, refusal_response};
 use crate::attempt::{AttemptOutcome, Chosen, Identity, Outgoing, OutgoingBody, attempt};
 use crate::body::{
-    AnyBody, BodyError, BufferedBody, ClientBody, StreamLimits, StreamedBody, buffer_body,
+    AnyBody, BodyError, BufferedBody, ClientBody, GuardedBody, StreamLimits, StreamedBody,
+    buffer_body,
 };
 use crate::clock::Deadline;
 use crate::context::{ActiveConfig, Context};
@@ -33,6 +34,10 @@
 /// sent to another upstream if the first one fails.
 const MAX_BUFFERED_BODY_BYTES: usize = 1024 * 1024;
 
+/// Memory that a streamed response takes, in bytes: what has been read from the upstream, and what
+/// the client has not taken yet.
+const STREAMED_RESPONSE_BYTES: usize = 24 * 1024;
+
 /// Maximum attempts per request in which nothing can be sent to the upstream.
 const MAX_UNREACHABLE_ATTEMPTS: u32 = 4;
 
@@ -190,7 +195,11 @@
     context.count_request(&service);
     let routed = RoutedRequest {
         config: in_force.config.version,
-        max_buffered_response: incoming.max_buffered_response,
+        max_buffered_response: if route.kind.streams_responses() {
+            0
+        } else {
+            incoming.max_buffered_response
+        },
         arrived,
         deadline: facts.deadline(&context.clock, route.timeout_s),
         strips_credential: in_force.keys.has_workspaces(),
@@ -269,12 +278,26 @@
         let reserved_bytes = reservation_bytes(length);
         let reserved = BufferedBytes::reserve(self.context, reserved_bytes);
         let _reserved = reserved.ok_or(ErrorKind::AtCapacity)?;
+        let stream_reservation = self.reserve_stream()?;
         let mut permit = match self.workspace {
             Some(workspace) => self.context.admit(workspace).await?,
             None => None,
         };
         let buffered = self.read_body(body).await?;
-        self.send(buffered, in_force, permit.as_mut()).await
+        let response = self.send(buffered, in_force, permit.as_mut()).await?;
+        Ok(match stream_reservation {
+            Some(reserved) => response.map(|body| GuardedBody::new(body, reserved).boxed()),
+            None => response,
+        })
+    }
+
+    /// Reserves the memory of a streamed response; `None` if responses of the route are buffered.
+    fn reserve_stream(&self) -> Result<Option<BufferedBytes>, ErrorKind> {
+        if !self.route.kind.streams_responses() {
+            return Ok(None);
+        }
+        let reserved = BufferedBytes::reserve(self.context, STREAMED_RESPONSE_BYTES);
+        reserved.map(Some).ok_or(ErrorKind::AtCapacity)
     }
 
     async fn read_body(&self, body: ClientBody) -> Result<BufferedBody, Failure> {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -45,6 +45,7 @@
 mod upstream_limits;
 mod upstream_signals;
 mod view_reports;
+mod write_timeout;
 
 pub use clock::Clock;
 pub use context::{Context, Lifecycle};
--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -6,6 +6,7 @@
 
 use crate::context::{Context, Lifecycle};
 use crate::pipeline::{Pipeline, ReadAhead};
+use crate::write_timeout::WriteTimeout;
 use http::{HeaderValue, header};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -26,7 +27,14 @@
 /// Added to the idle limit, so that a client that observes it never uses a closed connection.
 const IDLE_MARGIN: Duration = Duration::from_secs(2);
 
-/// Maximum size of a connection's buffer, which bounds the head of a request.
+/// Added to the operators' maximum length of a head, for the request line. The sum is the size of
+/// a connection's buffers, which bounds what a slow client holds.
+const HEAD_MARGIN_BYTES: usize = 2 * 1024;
+
+/// Minimum size of a connection's buffer; the HTTP library accepts no smaller one.
+const MIN_CONNECTION_BUFFER_BYTES: usize = 8 * 1024;
+
+/// Maximum size of a connection's buffer.
 const MAX_CONNECTION_BUFFER_BYTES: usize = 64 * 1024;
 
 /// How long open connections may still bring a request after the box has closed. Such a request
@@ -59,7 +67,8 @@
 async fn serve_connection(context: Arc<Context>, stream: TcpStream) {
     let _ = stream.set_nodelay(true);
     let pipeline = Arc::new(Pipeline::new(Arc::clone(&context)));
-    let io = ReadAhead::new(stream, Arc::clone(&pipeline));
+    let idle = idle_limit(&context) + IDLE_MARGIN;
+    let io = WriteTimeout::new(ReadAhead::new(stream, Arc::clone(&pipeline)), idle);
     let service = service_fn(|request| {
         let (context, pipeline) = (Arc::clone(&context), Arc::clone(&pipeline));
         async move {
@@ -72,12 +81,11 @@
             Ok::<_, Infallible>(response)
         }
     });
-    let idle = idle_limit(&context);
     let mut connection = pin!(
         http1::Builder::new()
             .timer(TokioTimer::new())
-            .header_read_timeout(idle + IDLE_MARGIN)
-            .max_buf_size(MAX_CONNECTION_BUFFER_BYTES)
+            .header_read_timeout(idle)
+            .max_buf_size(buffer_bytes(&context))
             .serve_connection(TokioIo::new(io), service)
     );
     let is_closed = async {
@@ -96,6 +104,15 @@
     let _ = connection.await;
 }
 
+/// Returns the size of a connection's read and write buffers.
+fn buffer_bytes(context: &Context) -> usize {
+    let in_force = context.in_force.load();
+    let limits = in_force.as_ref().map(|in_force| in_force.config.limits);
+    let max_head = limits.unwrap_or_default().max_header_bytes;
+    let bytes = max_head.saturating_add(HEAD_MARGIN_BYTES);
+    bytes.clamp(MIN_CONNECTION_BUFFER_BYTES, MAX_CONNECTION_BUFFER_BYTES)
+}
+
 fn idle_limit(context: &Context) -> Duration {
     let in_force = context.in_force.load();
     let limits = in_force.as_ref().map(|in_force| in_force.config.limits);
--- a/crates/edge/tests/common/mod.rs
+++ b/crates/edge/tests/common/mod.rs
@@ -91,8 +91,8 @@
     }
 }
 
-/// Routes: `/safe/` is repeatable, `/once/` is not, `/upload/` carries bodies and `/short/` has
-/// a short timeout.
+/// Routes: `/safe/` is repeatable, `/once/` is not, `/upload/` carries bodies, `/download/` has
+/// large responses and `/short/` has a short timeout.
 pub fn config(version: u64) -> SteeringConfig {
     let mut short = route("/short/", RouteKind::Repeatable, "desk");
     short.timeout_s = Some(0.3);
@@ -108,6 +108,7 @@
             route("/safe/", RouteKind::Repeatable, "desk"),
             route("/once/", RouteKind::Once, "desk"),
             route("/upload/", RouteKind::Upload, "desk"),
+            route("/download/", RouteKind::Download, "desk"),
             short,
         ],
         services: BTreeMap::from([(Service::new("desk"), desk)]),
@@ -141,6 +142,11 @@
 impl Site {
     /// Starts a box in front of `upstreams` upstreams and waits until it serves.
     pub async fn start(upstreams: usize) -> Self {
+        Self::start_with(settings("box-1", Vec::new()), upstreams).await
+    }
+
+    /// Starts a box with these settings.
+    pub async fn start_with(settings: EdgeSettings, upstreams: usize) -> Self {
         let dialect = Dialect::default();
         let store = MemoryStore::default().handle();
         store.write(Change::Config(Arc::new(config(1))));
@@ -151,7 +157,6 @@
             store.write(Change::Upstream(record(&upstream)));
             started.push(upstream);
         }
-        let settings = settings("box-1", Vec::new());
         let handle = start(settings, dialect, store.clone()).await.unwrap();
         let context = Arc::clone(handle.context());
         eventually("the box is ready", || context.is_ready()).await;
--- a/crates/lab/src/routed_upstream.rs
+++ b/crates/lab/src/routed_upstream.rs
@@ -15,6 +15,9 @@
 /// Where it tells of its health.
 const HEALTH_PATH: &str = "/health";
 
+/// What long answers are made of.
+const LONG_PIECE: [u8; 8 * 1024] = [b'x'; 8 * 1024];
+
 /// What the upstream does with a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Behaviour {
@@ -50,6 +53,16 @@
     AnswerAndLeave,
     /// Runs it for a while and ends under it: all its connections break and its port closes.
     CrashAfter(Duration),
+    /// Runs it and answers with a body of this many bytes; breaks off if nothing of it is taken for
+    /// `patience`.
+    AnswerLong {
+        /// The length of the body.
+        bytes: usize,
+        /// How long the upstream waits for the reader.
+        patience: Duration,
+    },
+    /// Runs it and sends a body that never ends.
+    AnswerEndless,
 }
 
 /// A request that reached the upstream.
@@ -94,6 +107,8 @@
     seen: Vec<Seen>,
     connections: usize,
     closed_early: usize,
+    /// Long answers that it broke off because nobody took them.
+    cut_off: usize,
 }
 
 /// The upstream. Clones share their account.
@@ -230,6 +245,11 @@
         self.lock().closed_early
     }
 
+    /// Long answers that it broke off because nobody took them.
+    pub fn cut_off(&self) -> usize {
+        self.lock().cut_off
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -337,6 +357,17 @@
                     .await?;
                 return Ok(false);
             }
+            Behaviour::AnswerLong { bytes, patience } => {
+                return self.answer_long(stream, id, *bytes, *patience).await;
+            }
+            Behaviour::AnswerEndless => {
+                stream
+                    .write_all(self.long_head(id, None).as_bytes())
+                    .await?;
+                loop {
+                    stream.write_all(&LONG_PIECE).await?;
+                }
+            }
             Behaviour::Close => return Ok(false),
             Behaviour::Garbage => {
                 stream.write_all(b"\x00\x01 no answer\r\n\r\n").await?;
@@ -363,6 +394,36 @@
         Ok(true)
     }
 
+    /// Sends a long answer; says whether the connection goes on.
+    async fn answer_long(
+        &self,
+        stream: &mut TcpStream,
+        id: &str,
+        bytes: usize,
+        patience: Duration,
+    ) -> std::io::Result<bool> {
+        let head = self.long_head(id, Some(bytes));
+        stream.write_all(head.as_bytes()).await?;
+        let mut left = bytes;
+        while left > 0 {
+            let piece = &LONG_PIECE[..left.min(LONG_PIECE.len())];
+            let Ok(taken) = tokio::time::timeout(patience, stream.write(piece)).await else {
+                self.lock().cut_off += 1;
+                return Ok(false);
+            };
+            left -= taken?;
+        }
+        Ok(true)
+    }
+
+    /// The head of a long answer; without a length it ends with the connection.
+    fn long_head(&self, id: &str, bytes: Option<usize>) -> String {
+        let (request_id, signature) = (&self.dialect.request_id, &self.dialect.signature);
+        let length = bytes.map(|bytes| format!("content-length: {bytes}\r\n"));
+        let length = length.unwrap_or_default();
+        format!("HTTP/1.1 200 Said\r\n{request_id}: {id}\r\n{signature}: signed\r\n{length}\r\n")
+    }
+
     /// Whether the caller closes the connection within `time`.
     async fn leaves_within(&self, stream: &mut TcpStream, time: Duration) -> bool {
         let mut byte = [0];
