edge: a stop waits until clients' connections have closed, not until heads are there

Cause: a request was counted as in flight until its handler returned, which with a streamed response is when its head is there.

Change: requests count until their response has been passed on, and a stop waits for open connections (each closes when its last response has been written) instead of requests and one poll more.

Failed before: a_stop_cuts_a_download_in_the_middle_of_its_response (the box had ended 1 s after it closed).

--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -107,6 +107,8 @@
     pub(crate) store_calls: StoreCalls,
     /// Requests in progress.
     pub(crate) in_flight: AtomicUsize,
+    /// Open connections of clients.
+    pub(crate) open_connections: AtomicUsize,
     /// Buffered body bytes.
     pub(crate) buffered_bytes: AtomicUsize,
     /// Requests since the start.
@@ -204,6 +206,7 @@
             metrics: Metrics::default(),
             store_calls: StoreCalls::default(),
             in_flight: AtomicUsize::new(0),
+            open_connections: AtomicUsize::new(0),
             buffered_bytes: AtomicUsize::new(0),
             requests: AtomicU64::new(0),
             peer_updates: PeerUpdates::default(),
--- a/crates/edge/src/counted.rs
+++ b/crates/edge/src/counted.rs
@@ -1,4 +1,4 @@
-//! Counters that a request holds while it is in flight.
+//! Counters that requests and connections hold while they last.
 
 use crate::context::Context;
 use std::sync::Arc;
@@ -7,22 +7,38 @@
 /// Buffered bodies may use at most the process's allowed memory divided by this.
 const BUFFER_MEMORY_DIVISOR: usize = 4;
 
-/// Counts a request while it is in flight.
-pub(crate) struct InFlight<'a>(&'a Context);
+/// Counts a request until its response has been passed on.
+pub(crate) struct InFlight(Arc<Context>);
 
-impl<'a> InFlight<'a> {
-    pub(crate) fn new(context: &'a Context) -> Self {
+impl InFlight {
+    pub(crate) fn new(context: &Arc<Context>) -> Self {
         context.in_flight.fetch_add(1, Ordering::Relaxed);
-        Self(context)
+        Self(Arc::clone(context))
     }
 }
 
-impl Drop for InFlight<'_> {
+impl Drop for InFlight {
     fn drop(&mut self) {
         self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
+/// Counts a client's connection while it is open.
+pub(crate) struct OpenConnection(Arc<Context>);
+
+impl OpenConnection {
+    pub(crate) fn new(context: &Arc<Context>) -> Self {
+        context.open_connections.fetch_add(1, Ordering::Relaxed);
+        Self(Arc::clone(context))
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.open_connections.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Counts the bytes of a body while it is buffered.
 pub(crate) struct BufferedBytes {
     context: Arc<Context>,
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -54,7 +54,7 @@
     max_buffered_response: usize,
 ) -> Response<AnyBody> {
     context.requests.fetch_add(1, Ordering::Relaxed);
-    let _counted = InFlight::new(context);
+    let in_flight = InFlight::new(context);
     let arrived = Instant::now();
     let (parts, body) = request.into_parts();
     let incoming = IncomingRequest {
@@ -62,7 +62,7 @@
         arrived,
         max_buffered_response,
     };
-    match route_request(context, &incoming, body).await {
+    let response = match route_request(context, &incoming, body).await {
         Ok(response) => response,
         Err(failure) => {
             log_failure(context, &parts, &failure, arrived);
@@ -79,7 +79,8 @@
                 }
             }
         }
-    }
+    };
+    response.map(|body| GuardedBody::new(body, in_flight).boxed())
 }
 
 fn log_failure(context: &Context, parts: &Parts, failure: &Failure, arrived: Instant) {
--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -5,6 +5,7 @@
 //! connections left in the listener's queue and closes the listener.
 
 use crate::context::{Context, Lifecycle};
+use crate::counted::OpenConnection;
 use crate::pipeline::{Pipeline, ReadAhead};
 use crate::write_timeout::WriteTimeout;
 use http::{HeaderValue, header};
@@ -59,7 +60,9 @@
 
 fn spawn_connection(context: &Arc<Context>, stream: TcpStream) {
     let context = Arc::clone(context);
+    let open = OpenConnection::new(&context);
     tokio::spawn(async move {
+        let _open = open;
         serve_connection(context, stream).await;
     });
 }
--- a/crates/edge/src/start.rs
+++ b/crates/edge/src/start.rs
@@ -142,11 +142,10 @@
         let deadline = began + grace.mul_f64(MAX_GRACE_FRACTION);
         // Open connections may still receive requests that were sent before they close.
         sleep(server::CLOSE_GRACE + STAGE_POLL).await;
-        while context.in_flight.load(Ordering::Relaxed) > 0 && Instant::now() < deadline {
+        // A connection closes when its last response has been written.
+        while context.open_connections.load(Ordering::Relaxed) > 0 && Instant::now() < deadline {
             sleep(STAGE_POLL).await;
         }
-        // The last answers are still in the connections' buffers.
-        sleep(STAGE_POLL).await;
         emit(Event::Stopped, format_args!("{}", context.settings.id));
     }
 }
--- a/crates/edge/tests/downloads.rs
+++ b/crates/edge/tests/downloads.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use brasswinch_edge::Dialect;
+use brasswinch_edge::{Dialect, Lifecycle};
 use brasswinch_lab::routed_upstream::Behaviour;
 use brasswinch_routing::Change;
 use common::{HOST, Site, call, config, eventually, record, request};
@@ -193,6 +193,32 @@
     assert_eq!(seen[0].headers("accept-encoding"), ["gzip"]);
 }
 
+/// A stop waited for the heads of responses alone, and cut bodies that were being streamed.
+#[tokio::test]
+async fn a_stop_cuts_a_download_in_the_middle_of_its_response() {
+    let mut patient = common::settings("box-1", Vec::new());
+    patient.bounds.grace_s = 10.0;
+    let mut site = Site::start_with(patient, 1).await;
+    site.upstreams[0].always(long(HUGE_BYTES));
+    give_room(&site).await;
+    let mut client = begin_download(&site, 60_000).await;
+    eventually("it runs", || site.runs() == 1).await;
+    let handle = site.handle.take().unwrap();
+    let context = Arc::clone(handle.context());
+    let stopping = tokio::spawn(handle.stop());
+    eventually("the box accepts nothing new", || {
+        context.status().stage == Lifecycle::Closed
+    })
+    .await;
+    // Time for a stop that doesn't wait for the body.
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert!(!stopping.is_finished());
+    let mut received = Vec::new();
+    client.read_to_end(&mut received).await.unwrap();
+    assert!(received.len() > HUGE_BYTES, "cut after {}", received.len());
+    stopping.await.unwrap();
+}
+
 /// Memory of the smallest known box, in bytes.
 const SMALL_BOX_BYTES: usize = 112_000_000;
 
