daemon: a box that lacks slots gets its own back from neighbours that hold them idle

Neighbours that ask repeatedly empty a box by halves and keep idle loans for 0.5 s; the owner asked only neighbours that had reported idle slots.

Change: it also asks those that hold its slots; who is asked first gives the asker's idle slots back.

--- a/crates/daemon/src/control/loans.rs
+++ b/crates/daemon/src/control/loans.rs
@@ -5,13 +5,15 @@
 use brasswinch_peer::{LinkId, LoanAsk, LoanGrant, LoanReturn, Message, ServiceHoldings};
 use brasswinch_types::{BoxId, ServiceKey, Zone};
 use std::cmp::Reverse;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 /// Neighbours that are asked at a time.
 const ASK_NEIGHBOURS: usize = 2;
 
 impl Control {
-    /// Asks the neighbours that report most idle slots.
+    /// Asks the neighbours that hold this box's own slots, which give back the idle ones, and those
+    /// that report most idle slots.
     pub(super) fn ask_for_loan(&mut self, service: &ServiceKey, want: u32) {
         if !self.context.settings.this_box.loans.borrow {
             return;
@@ -32,8 +34,13 @@
             asked_at: self.now(),
             incarnation: self.context.incarnation,
         });
-        for (_, lender) in lenders.into_iter().take(ASK_NEIGHBOURS) {
-            self.send_to(&lender, &ask);
+        let lenders = lenders.into_iter().take(ASK_NEIGHBOURS);
+        let mut asked: BTreeSet<BoxId> = lenders.map(|(_, lender)| lender).collect();
+        if let Some(service) = self.context.services.get(service) {
+            asked.extend(service.gate.borrowers());
+        }
+        for neighbour in asked {
+            self.send_to(&neighbour, &ask);
         }
     }
 
@@ -44,6 +51,10 @@
         let Some(service) = self.context.services.get(&ask.service) else {
             return;
         };
+        let service = Arc::clone(service);
+        for returned in service.gate.recall(peer) {
+            self.return_loan(ask.service.clone(), returned);
+        }
         let loans = service.gate.lend(peer, ask.want);
         if loans.is_empty() {
             return;
--- a/crates/daemon/src/gate.rs
+++ b/crates/daemon/src/gate.rs
@@ -11,7 +11,7 @@
 use brasswinch_decide::slots::{HoldBack, Loan, LoanTerms, Returned, SlotCounts, SlotPool};
 use brasswinch_observe::{Event, emit};
 use brasswinch_types::{BoxId, ErrorKind, Millis, UnitTable};
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::sync::{mpsc, oneshot};
@@ -275,9 +275,14 @@
         self.change(service, |state, _| state.pool.take_back(borrower, loan));
     }
 
-    /// Hands back what a leaving neighbour lent, as far as it is idle.
-    pub(crate) fn recall(&self, leaving: &BoxId) -> Vec<Returned> {
-        self.lock().pool.recall(leaving)
+    /// Hands back what a neighbour lent that is leaving or needs it, as far as it is idle.
+    pub(crate) fn recall(&self, lender: &BoxId) -> Vec<Returned> {
+        self.lock().pool.recall(lender)
+    }
+
+    /// The neighbours that hold slots on loan from this box.
+    pub(crate) fn borrowers(&self) -> BTreeSet<BoxId> {
+        self.lock().pool.borrowers()
     }
 
     /// The slots in use on loan from `lender`.
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -272,6 +272,17 @@
         versions
     }
 
+    /// All daemons' log lines with this event, for messages of failed tests.
+    pub fn log_lines(&self, event: &str) -> Vec<String> {
+        let mut lines = Vec::new();
+        for name in self.daemons.keys() {
+            let log = self.log_of(name);
+            let found = log.lines().filter(|line| line.contains(event));
+            lines.extend(found.map(|line| format!("{name}: {line}")));
+        }
+        lines
+    }
+
     /// The end of a daemon's log, for messages of failed tests.
     pub fn log_of(&self, name: &str) -> String {
         std::fs::read_to_string(self.folder.join(format!("{name}.log"))).unwrap_or_default()
--- a/crates/daemon/tests/isolation.rs
+++ b/crates/daemon/tests/isolation.rs
@@ -79,8 +79,9 @@
     println!("p99 {quiet_ms:.1} ms alone, {busy_ms:.1} ms beside the flood");
     assert_eq!(refused, 20);
     assert!(flooded.by_outcome().contains_key("at_capacity (not_run)"));
+    let missing_slots = fleet.log_lines("BW411");
     for report in tally.reports() {
-        assert_eq!(report.outcome, Outcome::Whole);
+        assert_eq!(report.outcome, Outcome::Whole, "{missing_slots:#?}");
     }
 }
 
--- a/crates/decide/src/slots.rs
+++ b/crates/decide/src/slots.rs
@@ -16,7 +16,7 @@
 
 use brasswinch_types::{BoxId, Millis, UnitTable, unit_of_slot};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// The durations that apply to loans.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -313,9 +313,19 @@
         returned
     }
 
-    /// Ends the loans from a lender that is leaving, so that it needn't wait for their term.
+    /// Returns the boxes that hold slots on loan from this one.
+    pub fn borrowers(&self) -> BTreeSet<BoxId> {
+        let borrower = |slot: &Slot| match &slot.ownership {
+            Ownership::Loaned { borrower, .. } => Some(borrower.clone()),
+            _ => None,
+        };
+        self.slots.iter().filter_map(borrower).collect()
+    }
+
+    /// Ends the loans from a lender that is leaving or needs them itself, so that it needn't wait
+    /// for their term.
     /// Returns the idle slots now; the busy ones are returned when their work finishes.
-    pub fn recall(&mut self, leaving: &BoxId) -> Vec<Returned> {
+    pub fn recall(&mut self, recalling: &BoxId) -> Vec<Returned> {
         let mut returned = Vec::new();
         for slot in 0..self.slots.len() as u32 {
             let entry = &mut self.slots[slot as usize];
@@ -327,7 +337,7 @@
             else {
                 continue;
             };
-            if lender != leaving {
+            if lender != recalling {
                 continue;
             }
             *start_before = 0;
