--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -66,23 +66,27 @@
         Ok(response) => response,
         Err(failure) => {
             log_failure(context, &parts, &failure, arrived);
-            match failure {
-                Failure::Kind(kind) | Failure::AtUpstream { kind, .. } => error_response(kind),
-                Failure::OverQuota { retry_after_ms, .. } => {
-                    refusal_response(ErrorKind::OverQuota, retry_after_ms)
-                }
-                Failure::Refused { retry_after_ms, .. } => {
-                    refusal_response(ErrorKind::AtCapacity, retry_after_ms)
-                }
-                Failure::Quarantined { retry_after_ms, .. } => {
-                    refusal_response(ErrorKind::ShutOut, retry_after_ms)
-                }
-            }
+            failure_response(&failure)
         }
     };
     response.map(|body| GuardedBody::new(body, in_flight).boxed())
 }
 
+fn failure_response(failure: &Failure) -> Response<AnyBody> {
+    match *failure {
+        Failure::Kind(kind) | Failure::AtUpstream { kind, .. } => error_response(kind),
+        Failure::OverQuota { retry_after_ms, .. } => {
+            refusal_response(ErrorKind::OverQuota, retry_after_ms)
+        }
+        Failure::Refused { retry_after_ms, .. } => {
+            refusal_response(ErrorKind::AtCapacity, retry_after_ms)
+        }
+        Failure::Quarantined { retry_after_ms, .. } => {
+            refusal_response(ErrorKind::ShutOut, retry_after_ms)
+        }
+    }
+}
+
 fn log_failure(context: &Context, parts: &Parts, failure: &Failure, arrived: Instant) {
     let kind = failure.kind();
     let event = match kind.answer().ran {
--- a/crates/edge/src/pipeline/early.rs
+++ b/crates/edge/src/pipeline/early.rs
@@ -6,6 +6,7 @@
 use crate::context::{Context, Lifecycle};
 use crate::counted::BufferedBytes;
 use crate::exchange::{handle_request, may_run_early};
+use brasswinch_observe::{Event, emit};
 use http::request::Parts;
 use http::{Request, Response};
 use http_body_util::BodyExt;
@@ -16,9 +17,8 @@
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 
-/// Maximum requests of a connection that run before their turn. A client that sends more at once
-/// still gets a response as soon as eight are finished; a larger number would let one connection
-/// take as many slots of upstreams as many clients.
+/// Maximum requests of a connection that run before their turn. With more, one connection could
+/// take the slots of upstreams that many clients share.
 const MAX_EARLY_REQUESTS: usize = 8;
 
 /// Maximum bytes of an early response that are buffered. The rest stays with the upstream until the
@@ -188,8 +188,11 @@
                 let buffered = early.buffered.take();
                 match (&mut early.response).await {
                     Ok(response) => response.map(|body| GuardedBody::new(body, buffered).boxed()),
-                    // It panicked or was cancelled. It may run again.
-                    Err(_) => self.run(head, ClientBody::Incoming(body)).await,
+                    // Its task panicked; early requests may run again.
+                    Err(error) => {
+                        emit(Event::RequestRetried, format_args!("early run: {error}"));
+                        self.run(head, ClientBody::Incoming(body)).await
+                    }
                 }
             }
             None => self.run(head, ClientBody::Incoming(body)).await,
