--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -34,8 +34,8 @@
 /// sent to another upstream if the first one fails.
 const MAX_BUFFERED_BODY_BYTES: usize = 1024 * 1024;
 
-/// Memory that a streamed response takes, in bytes: what has been read from the upstream, and what
-/// the client has not taken yet.
+/// Memory that is counted for a streamed response, in bytes. Full buffers take up to four times as
+/// much, and streamed responses may count for at most a quarter of the memory.
 const STREAMED_RESPONSE_BYTES: usize = 24 * 1024;
 
 /// Maximum attempts per request in which nothing can be sent to the upstream.
@@ -146,6 +146,16 @@
     max_buffered_response: usize,
 }
 
+impl IncomingRequest<'_> {
+    /// Returns how many bytes of a response are buffered on a route of this kind.
+    fn max_buffered_for(&self, kind: RouteKind) -> usize {
+        if kind.streams_responses() {
+            return 0;
+        }
+        self.max_buffered_response
+    }
+}
+
 /// A request that has matched a route.
 struct RoutedRequest<'a> {
     context: &'a Arc<Context>,
@@ -200,11 +210,7 @@
     context.count_request(&service);
     let routed = RoutedRequest {
         config: in_force.config.version,
-        max_buffered_response: if route.kind.streams_responses() {
-            0
-        } else {
-            incoming.max_buffered_response
-        },
+        max_buffered_response: incoming.max_buffered_for(route.kind),
         arrived,
         deadline: facts.deadline(&context.clock, route.timeout_s),
         strips_credential: in_force.keys.has_workspaces(),
