tests: the load of the refusal test exceeds what its upstreams can serve

The test offered 150 requests/s a service to 6 upstreams of 2 slots and 30 ms, which can serve 400/s; it had its refusals from slots that a neighbour kept idle.

Change: the load is derived from the capacity (1 slot each, half as many again as can be served).

--- a/crates/daemon/tests/answers.rs
+++ b/crates/daemon/tests/answers.rs
@@ -23,6 +23,15 @@
 /// Workers that send them.
 const WORKERS: usize = 12;
 
+/// How long a request occupies a slot where refusals are brought about, in milliseconds.
+const SERVICE_MS: u64 = 30;
+
+/// Slots of each upstream there, fewer than the deployment says.
+const SLOTS: u32 = 1;
+
+/// Requests a second for each service there, half as many again as its upstreams can serve.
+const OVERLOAD_PER_S: u64 = UPSTREAMS * SLOTS as u64 * 1_000 / SERVICE_MS * 3 / 2;
+
 fn spec() -> Spec {
     let mut spec = Spec::kavach(BOXES_PER_ZONE as usize, TARGETS_PER_ZONE as usize);
     spec.regions = vec!["guj-west"];
@@ -108,10 +117,9 @@
     let mut fleet = Fleet::serving(spec, &policy).await;
     for upstreams in fleet.site.upstreams.values() {
         upstreams.control(|control| {
-            control.service_ms = 30;
+            control.service_ms = SERVICE_MS;
             control.drop_every = 13;
-            // Fewer than the deployment says: upstreams refuse some.
-            control.slots = 2;
+            control.slots = SLOTS;
         });
     }
     let mut loads = Vec::new();
@@ -122,7 +130,13 @@
             job.upload_bytes = 200_000;
         }
         let duration = Duration::from_secs(8);
-        let load = open_load(fleet.caller(0), job, 150.0, duration, Arc::clone(&tally));
+        let load = open_load(
+            fleet.caller(0),
+            job,
+            OVERLOAD_PER_S as f64,
+            duration,
+            Arc::clone(&tally),
+        );
         loads.push((service, tokio::spawn(load), tally));
     }
     for turn in 0..3 {
