lab: replays the start of a whole fleet on the membership protocol

`brasswinch lab start` runs the pure cores of all boxes in one process with a modelled network and counts what each sends, by kind.

--- a/crates/cli/src/commands/lab.rs
+++ b/crates/cli/src/commands/lab.rs
@@ -26,6 +26,7 @@
     Slopes(LabSlopes),
     Measure(LabMeasure),
     Replay(LabReplay),
+    Start(LabStart),
 }
 
 /// Run Kavach in small in one process, with load, a shift, a drain and a stop.
@@ -153,6 +154,19 @@
     seeds: u64,
 }
 
+/// Replay the start of a whole fleet, without sockets; prints messages, bytes and times.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "start")]
+struct LabStart {
+    /// sizes of the fleet, in boxes
+    #[argh(option, default = "String::from(\"30,100,300\")")]
+    boxes: String,
+
+    /// how many seeds of each
+    #[argh(option, default = "1")]
+    seeds: u64,
+}
+
 /// Carries the command out and gives its exit code.
 pub(crate) async fn run(command: LabCommand) -> Result<u8, LabError> {
     match command.command {
@@ -199,18 +213,32 @@
             Ok(EXIT_OK)
         }
         LabSubcommand::Replay(replay) => {
-            let sizes = replay.boxes.split(',').map(|size| size.trim().parse());
-            let sizes: Result<Vec<usize>, _> = sizes.collect();
-            let Ok(sizes) = sizes else {
-                eprintln!("--boxes: not a list of numbers: {}", replay.boxes);
+            let Some(sizes) = parse_sizes(&replay.boxes) else {
                 return Ok(EXIT_FAILED);
             };
             brasswinch_lab::replay::report(&replay.only, &sizes, replay.seeds);
             Ok(EXIT_OK)
         }
+        LabSubcommand::Start(start) => {
+            let Some(sizes) = parse_sizes(&start.boxes) else {
+                return Ok(EXIT_FAILED);
+            };
+            brasswinch_lab::fleet_start::report(&sizes, start.seeds);
+            Ok(EXIT_OK)
+        }
         LabSubcommand::Slopes(slopes) => {
             brasswinch_lab::slopes::run(&slopes.only, slopes.json, crate::allocated_bytes).await?;
             Ok(EXIT_OK)
         }
     }
 }
+
+/// Reads numbers of boxes, separated by commas; reports what can't be read.
+fn parse_sizes(list: &str) -> Option<Vec<usize>> {
+    let sizes = list.split(',').map(|size| size.trim().parse());
+    let sizes: Result<Vec<usize>, _> = sizes.collect();
+    if sizes.is_err() {
+        eprintln!("--boxes: not a list of numbers: {list}");
+    }
+    sizes.ok()
+}
--- a/crates/edge/src/fleet_size.rs
+++ b/crates/edge/src/fleet_size.rs
@@ -109,16 +109,11 @@
     pub(crate) fn publish_fleet_size(&self) {
         let now = self.clock.now();
         let mut swim = self.swim();
-        let reachable = swim.alive_boxes().count();
-        let sizes = swim
-            .alive_boxes()
-            .filter(|record| record.id != self.settings.id);
-        let reported = sizes.map(|record| record.fleet_size).max().unwrap_or(0);
         let mut size = lock(&self.fleet_size.size);
-        size.observe(reachable, reported, now);
-        let (known, to_report) = (size.known(now), size.to_report());
+        let has_changed = size.observe_members(&mut swim, now);
+        let known = size.known(now);
         drop(size);
-        let has_changed = swim.set_fleet_size(to_report);
+        let reachable = swim.alive_boxes().count();
         drop(swim);
         if has_changed {
             self.has_updates.notify_one();
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod deployment;
 pub mod faults;
 pub mod fleet;
+pub mod fleet_start;
 pub mod http;
 pub mod measure;
 pub mod memory_store;
--- a/crates/routing/src/fleet_size.rs
+++ b/crates/routing/src/fleet_size.rs
@@ -11,6 +11,7 @@
 //! A box reports only the first two to others. Otherwise boxes would report each other's old
 //! values back and forth, and a smaller fleet would never be noticed.
 
+use crate::swim::Swim;
 use brasswinch_types::Millis;
 
 /// How long boxes still count after they were last alive, in milliseconds: regions are at times
@@ -85,6 +86,17 @@
         self.reported.record(reported, now);
     }
 
+    /// Records the members that are alive and the sizes that they report, and publishes this
+    /// box's size through `swim`. Returns whether the published size changed.
+    pub fn observe_members(&mut self, swim: &mut Swim, now: Millis) -> bool {
+        let me = swim.me().id.clone();
+        let alive = swim.alive_boxes().count();
+        let others = swim.alive_boxes().filter(|record| record.id != me);
+        let reported = others.map(|record| record.fleet_size).max();
+        self.observe(alive, reported.unwrap_or(0), now);
+        swim.set_fleet_size(self.to_report())
+    }
+
     /// Records the size in the store; 0 if no box has written one yet.
     pub fn set_stored(&mut self, boxes: u32) {
         self.stored = Some(boxes);
