routing: a growing fleet size is no longer announced with every discovered box

Cause: a box reports the number of boxes it has seen alive in its own record. While a fleet starts that number changes with every publication (each 150 ms), each change was announced to three members and spread by gossip like a changed state, so that at 985 boxes most of the seven records of a message were ones that the receiver already had, with another size.

Change: the number is reported once it has not grown for 1 s (the stored size before that), and a changed size alone is not spread by others; a box's own probes carry it.

--- a/crates/routing/src/fleet_size.rs
+++ b/crates/routing/src/fleet_size.rs
@@ -22,6 +22,10 @@
 /// milliseconds. This is longer than the store's occasional pauses.
 const SIZE_WAIT_MS: Millis = 15_000;
 
+/// How long the number of live boxes must not have grown before it is reported to others, in
+/// milliseconds. A starting box discovers others continuously, and each report is a message.
+const GROWTH_SETTLE_MS: Millis = 1_000;
+
 /// The size in the store is lowered only if the fleet is smaller than this fraction of it, so
 /// that boxes that restart one after another don't cause a store call each.
 const SHRINK_FRACTION: f64 = 0.9;
@@ -70,6 +74,8 @@
 pub struct FleetSize {
     started_at: Option<Millis>,
     alive: WindowedMax,
+    /// When the maximum of `alive` last grew.
+    grew_at: Millis,
     /// Sizes reported by other boxes; 0 if there are none.
     reported: WindowedMax,
     /// The size in the store, 0 if it has none; `None` until the store was read.
@@ -81,8 +87,12 @@
     /// them reports, 0 if none does.
     pub fn observe(&mut self, boxes: usize, reported: u32, now: Millis) {
         self.started_at.get_or_insert(now);
+        let known = self.alive.get();
         self.alive
             .record(u32::try_from(boxes).unwrap_or(u32::MAX), now);
+        if self.alive.get() > known {
+            self.grew_at = now;
+        }
         self.reported.record(reported, now);
     }
 
@@ -94,7 +104,7 @@
         let others = swim.alive_boxes().filter(|record| record.id != me);
         let reported = others.map(|record| record.fleet_size).max();
         self.observe(alive, reported.unwrap_or(0), now);
-        swim.set_fleet_size(self.to_report())
+        swim.set_fleet_size(self.to_report(now))
     }
 
     /// Records the size in the store; 0 if no box has written one yet.
@@ -120,8 +130,12 @@
 
     /// Returns the size to report to other boxes. It is 0 until the store was read, since the
     /// live boxes may be only one side of a partition.
-    pub fn to_report(&self) -> u32 {
-        self.stored.map_or(0, |_| self.own_size())
+    pub fn to_report(&self, now: Millis) -> u32 {
+        let Some(stored) = self.stored else {
+            return 0;
+        };
+        let is_settled = now.saturating_sub(self.grew_at) >= GROWTH_SETTLE_MS;
+        if is_settled { self.own_size() } else { stored }
     }
 
     /// Returns the size to write to the store, if the one there has to change.
--- a/crates/routing/src/swim/spreading.rs
+++ b/crates/routing/src/swim/spreading.rs
@@ -85,10 +85,10 @@
         }
         let needs_no_spreading = held.liveness == incoming.liveness
             && held.record.state == incoming.record.state
-            && held.record.reaches_store == incoming.record.reaches_store
-            && held.record.fleet_size == incoming.record.fleet_size;
+            && held.record.reaches_store == incoming.record.reaches_store;
         if needs_no_spreading {
-            // A changed load or revision isn't spread: its box sends it with each probe.
+            // A changed load, revision or fleet size isn't spread: its box sends it with each
+            // probe.
             held.record = incoming.record;
             return;
         }
--- a/crates/routing/tests/quotas_in_cuts.rs
+++ b/crates/routing/tests/quotas_in_cuts.rs
@@ -190,7 +190,10 @@
         let discovers = |other: &usize| *other != index && self.now >= discovered_at[*other];
         let others: Vec<usize> = (0..BOXES).filter(discovers).collect();
         let sizes = others.iter().map(|other| &self.boxes[*other].fleet_size);
-        let reported = sizes.map(FleetSize::to_report).max().unwrap_or(0);
+        let reported = sizes
+            .map(|size| size.to_report(self.now))
+            .max()
+            .unwrap_or(0);
         let serving = others.iter().copied().filter(|other| self.serves(*other));
         let serving: Vec<usize> = serving.chain([index]).collect();
         let (serves, now) = (self.serves(index), self.now);
