routing, edge: boxes compare digests and fetch only the members that they lack

Cause: a starting box learned others by gossip, seven records a message, and by sync replies of up to 140 members drawn at random. Both send mostly what the receiver knows, and seeds sent it to every box each 0.3 s. At 985 boxes none knew all others 11 s after the start.

Change: a sync carries a digest of 64 parts; the reply contains only members whose part differs, if they fit into four datagrams. Otherwise the box fetches what it lacks over the connection that changes of the store use: it sends a hash of four bytes for each member that it knows. While a sync brings many members the next one follows after 0.2 s, else the interval doubles up to 5 s. A box renews its probe order when its members have doubled; before, it went on probing the first boxes that it had found, the seeds.

A request of the new kind is one that a box of an older build can't read: it closes the connection, and the box goes on by gossip.

--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -7,6 +7,7 @@
 use crate::dialect::Dialect;
 use crate::fleet_size::KnownFleetSize;
 use crate::health::HealthProbes;
+use crate::members_transfer::MembersTransfer;
 use crate::metrics::Metrics;
 use crate::quarantine::QuarantineTasks;
 use crate::quotas::QuotaTasks;
@@ -134,6 +135,8 @@
     pub(crate) quarantine: QuarantineTasks,
     /// Wakes the gossip task when the own member record has changed.
     pub(crate) has_updates: Notify,
+    /// The transfer of members to this box.
+    pub(crate) members_transfer: MembersTransfer,
     lifecycle: watch::Sender<Lifecycle>,
     fleet: Mutex<FleetState>,
     placement: Mutex<Placement>,
@@ -211,6 +214,7 @@
             requests: AtomicU64::new(0),
             peer_updates: PeerUpdates::default(),
             has_updates: Notify::new(),
+            members_transfer: MembersTransfer::default(),
             lifecycle: watch::Sender::new(Lifecycle::Starting),
             fleet: Mutex::default(),
             placement: Mutex::new(placement),
--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -2,6 +2,7 @@
 
 use crate::context::Context;
 use crate::datagram::Datagram;
+use crate::members_transfer;
 use brasswinch_observe::{Event, emit};
 use brasswinch_routing::{Liveness, SwimMessage};
 use brasswinch_types::{BoxId, Millis};
@@ -59,6 +60,7 @@
         };
         send(&socket, out).await;
         send_view_report(&context, &socket).await;
+        members_transfer::start_if_needed(&context);
         let newest = context.swim().generation();
         if newest != generation && published_at.elapsed() >= PUBLISH_INTERVAL {
             generation = newest;
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -24,6 +24,7 @@
 mod gossip;
 mod health;
 mod look_up;
+mod members_transfer;
 mod metrics;
 mod pending_replies;
 mod pipeline;
--- a/crates/edge/src/relay/mod.rs
+++ b/crates/edge/src/relay/mod.rs
@@ -1,7 +1,7 @@
-//! Exchanges changes of the store between boxes.
+//! Exchanges changes of the store, and members, between boxes.
 //!
 //! A box that learns of a newer revision than its own requests the changes from a box that has
-//! them: CBOR over a WebSocket, one request and one reply per connection. How long a reply takes
+//! them, and one that lacks many members requests those: CBOR over a WebSocket, one request and one reply per connection. How long a reply takes
 //! depends on its size and on the links, which are unknown here, so the timeouts apply mainly to
 //! the time without progress.
 
@@ -9,7 +9,9 @@
 mod transfer;
 
 use crate::context::Context;
-use brasswinch_routing::{CatchUp, ConfigFingerprint, Revision, Scope};
+use brasswinch_routing::{
+    CatchUp, ConfigFingerprint, MembersReply, MembersRequest, Revision, Scope,
+};
 use replies::ReplyCache;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -50,12 +52,24 @@
     config: Option<ConfigFingerprint>,
 }
 
-/// The reply to a request for changes.
+/// A request to another box.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(untagged)]
+enum Request {
+    /// For changes of the store.
+    Changes(ChangesRequest),
+    /// For members.
+    Members(MembersRequest),
+}
+
+/// The reply to a request.
 #[derive(Debug, Serialize, Deserialize)]
 enum Reply {
     /// The changes that the requesting box lacks.
     #[serde(rename = "News")]
     Changes(CatchUp),
+    /// The members that the requesting box lacks.
+    Members(MembersReply),
     /// The box has just started and has no data yet.
     #[serde(rename = "KnowsNothing")]
     NoData,
@@ -75,6 +89,9 @@
     /// The other box has just started and has no data yet.
     #[error("the peer has no data yet")]
     NoData,
+    /// The reply doesn't match the request.
+    #[error("the peer replied to another kind of request")]
+    Mismatch,
     /// The other box is already sending the maximum number of large replies.
     #[error("the peer is busy with other large replies")]
     Busy,
@@ -122,19 +139,10 @@
     scope: Scope,
 ) -> Result<CatchUpReply, RelayError> {
     let began = Instant::now();
-    let request = build_request(context, scope);
-    let mut socket = timeout(REQUEST_TIMEOUT, connect_and_send(context, peer, &request))
-        .await
-        .map_err(|_| RelayError::ConnectTimeout)??;
-    let (reply, bytes) = timeout(EXCHANGE_TIMEOUT, receive(&mut socket))
-        .await
-        .map_err(|_| RelayError::ReplyTimeout)??;
-    // A failed close needs no handling: the other box stops waiting by itself.
-    let _ = socket.close(None).await;
-    let changes = match reply {
-        Reply::Changes(changes) => changes,
-        Reply::NoData => return Err(RelayError::NoData),
-        Reply::Busy => return Err(RelayError::Busy),
+    let request = Request::Changes(build_request(context, scope));
+    let (reply, bytes) = exchange(context, peer, &request).await?;
+    let Reply::Changes(changes) = reply else {
+        return Err(refusal(&reply));
     };
     Ok(CatchUpReply {
         changes,
@@ -143,6 +151,48 @@
     })
 }
 
+/// Requests from the box at `peer` the members that this box lacks.
+///
+/// # Errors
+///
+/// Fails if the box can't be reached, stops responding, or is busy.
+pub(crate) async fn request_members(
+    context: &Context,
+    peer: SocketAddr,
+    request: MembersRequest,
+) -> Result<MembersReply, RelayError> {
+    let (reply, _) = exchange(context, peer, &Request::Members(request)).await?;
+    match reply {
+        Reply::Members(members) => Ok(members),
+        _ => Err(refusal(&reply)),
+    }
+}
+
+/// Sends a request and returns the reply with its length on the wire, in bytes.
+async fn exchange(
+    context: &Context,
+    peer: SocketAddr,
+    request: &Request,
+) -> Result<(Reply, usize), RelayError> {
+    let mut socket = timeout(REQUEST_TIMEOUT, connect_and_send(context, peer, request))
+        .await
+        .map_err(|_| RelayError::ConnectTimeout)??;
+    let received = timeout(EXCHANGE_TIMEOUT, receive(&mut socket))
+        .await
+        .map_err(|_| RelayError::ReplyTimeout)??;
+    // A failed close needs no handling: the other box stops waiting by itself.
+    let _ = socket.close(None).await;
+    Ok(received)
+}
+
+fn refusal(reply: &Reply) -> RelayError {
+    match reply {
+        Reply::NoData => RelayError::NoData,
+        Reply::Busy => RelayError::Busy,
+        Reply::Changes(_) | Reply::Members(_) => RelayError::Mismatch,
+    }
+}
+
 fn build_request(context: &Context, scope: Scope) -> ChangesRequest {
     let fleet = context.fleet();
     let needs_all = scope == Scope::Operator && fleet.lacks_readable_config();
@@ -158,7 +208,7 @@
 async fn connect_and_send(
     context: &Context,
     peer: SocketAddr,
-    request: &ChangesRequest,
+    request: &Request,
 ) -> Result<WebSocketStream<TcpStream>, RelayError> {
     let stream = connect(context, peer).await.map_err(connection_error)?;
     let url = format!("ws://{peer}/");
@@ -189,7 +239,7 @@
 ) -> Result<(), RelayError> {
     let accepted = timeout(REQUEST_TIMEOUT, accept_request(stream)).await;
     let (mut socket, request) = accepted.map_err(|_| RelayError::ConnectTimeout)??;
-    let reply = cache.reply(context, request)?;
+    let reply = cache.reply(context, &request)?;
     send(&mut socket, &reply.encoded).await?;
     transfer::wait_for_close(&mut socket).await;
     Ok(())
@@ -197,7 +247,7 @@
 
 async fn accept_request(
     stream: TcpStream,
-) -> Result<(WebSocketStream<TcpStream>, ChangesRequest), RelayError> {
+) -> Result<(WebSocketStream<TcpStream>, Request), RelayError> {
     stream.set_nodelay(true).map_err(connection_error)?;
     let mut socket = accept_async_with_config(stream, Some(websocket_config()))
         .await
--- a/crates/edge/src/relay/replies.rs
+++ b/crates/edge/src/relay/replies.rs
@@ -3,7 +3,7 @@
 //! at a time because they share the box's link.
 
 use super::transfer::{EncodedMessage, TransferError, encode};
-use super::{ChangesRequest, Reply};
+use super::{ChangesRequest, Reply, Request};
 use crate::context::Context;
 use brasswinch_routing::Revision;
 use std::collections::VecDeque;
@@ -56,9 +56,15 @@
     pub(super) fn reply(
         &self,
         context: &Context,
-        request: ChangesRequest,
+        request: &Request,
     ) -> Result<OutgoingReply<'_>, TransferError> {
-        let encoded = self.encoded(context, request)?;
+        let encoded = match request {
+            Request::Changes(request) => self.encoded(context, *request)?,
+            Request::Members(request) => {
+                let members = context.swim().members_reply(request);
+                encode(&Reply::Members(members))?
+            }
+        };
         if encoded.len() < LARGE_REPLY_BYTES {
             return Ok(OutgoingReply {
                 encoded,
--- a/crates/lab/src/fleet_start/network.rs
+++ b/crates/lab/src/fleet_start/network.rs
@@ -1,6 +1,6 @@
 //! A modelled network between boxes: messages with a delay, delivered in the order of time.
 
-use brasswinch_routing::SwimMessage;
+use brasswinch_routing::{MembersReply, MembersRequest, SwimMessage};
 use brasswinch_types::Millis;
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -31,6 +31,17 @@
         /// What it sent.
         message: Box<SwimMessage>,
     },
+    /// Another box asks for members over a connection.
+    TransferRequest {
+        /// The asking box.
+        from: usize,
+        /// What it asks for.
+        request: MembersRequest,
+    },
+    /// A transfer that this box sends has ended.
+    TransferSent,
+    /// The reply to this box's request arrives; `None` if the other box was busy.
+    TransferReply(Option<MembersReply>),
 }
 
 /// A happening at its time.
--- a/crates/lab/src/fleet_start/outcome.rs
+++ b/crates/lab/src/fleet_start/outcome.rs
@@ -17,7 +17,10 @@
 /// What a replayed start showed.
 #[derive(Clone, Debug, Default)]
 pub struct StartOutcome {
-    /// When each box first knew all others, in milliseconds after the last one started; absent
+    /// When each box first knew all others, in any state, in milliseconds after the last one
+    /// started; absent if it never did.
+    pub known_ms: Vec<Option<Millis>>,
+    /// When each box first knew that all others serve, in milliseconds after the last one started; absent
     /// if it never did.
     pub complete_ms: Vec<Option<Millis>>,
     /// What each box sent until the end of the start.
@@ -31,9 +34,9 @@
 }
 
 impl StartOutcome {
-    /// Returns when the last box knew all others; `None` if one never did.
-    pub fn all_complete_ms(&self) -> Option<Millis> {
-        let each: Option<Vec<Millis>> = self.complete_ms.iter().copied().collect();
+    /// Returns when the last box knew all others in any state; `None` if one never did.
+    pub fn all_known_ms(&self) -> Option<Millis> {
+        let each: Option<Vec<Millis>> = self.known_ms.iter().copied().collect();
         each?.into_iter().max()
     }
 
@@ -75,13 +78,14 @@
 
 impl fmt::Display for StartOutcome {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let known = self.complete_ms.iter().flatten().copied();
-        let (middle, most) = middle_and_most(known);
-        let complete = self.complete_ms.iter().flatten().count();
-        writeln!(
-            f,
-            "  knew all: {complete} boxes, {middle} / {most} ms after the last start"
-        )?;
+        for (what, times) in [("all", &self.known_ms), ("all serving", &self.complete_ms)] {
+            let (middle, most) = middle_and_most(times.iter().flatten().copied());
+            let boxes = times.iter().flatten().count();
+            writeln!(
+                f,
+                "  knew {what}: {boxes} boxes, {middle} / {most} ms after the last start"
+            )?;
+        }
         for (name, phase) in [("start", &self.start), ("5 s after it", &self.steady)] {
             let (messages, most_messages) = middle_and_most(phase.iter().map(|t| t.messages));
             let (bytes, most_bytes) = middle_and_most(phase.iter().map(|t| t.bytes));
--- a/crates/lab/src/fleet_start/play.rs
+++ b/crates/lab/src/fleet_start/play.rs
@@ -3,11 +3,12 @@
 use super::network::{Happening, Network, address_of, box_at, delay_ms, region_of};
 use super::outcome::{StartOutcome, Traffic, kind_of};
 use brasswinch_routing::{
-    FleetSize, MemberRecord, MemberState, Outgoing, Revision, Swim, SwimMessage, SwimSettings,
+    FleetSize, MemberRecord, MemberState, MembersRequest, Outgoing, Revision, Swim, SwimSettings,
 };
 use brasswinch_types::{BoxId, Millis, Zone};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
+use serde::Serialize;
 use std::net::SocketAddr;
 use std::time::Instant;
 
@@ -26,6 +27,16 @@
 /// Least interval between two publications of the members, in milliseconds, as in `edge::gossip`.
 const PUBLISH_MS: Millis = 150;
 
+/// Transfers of members that a box sends at a time, as in `edge::relay`.
+const MAX_TRANSFERS: u64 = 8;
+
+/// Ways between two boxes until a request has arrived over a new connection: its set-up, the
+/// upgrade to a WebSocket, and the request.
+const WAYS_OF_A_REQUEST: Millis = 5;
+
+/// Bytes that a link carries per millisecond: 20 Mbit/s.
+const LINK_BYTES_PER_MS: u64 = 2_500;
+
 /// A fleet that starts.
 #[derive(Clone, Debug)]
 pub struct StartPattern {
@@ -60,6 +71,9 @@
     size: FleetSize,
     published_generation: u64,
     published_at: Millis,
+    /// Transfers of members that it sends.
+    transfers: u64,
+    is_fetching: bool,
 }
 
 /// Plays `pattern` with random numbers from `seed`.
@@ -91,6 +105,7 @@
             network.schedule(serve, number, Happening::Serve);
         }
         let outcome = StartOutcome {
+            known_ms: vec![None; pattern.boxes],
             complete_ms: vec![None; pattern.boxes],
             start: vec![Traffic::default(); pattern.boxes],
             steady: vec![Traffic::default(); pattern.boxes],
@@ -136,11 +151,66 @@
                 here.swim
                     .receive(address_of(from), *message, now, &mut self.random)
             }
+            Happening::TransferRequest { from, request } => {
+                self.answer_transfer(now, number, from, &request);
+                return;
+            }
+            Happening::TransferSent => {
+                here.transfers -= 1;
+                return;
+            }
+            Happening::TransferReply(reply) => {
+                here.is_fetching = false;
+                match reply {
+                    Some(reply) => here.swim.merge_members(reply, now),
+                    None => here.swim.record_failed_transfer(now),
+                }
+                Vec::new()
+            }
         };
         self.send(now, number, out);
+        self.fetch(now, number);
         self.publish(now, number);
     }
 
+    /// Starts the transfer that the box needs.
+    fn fetch(&mut self, now: Millis, number: usize) {
+        let here = &mut self.boxes[number];
+        if here.is_fetching {
+            return;
+        }
+        let Some(needed) = here.swim.take_needed_transfer() else {
+            return;
+        };
+        here.is_fetching = true;
+        let to = box_at(needed.peer);
+        let at = now + WAYS_OF_A_REQUEST * delay_ms(number, to);
+        let (from, request) = (number, needed.request);
+        let bytes = encoded_bytes(&request);
+        self.count(now, number, "transfer-request", bytes);
+        let happening = Happening::TransferRequest { from, request };
+        self.network.schedule(at, to, happening);
+    }
+
+    fn answer_transfer(&mut self, now: Millis, number: usize, to: usize, request: &MembersRequest) {
+        let here = &mut self.boxes[number];
+        let delay = delay_ms(number, to);
+        if here.transfers >= MAX_TRANSFERS {
+            let busy = Happening::TransferReply(None);
+            self.network.schedule(now + delay, to, busy);
+            return;
+        }
+        here.transfers += 1;
+        let reply = here.swim.members_reply(request);
+        let bytes = encoded_bytes(&reply);
+        let ended = now + bytes as u64 * here.transfers / LINK_BYTES_PER_MS;
+        self.count(now, number, "transfer", bytes);
+        self.network
+            .schedule(ended, number, Happening::TransferSent);
+        let reply = Happening::TransferReply(Some(reply));
+        self.network.schedule(ended + delay, to, reply);
+    }
+
     /// Publishes the members as `edge::gossip` does.
     fn publish(&mut self, now: Millis, number: usize) {
         let here = &mut self.boxes[number];
@@ -154,25 +224,32 @@
             let out = here.swim.announce_update(&mut self.random);
             self.send(now, number, out);
         }
-        let knows_all = self.boxes[number].swim.serving_boxes().count() == self.pattern.boxes;
-        if knows_all && self.outcome.complete_ms[number].is_none() {
-            let since_starts = now.saturating_sub(self.pattern.starts_within_ms);
-            self.outcome.complete_ms[number] = Some(since_starts);
+        let since_starts = now.saturating_sub(self.pattern.starts_within_ms);
+        let swim = &self.boxes[number].swim;
+        if swim.alive_boxes().count() == self.pattern.boxes {
+            self.outcome.known_ms[number].get_or_insert(since_starts);
+        }
+        if swim.serving_boxes().count() == self.pattern.boxes {
+            self.outcome.complete_ms[number].get_or_insert(since_starts);
         }
     }
 
     fn send(&mut self, now: Millis, from: usize, out: Vec<Outgoing>) {
-        let is_start = now < self.pattern.starts_within_ms + self.pattern.start_ms;
         for (address, message) in out {
             let to = box_at(address);
             let bytes = encoded_bytes(&message);
-            self.outcome.count(from, kind_of(&message), bytes, is_start);
+            self.count(now, from, kind_of(&message), bytes);
             let message = Box::new(message);
             let at = now + delay_ms(from, to);
             self.network
                 .schedule(at, to, Happening::Datagram { from, message });
         }
     }
+
+    fn count(&mut self, now: Millis, from: usize, kind: &'static str, bytes: usize) {
+        let is_start = now < self.pattern.starts_within_ms + self.pattern.start_ms;
+        self.outcome.count(from, kind, bytes, is_start);
+    }
 }
 
 fn replayed_box(number: usize) -> ReplayedBox {
@@ -182,6 +259,8 @@
         size: FleetSize::default(),
         published_generation: 0,
         published_at: 0,
+        transfers: 0,
+        is_fetching: false,
     }
 }
 
@@ -203,7 +282,7 @@
     }
 }
 
-fn encoded_bytes(message: &SwimMessage) -> usize {
+fn encoded_bytes(message: &impl Serialize) -> usize {
     let mut encoded = Vec::new();
     // Writing to memory does not fail.
     let _ = ciborium::into_writer(message, &mut encoded);
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -69,8 +69,8 @@
 pub use route_table::RouteTable;
 pub use split::WeightedSplit;
 pub use swim::{
-    KnownView, Liveness, Member, MemberRecord, MemberState, Outgoing, Swim, SwimMessage,
-    SwimSettings,
+    KnownView, Liveness, Member, MemberRecord, MemberState, MembersDigest, MembersReply,
+    MembersRequest, NeededTransfer, Outgoing, Swim, SwimMessage, SwimSettings,
 };
 pub use upstream::{UpstreamIncarnation, UpstreamRecord, UpstreamStart, UpstreamState};
 pub use upstream_limits::{
--- a/crates/routing/src/swim/message.rs
+++ b/crates/routing/src/swim/message.rs
@@ -1,5 +1,6 @@
 //! The messages of the membership protocol.
 
+use super::digest::MembersDigest;
 use super::member::{Liveness, MemberRecord};
 use crate::change::{Revision, Scope};
 use brasswinch_types::BoxId;
@@ -48,6 +49,13 @@
         wants_reply: bool,
         /// The members.
         updates: Vec<Update>,
+        /// With a request, what the sender knows; the reply then contains only what differs.
+        #[serde(rename = "d", default, skip_serializing_if = "Option::is_none")]
+        digest: Option<MembersDigest>,
+        /// In a reply, the number of differing members if they are too many for datagrams. The
+        /// receiver is to fetch them in a [`MembersRequest`](super::MembersRequest).
+        #[serde(rename = "w", default)]
+        withheld: u32,
     },
     /// Sends how much of the store the sender knows, and how old that view is.
     Known {
--- a/crates/routing/src/swim/mod.rs
+++ b/crates/routing/src/swim/mod.rs
@@ -5,13 +5,17 @@
 //! Motivala, "SWIM: Scalable Weakly-consistent Infection-style Process Group Membership
 //! Protocol", 2002, with its suspicion and round-robin probing.
 
+mod digest;
 mod member;
 mod message;
 mod probing;
 mod spreading;
+mod sync;
 
+pub use digest::MembersDigest;
 pub use member::{Liveness, Member, MemberRecord, MemberState};
 pub use message::{KnownView, Outgoing, SwimMessage};
+pub use sync::{MembersReply, MembersRequest, NeededTransfer};
 
 use crate::change::{Revision, Scope};
 use brasswinch_types::{BoxId, Millis};
@@ -22,6 +26,7 @@
 use spreading::MAX_UPDATES_PER_MESSAGE;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use sync::SyncSchedule;
 
 /// Members to which a box announces its changed record at once; each of those that learn
 /// something new from it announces that to as many.
@@ -61,11 +66,13 @@
     contacts: Vec<SocketAddr>,
     members: BTreeMap<BoxId, Member>,
     probe_order: Vec<BoxId>,
+    /// Members in the probe order when it was last renewed.
+    probe_order_members: usize,
     probe: Option<Probe>,
     indirect_probes: BTreeMap<u32, IndirectProbe>,
     next_sequence: u32,
     next_probe_at: Millis,
-    next_sync_at: Millis,
+    sync: SyncSchedule,
     generation: u64,
     /// The latest revision of each scope that any box ever reported.
     reported_revisions: BTreeMap<Scope, Revision>,
@@ -85,11 +92,12 @@
             contacts: Vec::new(),
             members: BTreeMap::new(),
             probe_order: Vec::new(),
+            probe_order_members: 0,
             probe: None,
             indirect_probes: BTreeMap::new(),
             next_sequence: 1,
             next_probe_at: 0,
-            next_sync_at: 0,
+            sync: SyncSchedule::default(),
             generation: 0,
             reported_revisions: BTreeMap::new(),
         }
@@ -210,7 +218,7 @@
             |address: &SocketAddr| *address != self.me.peer_address && !alive.contains(address);
         self.contacts = addresses.filter(is_contact).collect();
         if !self.contacts.is_empty() {
-            self.next_sync_at = 0;
+            self.sync.next_at = 0;
         }
         self.contacts.len()
     }
@@ -224,7 +232,7 @@
             self.next_probe_at = now + self.settings.period_ms;
             self.start_probe(now, random, &mut out);
         }
-        if now >= self.next_sync_at {
+        if now >= self.sync.next_at {
             self.start_sync(now, random, &mut out);
         }
         out
@@ -259,13 +267,17 @@
             SwimMessage::Sync {
                 wants_reply,
                 updates,
+                digest,
+                withheld,
             } => {
-                self.merge_all(updates, now);
                 if wants_reply {
-                    self.sync_replies(from, random)
-                } else {
-                    Vec::new()
+                    let newer = self.newer_than(&updates);
+                    self.merge_all(updates, now);
+                    return self.sync_replies(from, digest.as_ref(), newer, random);
                 }
+                self.merge_all(updates, now);
+                self.handle_sync_reply(from, withheld);
+                Vec::new()
             }
             SwimMessage::Known { id, views, .. } => {
                 self.record_views(&id, &views);
@@ -283,12 +295,13 @@
         let updates = vec![self.own_update()];
         let message = |address| {
             let updates = updates.clone();
-            let wants_reply = false;
             (
                 address,
                 SwimMessage::Sync {
-                    wants_reply,
+                    wants_reply: false,
                     updates,
+                    digest: None,
+                    withheld: 0,
                 },
             )
         };
--- a/crates/routing/src/swim/probing.rs
+++ b/crates/routing/src/swim/probing.rs
@@ -112,9 +112,13 @@
     }
 
     pub(super) fn next_to_probe(&mut self, random: &mut impl Rng) -> Option<BoxId> {
-        if self.probe_order.is_empty() {
+        // A box that just started would otherwise probe the first boxes that it discovered, which
+        // are the same for all, again and again.
+        let has_grown = self.members.len() > 2 * self.probe_order_members;
+        if self.probe_order.is_empty() || has_grown {
             self.probe_order = self.members.keys().cloned().collect();
             self.probe_order.shuffle(random);
+            self.probe_order_members = self.members.len();
         }
         self.probe_order.pop()
     }
--- a/crates/routing/src/swim/spreading.rs
+++ b/crates/routing/src/swim/spreading.rs
@@ -1,28 +1,16 @@
 //! Dissemination: chooses the updates to piggyback on messages, and merges received ones.
 
 use super::message::{KnownView, Update};
-use super::{Liveness, Member, MemberState, Outgoing, Swim, SwimMessage};
+use super::{Liveness, Member, MemberState, Swim};
 use crate::change::Scope;
 use brasswinch_types::{BoxId, Millis};
-use rand::seq::SliceRandom;
-use rand::{Rng, RngExt};
-use std::net::SocketAddr;
-
-/// Boxes found elsewhere that are sent a sync request at a time.
-const MAX_CONTACTS_PER_SYNC: usize = 4;
 
 /// Most updates in one message, so that it fits in a datagram.
 pub(super) const MAX_UPDATES_PER_MESSAGE: usize = 7;
 
-/// Most members sent in reply to one sync request.
-const MAX_SYNCED_MEMBERS: usize = 140;
-
 /// Transmissions of an update per doubling of the fleet size.
 const TRANSMISSIONS_PER_DOUBLING: u32 = 2;
 
-/// Interval between syncs with a random member.
-const SYNC_INTERVAL_MS: Millis = 5_000;
-
 impl Swim {
     /// Returns this box's own record and the updates with the most transmissions left.
     pub(super) fn updates_to_send(&mut self) -> Vec<Update> {
@@ -75,6 +63,7 @@
         let Some(held) = self.members.get_mut(&incoming.record.id) else {
             if incoming.liveness != Liveness::Dead {
                 self.generation += 1;
+                self.sync.record_learned();
                 self.members.insert(incoming.record.id.clone(), incoming);
             }
             return;
@@ -94,6 +83,7 @@
         }
         *held = incoming;
         self.generation += 1;
+        self.sync.record_learned();
     }
 
     /// Records how much a member knows. Reports from boxes that are no members are ignored.
@@ -124,62 +114,4 @@
             self.me.incarnation = update.record.incarnation + 1;
         }
     }
-
-    pub(super) fn start_sync(
-        &mut self,
-        now: Millis,
-        random: &mut impl Rng,
-        out: &mut Vec<Outgoing>,
-    ) {
-        let alive = self.addresses(Liveness::Alive);
-        let is_alone = alive.is_empty();
-        let wait = if is_alone {
-            self.settings.period_ms
-        } else {
-            SYNC_INTERVAL_MS
-        };
-        self.next_sync_at = now + wait;
-        let mut receivers: Vec<SocketAddr> = if is_alone {
-            self.seeds.clone()
-        } else {
-            vec![alive[random.random_range(0..alive.len())]]
-        };
-        // One of these boxes that replies knows the other members of its group.
-        let mut contacts = std::mem::take(&mut self.contacts);
-        contacts.shuffle(random);
-        receivers.extend(contacts.into_iter().take(MAX_CONTACTS_PER_SYNC));
-        for receiver in receivers {
-            let updates = vec![self.own_update()];
-            let wants_reply = true;
-            out.push((
-                receiver,
-                SwimMessage::Sync {
-                    wants_reply,
-                    updates,
-                },
-            ));
-        }
-    }
-
-    pub(super) fn sync_replies(&mut self, to: SocketAddr, random: &mut impl Rng) -> Vec<Outgoing> {
-        let mut updates: Vec<Update> = self.members.values().map(Member::update).collect();
-        updates.shuffle(random);
-        updates.truncate(MAX_SYNCED_MEMBERS);
-        updates.push(self.own_update());
-        let message = |updates: &[Update]| {
-            let updates = updates.to_vec();
-            let wants_reply = false;
-            (
-                to,
-                SwimMessage::Sync {
-                    wants_reply,
-                    updates,
-                },
-            )
-        };
-        updates
-            .chunks(MAX_UPDATES_PER_MESSAGE)
-            .map(message)
-            .collect()
-    }
 }
