edge: one event for all boxes that are heard or silent since the last one

Cause: a box logged a line BW310 for each other box, so that what a starting fleet logs grew with the square of its size: 60 and 99 lines of two boxes in 3.7 s at 985 boxes, with a bound of 20 a second each on the way.

Change: one event names how many there are, and the first four of them.

--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -27,6 +27,10 @@
 /// Interval of the own load measurements.
 const LOAD_INTERVAL_MS: Millis = 2_000;
 
+/// Most boxes that one event names. Where a whole fleet starts or a zone is lost, the log does not
+/// grow with the number of boxes.
+const MAX_LOGGED_BOXES: usize = 4;
+
 /// Weight of the newest load measurement in the moving average.
 const LOAD_WEIGHT: f64 = 0.3;
 
@@ -79,15 +83,24 @@
         .filter(|member| member.liveness != Liveness::Dead)
         .map(|member| member.record.id.clone())
         .collect();
-    for id in reachable.difference(alive) {
-        emit(Event::MemberHeard, format_args!("box={id}"));
-    }
-    for id in alive.difference(&reachable) {
-        emit(Event::MemberSilent, format_args!("box={id}"));
-    }
+    log_boxes(Event::MemberHeard, reachable.difference(alive));
+    log_boxes(Event::MemberSilent, alive.difference(&reachable));
     *alive = reachable;
 }
 
+/// Logs one event for all of `boxes`, with the names of the first few.
+fn log_boxes<'a>(event: Event, boxes: impl Iterator<Item = &'a BoxId>) {
+    let boxes: Vec<&str> = boxes.map(BoxId::as_str).collect();
+    if boxes.is_empty() {
+        return;
+    }
+    let named = &boxes[..boxes.len().min(MAX_LOGGED_BOXES)];
+    emit(
+        event,
+        format_args!("boxes={} first={}", boxes.len(), named.join(",")),
+    );
+}
+
 /// Announces to some members that this box leaves.
 pub(crate) async fn announce_leave(context: &Context, socket: &UdpSocket) {
     let out = context.swim().announce_leave(&mut rand::rng());
--- a/crates/observe/src/events.rs
+++ b/crates/observe/src/events.rs
@@ -93,8 +93,8 @@
     506 Info UpstreamResting "An upstream refused a request and asked this box for rest." "If it lasts, look at what the upstream is short of, or add upstreams.";
     507 Warn UpstreamCold "An upstream was asked how it is, since the store was silent, and is cold; it gets few requests for a time." "None.";
     508 Info HealthUnanswered "An upstream that was asked how it is gave no answer that can be used." "If it repeats while requests are served, check the upstream's health path.";
-    310 Info MemberHeard "Another box is heard again, or for the first time." "None.";
-    311 Warn MemberSilent "Another box is no longer heard." "Check the box and the network between the zones.";
+    310 Info MemberHeard "Other boxes are heard again, or for the first time." "None.";
+    311 Warn MemberSilent "Other boxes are no longer heard." "Check the boxes and the network between the zones.";
     510 Info RequestServed "A routed request got an upstream's answer." "None.";
     511 Warn RequestRetried "A routed request goes to another upstream." "Check the upstream, if one stands out.";
     512 Warn RequestRefused "A routed request was refused; it has not run." "Compare the service's load with its upstreams.";
