edge: only boxes with a duty announce what they learned of the store

Cause: each box that learned a revision pinged three members at once, and each ping is acknowledged with seven records: six messages a box for every change, beside the reports by which the boxes that follow or relay the store tell their zones.

Change: followers and relays announce it as before; the record of any other box carries its revision with its next probe, 3.3 of them a second.

--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -337,8 +337,9 @@
                     age_ms.map_or_else(|| "-".to_owned(), |age_ms| age_ms.to_string()),
                 ),
             );
-            self.has_updates.notify_one();
+            // All other boxes hear of it from these, or with the next probe.
             if self.duty() != StoreDuty::Listen {
+                self.has_updates.notify_one();
                 self.report_to_zone();
             }
         }
