--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -337,9 +337,8 @@
                     age_ms.map_or_else(|| "-".to_owned(), |age_ms| age_ms.to_string()),
                 ),
             );
-            // All other boxes hear of it from these, or with the next probe.
+            self.has_updates.notify_one();
             if self.duty() != StoreDuty::Listen {
-                self.has_updates.notify_one();
                 self.report_to_zone();
             }
         }
