edge: messages and bytes between boxes are counted by kind and direction

The figures page told how many calls a box makes to the store, but not what boxes send each other, so that nobody could say which messages a starting fleet is made of. `brasswinch_peer_messages_total` and `brasswinch_peer_bytes_total` count datagrams and the requests and replies of updates and members, without headers of the network.

--- a/crates/edge/src/advice.rs
+++ b/crates/edge/src/advice.rs
@@ -6,6 +6,7 @@
 
 use crate::context::Context;
 use crate::datagram::Datagram;
+use crate::peer_traffic::Direction;
 use crate::pending_replies::PendingReplies;
 use brasswinch_observe::{Event, emit};
 use brasswinch_routing::{
@@ -214,6 +215,8 @@
             );
             return;
         }
+        self.peer_traffic
+            .count(datagram.into(), Direction::Sent, bytes.len());
         // A lost query costs only a short timeout, and lost completion reports expire.
         let _ = self.advice_requests.socket.try_send_to(&bytes, to);
     }
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -9,6 +9,7 @@
 use crate::health::HealthProbes;
 use crate::members_transfer::MembersTransfer;
 use crate::metrics::Metrics;
+use crate::peer_traffic::PeerTraffic;
 use crate::quarantine::QuarantineTasks;
 use crate::quotas::QuotaTasks;
 use crate::settings::EdgeSettings;
@@ -135,6 +136,8 @@
     pub(crate) quarantine: QuarantineTasks,
     /// Wakes the gossip task when the own member record has changed.
     pub(crate) has_updates: Notify,
+    /// Messages to and from other boxes.
+    pub(crate) peer_traffic: PeerTraffic,
     /// The transfer of members to this box.
     pub(crate) members_transfer: MembersTransfer,
     lifecycle: watch::Sender<Lifecycle>,
@@ -214,6 +217,7 @@
             requests: AtomicU64::new(0),
             peer_updates: PeerUpdates::default(),
             has_updates: Notify::new(),
+            peer_traffic: PeerTraffic::default(),
             members_transfer: MembersTransfer::default(),
             lifecycle: watch::Sender::new(Lifecycle::Starting),
             fleet: Mutex::default(),
--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -3,6 +3,7 @@
 use crate::context::Context;
 use crate::datagram::Datagram;
 use crate::members_transfer;
+use crate::peer_traffic::Direction;
 use brasswinch_observe::{Event, emit};
 use brasswinch_routing::{Liveness, SwimMessage};
 use brasswinch_types::{BoxId, Millis};
@@ -62,7 +63,7 @@
             () = context.has_updates.notified() => context.swim().announce_update(&mut rand::rng()),
             () = context.view_reports.wake.notified() => Vec::new(),
         };
-        send(&socket, out).await;
+        send(&context, &socket, out).await;
         send_view_report(&context, &socket).await;
         members_transfer::start_if_needed(&context);
         let newest = context.swim().generation();
@@ -104,11 +105,17 @@
 /// Announces to some members that this box leaves.
 pub(crate) async fn announce_leave(context: &Context, socket: &UdpSocket) {
     let out = context.swim().announce_leave(&mut rand::rng());
-    send(socket, out).await;
+    send(context, socket, out).await;
 }
 
 fn receive(context: &Context, datagram: &[u8], from: SocketAddr) -> Vec<(SocketAddr, SwimMessage)> {
-    match ciborium::from_reader::<Datagram, _>(datagram) {
+    let decoded = ciborium::from_reader::<Datagram, _>(datagram);
+    if let Ok(message) = &decoded {
+        context
+            .peer_traffic
+            .count(message.into(), Direction::Received, datagram.len());
+    }
+    match decoded {
         Ok(Datagram::AdviceQuery(query)) => context.handle_advice_query(&query, from),
         Ok(Datagram::Advice(advice)) => context.handle_advice(advice, from),
         Ok(Datagram::CompletionReport(completion)) => context.handle_completion(&completion),
@@ -136,19 +143,25 @@
 /// Sends a report on the view of the store, if one is due.
 async fn send_view_report(context: &Context, socket: &UdpSocket) {
     if let Some((message, receivers)) = context.take_view_report() {
-        send_to_all(socket, message, &receivers).await;
+        send_to_all(context, socket, message, &receivers).await;
     }
 }
 
-async fn send(socket: &UdpSocket, out: Vec<(SocketAddr, SwimMessage)>) {
+async fn send(context: &Context, socket: &UdpSocket, out: Vec<(SocketAddr, SwimMessage)>) {
     for (to, message) in out {
-        send_to_all(socket, message, &[to]).await;
+        send_to_all(context, socket, message, &[to]).await;
     }
 }
 
-async fn send_to_all(socket: &UdpSocket, message: SwimMessage, receivers: &[SocketAddr]) {
+async fn send_to_all(
+    context: &Context,
+    socket: &UdpSocket,
+    message: SwimMessage,
+    receivers: &[SocketAddr],
+) {
+    let message = Datagram::Swim(message);
     let mut datagram = Vec::with_capacity(512);
-    if let Err(error) = ciborium::into_writer(&Datagram::Swim(message), &mut datagram) {
+    if let Err(error) = ciborium::into_writer(&message, &mut datagram) {
         emit(
             Event::PeerMalformed,
             format_args!("cannot encode a message: {error}"),
@@ -156,6 +169,9 @@
         return;
     }
     for to in receivers {
+        context
+            .peer_traffic
+            .count((&message).into(), Direction::Sent, datagram.len());
         // Datagram loss is expected: the protocol retries, and later messages carry newer
         // state.
         let _ = socket.send_to(&datagram, to).await;
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -26,6 +26,7 @@
 mod look_up;
 mod members_transfer;
 mod metrics;
+mod peer_traffic;
 mod pending_replies;
 mod pipeline;
 mod quarantine;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -140,6 +140,11 @@
         for (labels, count) in self.store_calls.by_label() {
             line(&mut text, "store_calls_total", &labels, count as f64);
         }
+        for (labels, traffic) in self.peer_traffic.by_label() {
+            let (messages, bytes) = (traffic.messages as f64, traffic.bytes as f64);
+            line(&mut text, "peer_messages_total", &labels, messages);
+            line(&mut text, "peer_bytes_total", &labels, bytes);
+        }
         if let Some(in_force) = &*self.in_force.load() {
             let version = in_force.config.version.0 as f64;
             line(&mut text, "config_version", "", version);
--- a/crates/edge/src/relay/mod.rs
+++ b/crates/edge/src/relay/mod.rs
@@ -9,6 +9,7 @@
 mod transfer;
 
 use crate::context::Context;
+use crate::peer_traffic::{Direction, MessageKind};
 use brasswinch_routing::{
     CatchUp, ConfigFingerprint, MembersReply, MembersRequest, Revision, Scope,
 };
@@ -62,6 +63,15 @@
     Members(MembersRequest),
 }
 
+impl Request {
+    fn kind(&self) -> MessageKind {
+        match self {
+            Self::Changes(_) => MessageKind::Updates,
+            Self::Members(_) => MessageKind::Members,
+        }
+    }
+}
+
 /// The reply to a request.
 #[derive(Debug, Serialize, Deserialize)]
 enum Reply {
@@ -182,6 +192,9 @@
         .map_err(|_| RelayError::ReplyTimeout)??;
     // A failed close needs no handling: the other box stops waiting by itself.
     let _ = socket.close(None).await;
+    context
+        .peer_traffic
+        .count(request.kind(), Direction::Received, received.1);
     Ok(received)
 }
 
@@ -215,7 +228,11 @@
     let (mut socket, _) = client_async_with_config(url, stream, Some(websocket_config()))
         .await
         .map_err(connection_error)?;
-    send(&mut socket, &transfer::encode(request)?).await?;
+    let encoded = transfer::encode(request)?;
+    send(&mut socket, &encoded).await?;
+    context
+        .peer_traffic
+        .count(request.kind(), Direction::Sent, encoded.len());
     Ok(socket)
 }
 
@@ -238,22 +255,29 @@
     stream: TcpStream,
 ) -> Result<(), RelayError> {
     let accepted = timeout(REQUEST_TIMEOUT, accept_request(stream)).await;
-    let (mut socket, request) = accepted.map_err(|_| RelayError::ConnectTimeout)??;
+    let (mut socket, request, bytes) = accepted.map_err(|_| RelayError::ConnectTimeout)??;
+    context
+        .peer_traffic
+        .count(request.kind(), Direction::Received, bytes);
     let reply = cache.reply(context, &request)?;
     send(&mut socket, &reply.encoded).await?;
+    context
+        .peer_traffic
+        .count(request.kind(), Direction::Sent, reply.encoded.len());
     transfer::wait_for_close(&mut socket).await;
     Ok(())
 }
 
+/// Accepts a connection and returns it with the request and its length in bytes.
 async fn accept_request(
     stream: TcpStream,
-) -> Result<(WebSocketStream<TcpStream>, Request), RelayError> {
+) -> Result<(WebSocketStream<TcpStream>, Request, usize), RelayError> {
     stream.set_nodelay(true).map_err(connection_error)?;
     let mut socket = accept_async_with_config(stream, Some(websocket_config()))
         .await
         .map_err(connection_error)?;
-    let (request, _) = receive(&mut socket).await?;
-    Ok((socket, request))
+    let (request, bytes) = receive(&mut socket).await?;
+    Ok((socket, request, bytes))
 }
 
 fn websocket_config() -> WebSocketConfig {
