--- a/crates/routing/src/swim/digest.rs
+++ b/crates/routing/src/swim/digest.rs
@@ -3,6 +3,7 @@
 use super::{Liveness, Member, MemberRecord, MemberState};
 use serde::{Deserialize, Serialize};
 use std::hash::Hasher;
+use std::net::IpAddr;
 use xxhash_rust::xxh3::Xxh3;
 
 /// Parts of a digest. With 1,000 members a part covers 16 of them, so one changed member costs two
@@ -70,7 +71,11 @@
 fn hash_of(record: &MemberRecord) -> u32 {
     let mut hasher = Xxh3::new();
     hasher.write(record.id.as_str().as_bytes());
-    hasher.write(record.peer_address.to_string().as_bytes());
+    match record.peer_address.ip() {
+        IpAddr::V4(ip) => hasher.write(&ip.octets()),
+        IpAddr::V6(ip) => hasher.write(&ip.octets()),
+    }
+    hasher.write(&record.peer_address.port().to_be_bytes());
     let state = match record.state {
         MemberState::Starting => 0,
         MemberState::Serving => 1,
--- a/crates/routing/src/swim/sync.rs
+++ b/crates/routing/src/swim/sync.rs
@@ -54,6 +54,13 @@
     updates: Vec<Update>,
 }
 
+impl MembersReply {
+    /// Returns the number of members in the reply.
+    pub fn count(&self) -> usize {
+        self.updates.len()
+    }
+}
+
 /// A transfer of members that this box needs.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct NeededTransfer {
--- a/crates/routing/src/update_pacing.rs
+++ b/crates/routing/src/update_pacing.rs
@@ -12,8 +12,8 @@
 use crate::view_limits::ViewLimits;
 use brasswinch_types::Millis;
 
-/// Bytes a second that a box spends on updates, unless its view would become stale: a tenth of the
-/// share of control traffic at the largest size is for everything else.
+/// Bytes a second that a box spends on updates, unless its view would become stale. All control
+/// traffic may take 13 kB/s.
 const BYTES_PER_S: u64 = 12_000;
 
 /// Longest pause, as a fraction of the age at which a view is considered stale. The rest is for
