--- a/crates/daemon/src/admin/submit.rs
+++ b/crates/daemon/src/admin/submit.rs
@@ -19,7 +19,7 @@
 /// Pause between two readings while settling.
 const SETTLE_PAUSE: Duration = Duration::from_millis(200);
 
-/// A change that an operator asks for.
+/// A change requested by an operator.
 pub(super) struct Submission {
     pub(super) id: SubmissionId,
     pub(super) key: ConfigKey,
@@ -28,7 +28,7 @@
     pub(super) expected_version: Option<u64>,
 }
 
-/// Submits and says truthfully what became of it.
+/// Submits the change and returns its outcome.
 pub(super) async fn submit(
     context: &Context,
     store: &Store,
@@ -79,7 +79,7 @@
     }
 }
 
-/// Reads back until the store says what became of `entry`.
+/// Reads the store until the outcome of writing `entry` is known.
 ///
 /// A write whose answer was lost may still be under way, so an unchanged key says
 /// nothing yet: the write is tried again, which can't take effect twice.
--- a/crates/daemon/src/admin/views.rs
+++ b/crates/daemon/src/admin/views.rs
@@ -79,7 +79,7 @@
     pub services: Vec<ServiceView>,
     /// All boxes.
     pub boxes: Vec<BoxView>,
-    /// Zones of which no box is heard.
+    /// Zones without a reachable box.
     pub unreachable_zones: Vec<String>,
 }
 
@@ -137,9 +137,9 @@
     pub id: String,
     /// Its zone.
     pub zone: String,
-    /// What it says it is doing.
+    /// The state that it reports.
     pub state: String,
-    /// Whether it is heard.
+    /// Whether it is reachable.
     pub heard: bool,
     /// Whether it reports the same configuration in force as the answering box.
     pub in_force: bool,
--- a/crates/daemon/src/control/config.rs
+++ b/crates/daemon/src/control/config.rs
@@ -20,7 +20,7 @@
 use std::sync::Arc;
 
 /// An entry that was asked for and hasn't come is asked for again, of another peer,
-/// after this time. Comparing with peers makes good what no news announces again.
+/// after this time. Comparing with peers recovers changes whose announcement was lost.
 const ASK_AGAIN_MS: Millis = 300;
 
 /// An entry that was asked for.
@@ -29,11 +29,11 @@
     at: Millis,
 }
 
-/// What is in force here.
+/// The entries in force at this box.
 #[derive(Default)]
 pub(super) struct ConfigState {
     pub(super) keeper: ConfigKeeper,
-    /// Whether the store or a peer has told what there is.
+    /// Whether the store or a peer has sent a full listing.
     pub(super) known: bool,
     pub(super) plans: BTreeMap<Workspace, Plan>,
     /// Announced entries that were asked for.
@@ -260,7 +260,7 @@
         self.store_reached = Some(true);
     }
 
-    /// Takes the platform's list: who is gone, which upstreams are leaving.
+    /// Applies the platform's list: boxes that are gone and upstreams that are leaving.
     pub(super) fn on_boxes_listed(&mut self, listed: &[ListedBox]) {
         let live: BTreeSet<_> = listed.iter().map(|l| l.id.as_str().into()).collect();
         self.note_listed(&live);
@@ -279,7 +279,7 @@
         }
     }
 
-    /// An upstream of the zone told this box that it is leaving: the neighbours hear it
+    /// An upstream of the zone announced that it is leaving; the neighbours are notified
     /// with the next heartbeat.
     pub(super) fn note_upstream_leaving(
         &mut self,
@@ -296,7 +296,7 @@
         });
     }
 
-    /// A neighbour heard an upstream say that it is leaving.
+    /// A neighbour reported that an upstream is leaving.
     pub(super) fn take_upstream_leaving(&mut self, leaving: UpstreamLeaving) {
         let Some(service) = self.context.services.get(&leaving.service) else {
             return;
--- a/crates/daemon/src/control/heartbeats.rs
+++ b/crates/daemon/src/control/heartbeats.rs
@@ -1,4 +1,4 @@
-//! Heartbeats: what is told with them, what is taken from them, when they are due.
+//! Heartbeats: their contents, their handling, and when they are due.
 
 use super::links::DEAD_AFTER_INTERVALS;
 use super::state::Control;
@@ -8,7 +8,7 @@
 use std::collections::BTreeMap;
 
 /// Each neighbour lengthens the time between heartbeats inside the zone to at least this
-/// many milliseconds times the neighbours, so that what a box hears stays bounded.
+/// many milliseconds times the neighbours, which bounds the traffic that a box receives.
 const NEAR_SPACING_MS: Millis = 100;
 
 /// The same for heartbeats between zones and far links.
@@ -22,7 +22,7 @@
     pub(super) silent: Vec<BoxId>,
     pub(super) loads: BTreeMap<ServiceTag, ServiceLoad>,
     pub(super) until: Millis,
-    /// Chooses what the neighbours are told of it.
+    /// Selects the part of it to send to the neighbours.
     pub(super) reporter: LoadReporter,
 }
 
@@ -60,7 +60,7 @@
         self.compare_config(link, heartbeat.config_digest);
     }
 
-    /// Keeps what a box says of its own zone, for the neighbours.
+    /// Stores a box's report on its zone, to relay it to the neighbours.
     pub(super) fn cover(&mut self, report: ZoneReport, until: Millis) {
         let covered = self
             .links
@@ -92,7 +92,7 @@
         report.loads
     }
 
-    /// Asks a peer that holds another configuration for what this box lacks.
+    /// Requests the missing entries from a peer whose configuration differs.
     pub(super) fn compare_config(&mut self, link: LinkId, digest: u64) {
         let now = self.now();
         if digest == self.config.keeper.digest() {
@@ -107,7 +107,7 @@
         }
     }
 
-    /// Someone who hears another zone speaks for all boxes there.
+    /// A box with links to another zone reports on all boxes there.
     pub(super) fn take_zone_report(&mut self, report: &ZoneReport, interval_ms: Millis) {
         let now = self.now();
         let heard: Vec<(BoxId, Incarnation)> = self
@@ -156,7 +156,7 @@
         peers.filter(|(_, zone)| wanted(zone)).count() as u64
     }
 
-    /// Sends the heartbeats that are due and drops the links that went silent.
+    /// Sends due heartbeats and drops silent links.
     pub(super) fn send_heartbeats(&mut self) {
         let now = self.now();
         let near_due = now.saturating_sub(self.links.near_sent_at) >= self.near_interval_ms();
@@ -258,7 +258,7 @@
             .collect()
     }
 
-    /// Adds up the loads of the own zone's boxes that are heard.
+    /// Sums the loads of the own zone's reachable boxes.
     pub(super) fn refresh_zone_loads(&mut self) {
         let Some(index) = self.context.zone_index(&self.context.zone) else {
             return;
--- a/crates/daemon/src/control/links.rs
+++ b/crates/daemon/src/control/links.rs
@@ -17,7 +17,7 @@
 /// A box that was dialled in vain is left alone this long.
 const REDIAL_AFTER_MS: Millis = 1_000;
 
-/// A link on which nothing was heard for this many intervals is dropped.
+/// A link without a message for this many intervals is dropped.
 pub(super) const DEAD_AFTER_INTERVALS: u64 = 8;
 
 /// A link that is no longer wanted is kept this long, for what still moves over it.
@@ -49,7 +49,7 @@
 }
 
 impl LinkTable {
-    /// A new link has heard nothing yet: the next heartbeats tell everything.
+    /// The peer on a new link knows nothing yet; the next heartbeats carry the full state.
     pub(super) fn report_all_next(&mut self) {
         self.near_reporter.send_all_next();
         self.far_reporter.send_all_next();
@@ -140,7 +140,7 @@
         }
     }
 
-    /// Without a link to `peer`, and without any to its zone, nothing is heard of them.
+    /// Without a link to `peer` or to its zone, nothing is known of them.
     pub(super) fn note_lost(&mut self, peer: &BoxId, zone: &Zone) {
         if self.links.to(peer).is_some() {
             return;
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -27,7 +27,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::MissedTickBehavior;
 
-/// Time between the slower regular tasks.
+/// Interval of the less frequent periodic tasks.
 const SLOW_TICK: Duration = Duration::from_millis(500);
 
 /// Link events that may wait for the control thread.
@@ -71,12 +71,12 @@
     UnitsWritten(units::UnitWrite),
     /// An entry was accepted by the store.
     Accepted(ConfigEntry),
-    /// Asks for the entry in force.
+    /// Requests the entry in force.
     Held {
         key: ConfigKey,
         answer: oneshot::Sender<Option<ConfigEntry>>,
     },
-    /// Asks what the system is doing for a workspace.
+    /// Requests the status of a workspace.
     Status {
         workspace: Workspace,
         answer: oneshot::Sender<StatusView>,
@@ -104,11 +104,11 @@
     pub(crate) addresses: crate::start::ListenAddresses,
     pub(crate) commands: mpsc::UnboundedReceiver<Command>,
     pub(crate) store: Store,
-    /// Told when traffic may end.
+    /// Notified when traffic may end.
     pub(crate) traffic_stop: watch::Sender<bool>,
 }
 
-/// Runs until the daemon was told to stop and its last request has ended.
+/// Runs until the daemon was stopped and its last request has finished.
 pub(crate) async fn run(inputs: ControlInputs) {
     let context = inputs.context;
     let mut commands = inputs.commands;
--- a/crates/daemon/src/control/platform.rs
+++ b/crates/daemon/src/control/platform.rs
@@ -1,4 +1,4 @@
-//! Tasks that ask the platform and tell the control thread what they hear.
+//! Tasks that poll the platform and pass the results to the control thread.
 //!
 //! Only some boxes of each zone watch; the others hear from them. What is asked of
 //! the platform then grows with the number of zones, not of boxes.
@@ -89,7 +89,7 @@
     })
 }
 
-/// Entries are withdrawn by a tombstone, so a deleted key says nothing new.
+/// Entries are withdrawn by a tombstone, so a deleted key carries no information.
 fn changed_entry(event: WatchEvent) -> Option<ConfigEntry> {
     match event {
         WatchEvent::Put(value) => stored_entry(value).map(|stored| stored.entry),
--- a/crates/daemon/src/control/shares.rs
+++ b/crates/daemon/src/control/shares.rs
@@ -1,4 +1,4 @@
-//! The shares that boxes steer by, told to boxes that start.
+//! Sends the current shares to starting boxes.
 
 use super::state::Control;
 use crate::steering::Steering;
--- a/crates/daemon/src/control/state.rs
+++ b/crates/daemon/src/control/state.rs
@@ -17,7 +17,7 @@
 use std::sync::atomic::Ordering;
 use tokio::sync::{mpsc, oneshot, watch};
 
-/// How long a starting box waits to hear its peers' shares.
+/// How long a starting box waits for its peers' shares.
 const SHARES_WAIT_MS: Millis = 1_500;
 
 /// How long a starting box waits to have load of its own.
@@ -153,7 +153,7 @@
         self.report_slots();
     }
 
-    /// The other boxes of the zone that are heard, whatever they are doing.
+    /// The other reachable boxes of the zone, in any state.
     pub(super) fn neighbours_heard(&self) -> Vec<BoxRecord> {
         let now = self.now();
         self.members
--- a/crates/daemon/src/control/units.rs
+++ b/crates/daemon/src/control/units.rs
@@ -18,7 +18,7 @@
 /// reading and its write take a few milliseconds.
 const SPREAD_PER_BOX_MS: Millis = 20;
 
-/// Time after the start before units are claimed: neighbours are heard by then.
+/// Time after the start before units are claimed; by then the neighbours are known.
 const CLAIM_AFTER_MS: Millis = 1_000;
 
 /// Longest wait, after the last request, for loans to come back before leaving.
@@ -27,7 +27,7 @@
 /// Longest wait for the store before leaving without giving units up.
 const LEAVE_STORE_WAIT_MS: Millis = 8_000;
 
-/// What is known of the zone's units.
+/// The known state of the zone's units.
 #[derive(Default)]
 pub(super) struct UnitState {
     /// The newest table seen.
--- a/crates/daemon/src/gate.rs
+++ b/crates/daemon/src/gate.rs
@@ -329,7 +329,7 @@
         })
     }
 
-    /// Changes what is known of an upstream.
+    /// Updates the known state of an upstream.
     pub(crate) fn update_health(
         &self,
         upstream: usize,
@@ -342,7 +342,7 @@
         }
     }
 
-    /// Takes an upstream's own report; says whether it newly said that it is leaving.
+    /// Applies an upstream's own report. Returns whether it newly announced that it is leaving.
     pub(crate) fn report(&self, upstream: usize, report: UpstreamReport) -> bool {
         let mut state = self.lock();
         let Some(health) = state.health.get_mut(upstream) else {
@@ -353,7 +353,7 @@
         !before && health.is_leaving()
     }
 
-    /// What is known of each upstream.
+    /// The known state of each upstream.
     pub(crate) fn health(&self) -> Vec<UpstreamHealth> {
         self.lock().health.clone()
     }
--- a/crates/daemon/src/probe.rs
+++ b/crates/daemon/src/probe.rs
@@ -1,7 +1,7 @@
 //! Load reports of upstreams: asked for, and taken from answers.
 //!
-//! Every box of a zone asks every upstream of the zone; the more boxes there are,
-//! the rarer each asks, so an upstream is asked about equally often at any size.
+//! Every box of a zone polls every upstream of the zone; the more boxes there are,
+//! the less often each polls, so an upstream is polled about equally often at any size.
 
 use crate::context::Context;
 use crate::control::Command;
@@ -30,7 +30,7 @@
 
 type ProbeClient = Client<HttpConnector, Empty<bytes::Bytes>>;
 
-/// Asks all upstreams of the zone for reports until the daemon ends.
+/// Polls all upstreams of the zone for reports until the daemon stops.
 pub(crate) async fn run(context: Arc<Context>) {
     let mut connector = HttpConnector::new();
     connector.set_local_address(Some(context.settings.this_box.caller_address.ip()));
--- a/crates/daemon/src/service.rs
+++ b/crates/daemon/src/service.rs
@@ -35,7 +35,7 @@
         self.confirm_from(now);
     }
 
-    /// The zone was heard and reported no change: the last report holds.
+    /// The zone is reachable and reported no change; the last report is current.
     pub(crate) fn confirm(&self, now: Millis) {
         if self.reported_at.load(Ordering::Relaxed) > 0 {
             self.confirm_from(now);
@@ -79,7 +79,7 @@
     pub(crate) upstreams: Vec<Upstream>,
     /// Slots of all upstreams in each zone, in the deployment's order of zones.
     pub(crate) zone_slots: Vec<u32>,
-    /// What the policy in force says; `None` before one is.
+    /// The policy in force; `None` before there is one.
     pub(crate) plan: ArcSwapOption<ServicePlan>,
     pub(crate) gate: Gate,
     /// Loads by zone, in the deployment's order of zones.
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -56,9 +56,9 @@
     pub peer: SocketAddr,
     /// For operators.
     pub admin: SocketAddr,
-    /// What callers are told.
+    /// The errors returned to callers.
     pub advertised_caller: SocketAddr,
-    /// What other boxes are told.
+    /// The state sent to other boxes.
     pub advertised_peer: SocketAddr,
 }
 
@@ -86,12 +86,12 @@
         self.addresses
     }
 
-    /// Asks it to stop: nothing new is taken, everything under way is finished.
+    /// Stops it gracefully: it accepts no new requests and finishes those in progress.
     pub fn stop(&self) {
         let _ = self.commands.send(Command::Stop);
     }
 
-    /// Asks it to stop when the process gets SIGTERM or SIGINT.
+    /// Stops it gracefully on SIGTERM or SIGINT.
     pub fn stop_on_signal(&self) {
         let commands = self.commands.clone();
         std::thread::spawn(move || {
--- a/crates/daemon/src/steering.rs
+++ b/crates/daemon/src/steering.rs
@@ -12,7 +12,7 @@
 /// Least time between two steps of the shares.
 const STEP_MS: Millis = 100;
 
-/// Load reports older than this many heartbeats don't count.
+/// Load reports older than this many heartbeats are ignored.
 const FRESH_HEARTBEATS: u64 = 12;
 
 /// Steering of one service and origin.
--- a/crates/daemon/src/traffic/answer.rs
+++ b/crates/daemon/src/traffic/answer.rs
@@ -6,7 +6,7 @@
 use http::{Response, StatusCode, header};
 use serde::Serialize;
 
-/// Callers told to come back after T are spread over T to twice T.
+/// Refused callers retry after T to 2 T, so that they don't return together.
 const JITTER_PART: f64 = 1.0;
 
 #[derive(Serialize)]
--- a/crates/daemon/src/traffic/connections.rs
+++ b/crates/daemon/src/traffic/connections.rs
@@ -62,7 +62,7 @@
         };
         let (sender, driver) = tokio::time::timeout(timeout, open).await.ok()??;
         let task = tokio::spawn(async move {
-            // Failures reach whoever waits for the answer.
+            // A failure is returned to the task that waits for the answer.
             let _ = driver.await;
         });
         Some(Connection {
--- a/crates/daemon/src/traffic/mod.rs
+++ b/crates/daemon/src/traffic/mod.rs
@@ -37,7 +37,7 @@
 /// Header that ties an upstream's answer to its request.
 pub(crate) const REQUEST_ID_HEADER: &str = "x-request-id";
 
-/// Header of an upstream's answer that says it refused without running.
+/// Header of an upstream's answer by which it refuses a request that it hasn't run.
 pub(crate) const REFUSED_HEADER: &str = "x-not-run";
 
 /// Header of an upstream's answer with its own load report.
--- a/crates/daemon/src/traffic/proxy.rs
+++ b/crates/daemon/src/traffic/proxy.rs
@@ -34,7 +34,7 @@
 /// Tries of one repeatable request, the first included.
 const MOST_TRIES: u32 = 3;
 
-/// Carries `request` for a caller; the answer says how it went.
+/// Forwards a caller's `request` and returns its outcome.
 pub(crate) async fn proxy(
     context: &Arc<Context>,
     claims: &Claims,
@@ -199,7 +199,7 @@
         }
     }
 
-    /// What the caller is told: once a try may have run, no later one makes it `not_run`.
+    /// The outcome reported to the caller. Once a try may have run, no later one makes it `not_run`.
     fn verdict(&self, last: ErrorKind) -> ErrorKind {
         self.may_have_run.unwrap_or(last)
     }
@@ -425,7 +425,7 @@
         })
     }
 
-    /// The rest that an upstream asks for as it refuses a request.
+    /// The pause that an upstream requests when it refuses a request.
     fn rest(&self, index: usize, headers: &HeaderMap) -> Option<UpstreamRest> {
         let values = headers.get_all(header::RETRY_AFTER).iter();
         let value = only_value(values.map(HeaderValue::as_bytes));
@@ -497,7 +497,7 @@
     }
 }
 
-/// Whether the end of an answer can be told from a connection that broke.
+/// Whether the end of an answer can be distinguished from a broken connection.
 fn shows_its_end(response: &Response<Incoming>) -> bool {
     let status = response.status();
     let bodiless = status == StatusCode::NO_CONTENT || status == StatusCode::NOT_MODIFIED;
--- a/crates/daemon/src/traffic/server.rs
+++ b/crates/daemon/src/traffic/server.rs
@@ -34,7 +34,7 @@
 /// was sent before its caller could know. The box closes them only then.
 const LAST_REQUESTS: Duration = Duration::from_millis(250);
 
-/// Serves callers until `stop` says so, then finishes what is under way.
+/// Serves callers until `stop` is set, then finishes the requests in progress.
 pub(crate) async fn serve(
     context: Arc<Context>,
     claims: Arc<Claims>,
--- a/crates/observe/src/explain.rs
+++ b/crates/observe/src/explain.rs
@@ -1,4 +1,4 @@
-//! Tells the story of one request from the logs of several boxes.
+//! Reconstructs the course of one request from the logs of several boxes.
 
 use std::collections::BTreeSet;
 
@@ -11,7 +11,7 @@
 /// One line of a log.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct LogLine {
-    /// When it was written, as the log says it.
+    /// The line's timestamp, as in the log.
     pub time: String,
     /// Whose log it stands in.
     pub source: String,
--- a/crates/observe/src/histograms.rs
+++ b/crates/observe/src/histograms.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 use std::sync::{Mutex, PoisonError};
 
-/// Longest latency that is told apart, in microseconds: one hour.
+/// Highest latency that the histograms distinguish, in microseconds: one hour.
 const LONGEST_US: u64 = 3_600_000_000;
 
 /// Two significant digits keep a histogram at some tens of kilobytes.
--- a/crates/observe/src/logging.rs
+++ b/crates/observe/src/logging.rs
@@ -11,7 +11,7 @@
 /// Most lines of one event of normal operation in a window.
 const LINES_PER_WINDOW: u32 = 20;
 
-/// Most lines of one event that tells of a failure in a window.
+/// Maximum lines of one failure event in a window.
 const FAILURE_LINES_PER_WINDOW: u32 = 100;
 
 /// The window.
--- a/crates/observe/src/pipe.rs
+++ b/crates/observe/src/pipe.rs
@@ -1,4 +1,4 @@
-//! Writes log lines without ever holding up those who log.
+//! Writes log lines without blocking the tasks that log.
 //!
 //! Lines go through a bounded queue to a thread of their own. Where nobody reads the
 //! other end, the queue fills, and further lines are dropped and counted.
