--- a/crates/lab/src/callers.rs
+++ b/crates/lab/src/callers.rs
@@ -28,10 +28,10 @@
 /// Longest wait for a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Longest latency that is told apart, in microseconds.
+/// Highest latency that is distinguished, in microseconds.
 const LONGEST_US: u64 = 3_600_000_000;
 
-/// Digits of a latency that are told apart.
+/// Significant digits of a latency.
 const SIGNIFICANT_DIGITS: u8 = 3;
 
 /// Bytes of an upload that are sent at a time.
@@ -117,7 +117,7 @@
     }
 }
 
-/// A caller at one address, who asks any of some boxes.
+/// A caller at one address that sends to any of several boxes.
 #[derive(Clone)]
 pub struct Caller {
     client: Client<HttpConnector, CallerBody>,
@@ -126,12 +126,12 @@
 }
 
 impl Caller {
-    /// A caller who comes from `local` and asks `boxes` in turn, over HTTP/1.1.
+    /// A caller from `local` that sends to `boxes` in turn, over HTTP/1.1.
     pub fn new(local: IpAddr, boxes: Vec<SocketAddr>) -> Self {
         Self::speaking(local, boxes, false)
     }
 
-    /// A caller who speaks HTTP/2 only.
+    /// A caller that uses HTTP/2 only.
     pub fn new_http2(local: IpAddr, boxes: Vec<SocketAddr>) -> Self {
         Self::speaking(local, boxes, true)
     }
--- a/crates/lab/src/deployment.rs
+++ b/crates/lab/src/deployment.rs
@@ -317,7 +317,7 @@
         self.platform.control(|control| control.boxes = boxes);
     }
 
-    /// Tells the proxy before a box where the box listens for peers.
+    /// Sets the address at which the box behind a proxy listens for peers.
     pub fn box_listens(&self, name: &str, peer: SocketAddr) {
         if let Some((_, target)) = self.peers.get(name) {
             target.set(peer);
--- a/crates/lab/src/faults.rs
+++ b/crates/lab/src/faults.rs
@@ -14,7 +14,7 @@
 /// Bytes that are passed on at a time.
 const CHUNK_BYTES: usize = 16 * 1024;
 
-/// What is done to connections.
+/// The fault applied to connections.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Fault {
@@ -41,7 +41,7 @@
     /// Start of the address connected to, as text; empty for every one.
     #[serde(default)]
     pub to: String,
-    /// What is done.
+    /// The fault.
     pub fault: Fault,
 }
 
@@ -153,7 +153,7 @@
     }
 }
 
-/// Keeps the caller's address, so that what lies behind can tell callers apart.
+/// Keeps the caller's address, so that the box behind can distinguish callers.
 async fn connect_from(from: IpAddr, target: SocketAddr) -> std::io::Result<TcpStream> {
     let socket = tokio::net::TcpSocket::new_v4()?;
     socket.bind(SocketAddr::new(from, 0))?;
@@ -196,7 +196,7 @@
         }
     }
 
-    /// Waits as the fault says; `None` ends the connection.
+    /// Delays data according to the fault; `None` ends the connection.
     async fn hold(&mut self, length: usize, passed: u64) -> Option<usize> {
         loop {
             let fault = fault_for(&self.rules.borrow_and_update(), self.from, self.target);
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -60,7 +60,7 @@
     Err(LabError::Answer("the boxes did not come to serve".into()))
 }
 
-/// What a box says that the system is doing.
+/// A box's report of the system's status.
 pub async fn status(client: &LabClient, admin: SocketAddr) -> Result<StatusView, LabError> {
     client.get(admin, "/v1/status", Some(OPERATOR_TOKEN)).await
 }
--- a/crates/lab/src/memory_store.rs
+++ b/crates/lab/src/memory_store.rs
@@ -62,7 +62,7 @@
     link: Arc<Mutex<Link>>,
 }
 
-/// What lies between the store and one box.
+/// Faults between the store and one box.
 #[derive(Clone, Copy, Debug, Default)]
 struct Link {
     /// How long each configuration takes.
@@ -86,7 +86,7 @@
         }
     }
 
-    /// Sets what is wrong for this box.
+    /// Sets the fault for this box.
     pub fn set_fault(&self, fault: StoreFault) {
         *self.fault.lock().unwrap_or_else(PoisonError::into_inner) = fault;
     }
@@ -107,7 +107,7 @@
         self.lock_link().ends_with_config = true;
     }
 
-    /// Configurations that this box was told, in listings and by watches.
+    /// Configurations sent to this box, in listings and by watches.
     pub fn told_configs(&self) -> usize {
         self.lock_link().configs
     }
@@ -156,7 +156,7 @@
         revision
     }
 
-    /// Forgets all history; watches that are behind are told so.
+    /// Drops all history; watches from before it fail.
     pub fn forget_history(&self) {
         let mut state = self.state();
         state.history.clear();
@@ -210,7 +210,7 @@
         state.unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Fails as the fault says, for a call that waits for changes for `wait`.
+    /// Fails according to the fault, for a call that waits for changes for `wait`.
     async fn fail_if_told(&self, wait: Duration) -> Result<(), StoreFailure> {
         self.state().calls += 1;
         match self.fault() {
--- a/crates/lab/src/replay/fleet.rs
+++ b/crates/lab/src/replay/fleet.rs
@@ -1,4 +1,4 @@
-//! The boxes and upstreams of a replay, and what the boxes are told of each other.
+//! The boxes and upstreams of a replay, and what the boxes know of each other.
 
 use super::network::Place;
 use super::pattern::{LoadPattern, REGIONS, ZONES};
@@ -116,7 +116,7 @@
         }
     }
 
-    /// Tells a box which boxes of its region keep counts.
+    /// Sets the coordinators of a box's region.
     fn tell_keepers(&mut self, number: usize) {
         let region = self.boxes[number].place.region;
         let near = self.boxes.iter().filter(|held| held.place.region == region);
@@ -132,7 +132,7 @@
         self.tell_keepers(number);
     }
 
-    /// Tells all boxes what callers of each region ask for.
+    /// Sets the demand of each region at all boxes.
     pub(super) fn tell_demand(&mut self, per_s: &[f64]) {
         let by_region = REGIONS.iter().zip(per_s);
         let demand: BTreeMap<Region, f64> = by_region
--- a/crates/lab/src/replay/play.rs
+++ b/crates/lab/src/replay/play.rs
@@ -29,7 +29,7 @@
 /// Longest time that a request may take.
 const DEADLINE_MS: f64 = 6_000.0;
 
-/// Between two times that boxes hear what callers ask for.
+/// Interval at which boxes receive the demand of callers.
 const DEMAND_MS: f64 = 2_000.0;
 
 /// How a decision knows the load of upstreams.
@@ -37,7 +37,7 @@
 pub enum Knowledge {
     /// Each box goes by its own requests and by what upstreams answer it.
     Own,
-    /// Each box asks the upstream's keeper first.
+    /// Each box first queries the upstream's coordinator.
     Keeper,
     /// The same, but so many of 100 questions are not answered.
     LossyKeeper(u32),
@@ -59,7 +59,7 @@
         outcome: UpstreamOutcome,
         report: LoadReport,
     },
-    /// Boxes hear what callers ask for.
+    /// Boxes receive the demand of callers.
     Demand,
     /// A box starts again.
     Restart { number: usize },
@@ -368,7 +368,7 @@
         }
     }
 
-    /// Asks the keeper of the object's home, where boxes do so.
+    /// Queries the coordinator of the object's home, if boxes do so.
     fn ask(
         &mut self,
         request: usize,
--- a/crates/lab/src/replay/upstream.rs
+++ b/crates/lab/src/replay/upstream.rs
@@ -6,7 +6,7 @@
 /// Requests that it works on at once.
 pub(super) const SLOTS: u32 = 6;
 
-/// Requests that may wait; it says at once that it won't run more.
+/// Requests that may wait; it refuses more at once.
 const MOST_WAITING: usize = 18;
 
 /// Objects that it remembers.
@@ -74,7 +74,7 @@
         held as f64 / f64::from(SLOTS)
     }
 
-    /// What it tells of its load.
+    /// The load that it reports.
     pub(super) fn report(&self) -> LoadReport {
         LoadReport {
             running: self.running,
@@ -83,7 +83,7 @@
         }
     }
 
-    /// Takes an object as seen; says whether it was known. It is from when a run begins.
+    /// Records an object when a run of it begins. Returns whether it was known.
     fn learn(&mut self, object: u64) -> bool {
         let held = self.known.iter().position(|held| *held == object);
         if let Some(place) = held {
--- a/crates/lab/src/routed_upstream.rs
+++ b/crates/lab/src/routed_upstream.rs
@@ -12,7 +12,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
-/// Where it tells of its health.
+/// Path of its health check.
 const HEALTH_PATH: &str = "/health";
 
 /// What long answers are made of.
@@ -25,9 +25,9 @@
     Answer(u16),
     /// Runs it for a while first.
     AnswerAfter(Duration),
-    /// Says that it did not run it.
+    /// Refuses it and reports that it did not run it.
     Refuse,
-    /// Says that it is another upstream.
+    /// Identifies itself as another upstream.
     Misdirected,
     /// Runs it, answers, and sends a second answer with the same id behind it.
     AnswerTwice,
@@ -47,9 +47,9 @@
     Garbage,
     /// Answers as soon as the head is in, and reads the body afterwards.
     AnswerEarly,
-    /// Runs it and says nothing more.
+    /// Runs it and never answers.
     Hang,
-    /// Answers and says that it will close the connection.
+    /// Answers and announces that it closes the connection.
     AnswerAndLeave,
     /// Runs it for a while and ends under it: all its connections break and its port closes.
     CrashAfter(Duration),
@@ -72,7 +72,7 @@
     pub line: String,
     /// The request's id.
     pub id: String,
-    /// The time that it was told is left, in milliseconds.
+    /// The remaining time that the request stated, in milliseconds.
     pub deadline_ms: Option<u64>,
     /// The upstream that it was meant for.
     pub intended: Option<String>,
@@ -98,7 +98,7 @@
     leaving: Vec<String>,
     /// The values of `Retry-After` in each refusal.
     rests: Vec<String>,
-    /// What it says of how long it stays cold, to whoever asks for its health.
+    /// How long it stays cold according to its health answers.
     cold: Option<String>,
     /// The name that it gives there, if not its own.
     other_name: Option<String>,
@@ -180,7 +180,7 @@
         *self.has_crashed.borrow()
     }
 
-    /// What it does with requests whose path begins with `prefix`, whatever else it was told.
+    /// Sets the behaviour for requests whose path begins with `prefix`, which overrides any other.
     pub fn on_path(&self, prefix: &str, behaviour: Behaviour) {
         self.lock().by_path.push((prefix.to_owned(), behaviour));
     }
@@ -200,7 +200,8 @@
         self.lock().limits = owned(limits);
     }
 
-    /// Says `values` of its leaving in each answer from now on, each in a header of its own.
+    /// Announces in each answer from now on that it is leaving, with `values`, each in a header
+    /// of its own.
     pub fn say_leaving(&self, values: &[&str]) {
         self.lock().leaving = owned(values);
     }
@@ -210,17 +211,17 @@
         self.lock().rests = owned(rests);
     }
 
-    /// Is cold from now on, and tells so for `cold_s` seconds where its health is asked for.
+    /// Is cold from now on, and reports it in its health answers for `cold_s` seconds.
     pub fn turn_cold(&self, cold_s: u32) {
         self.say_cold(&cold_s.to_string());
     }
 
-    /// Says `cold` where its health is asked for.
+    /// Reports `cold` in its health answers.
     pub fn say_cold(&self, cold: &str) {
         self.lock().cold = Some(cold.to_owned());
     }
 
-    /// Says in its health answers that it is another upstream.
+    /// Identifies itself as another upstream in its health answers.
     pub fn answer_health_as(&self, name: &str) {
         self.lock().other_name = Some(name.to_owned());
     }
@@ -394,7 +395,7 @@
         Ok(true)
     }
 
-    /// Sends a long answer; says whether the connection goes on.
+    /// Sends a long answer. Returns whether the connection stays open.
     async fn answer_long(
         &self,
         stream: &mut TcpStream,
@@ -451,7 +452,7 @@
         .into_bytes()
     }
 
-    /// What it says of itself in all answers, but for its load.
+    /// The headers that describe it in all answers, except for its load.
     fn own_words(&self) -> String {
         let state = self.lock();
         let limits = lines(&self.dialect.limit, &state.limits);
--- a/crates/lab/src/slopes/daemon_cost.rs
+++ b/crates/lab/src/slopes/daemon_cost.rs
@@ -1,4 +1,4 @@
-//! Memory, processor time and bytes of one real daemon among made-up peers.
+//! Memory, processor time and bytes of one real daemon among simulated peers.
 
 use super::AllocatedBytes;
 use super::fit::Series;
@@ -14,7 +14,7 @@
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 
-/// Time in which links come up and what was told at the start settles.
+/// Time for links to come up and for the initial state to be exchanged.
 const SETTLE: Duration = Duration::from_secs(3);
 
 /// Time over which cost is measured.
--- a/crates/lab/src/slopes/peers.rs
+++ b/crates/lab/src/slopes/peers.rs
@@ -1,4 +1,4 @@
-//! Made-up peers: links that speak the real protocol and count bytes.
+//! Simulated peers: links that use the real protocol and count bytes.
 
 use super::scale::Scale;
 use brasswinch_decide::load_reports::{LoadReporter, ServiceLoad};
@@ -24,7 +24,7 @@
     message_bytes: 16 * 1024 * 1024,
 };
 
-/// What passed between the daemon and its made-up peers.
+/// Traffic between the daemon and its simulated peers.
 #[derive(Debug, Default)]
 pub(super) struct Traffic {
     bytes: AtomicU64,
@@ -43,7 +43,7 @@
     }
 }
 
-/// The record of a made-up box.
+/// The record of a simulated box.
 pub(super) fn record(scale: &Scale, zone: usize, index: usize) -> BoxRecord {
     BoxRecord {
         id: BoxId::new(format!("box-{zone}-{index}")),
@@ -57,7 +57,7 @@
     }
 }
 
-/// A made-up peer.
+/// A simulated peer.
 pub(super) struct MadeUpPeer {
     pub(super) scale: Scale,
     pub(super) zone: usize,
@@ -66,7 +66,7 @@
     pub(super) interval: Duration,
     /// Zones it covers for the daemon, if it is a neighbour.
     pub(super) covers: Vec<usize>,
-    /// Records it tells at the start, besides its own.
+    /// Records that it sends at the start, besides its own.
     pub(super) records: Vec<BoxRecord>,
 }
 
--- a/crates/lab/src/slopes/scale.rs
+++ b/crates/lab/src/slopes/scale.rs
@@ -1,4 +1,4 @@
-//! Settings of made-up deployments, up to the size designed for.
+//! Settings of synthetic deployments, up to the size designed for.
 
 use crate::deployment::{CALLER_TOKEN, OPERATOR_TOKEN};
 use brasswinch_settings::{
@@ -17,7 +17,7 @@
 /// Spreads the indexes of blocks over the address space; odd.
 const SCATTER: u32 = 10_368_889;
 
-/// How large a made-up deployment is.
+/// Size of a synthetic deployment.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Scale {
     pub(super) regions: usize,
--- a/crates/lab/src/upstream.rs
+++ b/crates/lab/src/upstream.rs
@@ -21,7 +21,7 @@
 /// Header with the caller's region, for counting shifts.
 pub const ORIGIN_HEADER: &str = "x-origin";
 
-/// Header that asks for an answer of this many bytes.
+/// Header that requests an answer of this many bytes.
 pub const ANSWER_BYTES_HEADER: &str = "x-answer-bytes";
 
 /// Longest piece of an answer that is sent at once.
@@ -46,7 +46,7 @@
     pub leaving: Vec<String>,
     /// Load that every report shows instead of the truth.
     pub lie_in_use: Option<u32>,
-    /// Rest that it asks for in each refusal, in seconds; 0 for none.
+    /// Pause that it requests in each refusal, in seconds; 0 for none.
     pub rest_s: u32,
     /// Every n-th answer is cut halfway; 0 for none.
     pub truncate_every: u64,
@@ -154,7 +154,7 @@
 }
 
 impl Upstreams {
-    /// Targets that behave as `control` says.
+    /// Creates targets with the behaviour of `control`.
     pub fn new(control: UpstreamControl) -> Self {
         let upstreams = Self::default();
         upstreams.lock().control = control;
