routing: the first size of a fleet is reported at once

Cause: since growing sizes are no longer reported, a box whose store holds no size reported none until it had settled for 1 s, and boxes that start wait for the first report (1.5 s at most). Eight boxes that joined one after another took longer, and the store's followers made more calls meanwhile.

Change: a box that has reported nothing reports what it sees; after that, sizes that have settled.

--- a/crates/routing/src/fleet_size.rs
+++ b/crates/routing/src/fleet_size.rs
@@ -104,7 +104,7 @@
         let others = swim.alive_boxes().filter(|record| record.id != me);
         let reported = others.map(|record| record.fleet_size).max();
         self.observe(alive, reported.unwrap_or(0), now);
-        swim.set_fleet_size(self.to_report(now))
+        swim.set_fleet_size(self.to_report(swim.me().fleet_size, now))
     }
 
     /// Records the size in the store; 0 if no box has written one yet.
@@ -128,14 +128,20 @@
         self.own_size().max(self.reported.get()).max(1) as usize
     }
 
-    /// Returns the size to report to other boxes. It is 0 until the store was read, since the
-    /// live boxes may be only one side of a partition.
-    pub fn to_report(&self, now: Millis) -> u32 {
+    /// Returns the size to report to other boxes, `last` being the one reported before. It is 0
+    /// until the store was read, since the live boxes may be only one side of a partition.
+    pub fn to_report(&self, last: u32, now: Millis) -> u32 {
         let Some(stored) = self.stored else {
             return 0;
         };
         let is_settled = now.saturating_sub(self.grew_at) >= GROWTH_SETTLE_MS;
-        if is_settled { self.own_size() } else { stored }
+        // Starting boxes wait for the first report.
+        let is_first = last == 0 && stored == 0;
+        if is_settled || is_first {
+            self.own_size()
+        } else {
+            stored.max(last)
+        }
     }
 
     /// Returns the size to write to the store, if the one there has to change.
