edge: how connections to upstreams fail is logged and counted

A box wrote nothing of a connection to an upstream: a refusal told that no upstream could be used, not whether they refused connections, were silent or reset them, nor whether any could still be reached. BW500 names the upstream, the cause and the time; brasswinch_upstream_connections_total counts what was established, failed and lost.

No decision changes.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -3,6 +3,7 @@
 use crate::advice::CompletionGuard;
 use crate::body::{AnyBody, BodyError, StreamLimits, StreamedBody, buffer_body, full};
 use crate::clock::Deadline;
+use crate::connection_failures::FailureCause;
 use crate::connections::Connection;
 use crate::context::Context;
 use crate::request::end_to_end;
@@ -16,7 +17,7 @@
 use hyper::body::Incoming;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::timeout_at;
+use tokio::time::{Instant, timeout_at};
 
 /// Responses up to this length are buffered whole before the first byte goes to the client.
 pub(crate) const MAX_BUFFERED_RESPONSE_BYTES: usize = 256 * 1024;
@@ -165,6 +166,7 @@
                 _ => return AttemptOutcome::NotSent(body),
             },
         };
+        let sent = Instant::now();
         match exchange(connection, &head, body, &active).await {
             ExchangeOutcome::Response(response, connection) => {
                 let limits = ResponseLimits {
@@ -179,7 +181,8 @@
                 active.outcome = UpstreamOutcome::Unreachable;
                 return AttemptOutcome::NotSent(unsent);
             }
-            ExchangeOutcome::ConnectionLost => {
+            ExchangeOutcome::ConnectionLost(cause) => {
+                context.record_connection_loss(&upstream, cause, sent.elapsed());
                 active.outcome = UpstreamOutcome::Unanswered;
                 return AttemptOutcome::ConnectionLost;
             }
@@ -200,14 +203,22 @@
     active: &mut ActiveAttempt,
     deadline: &Deadline,
 ) -> Option<Connection> {
+    let began = Instant::now();
     let choice = &active.choice;
     let connecting = context.pool.connect(&choice.upstream, choice.address);
-    let connection = timeout_at(deadline.timer(), connecting).await.ok()?;
-    if connection.is_err() {
-        active.outcome = UpstreamOutcome::Unreachable;
-        context.pool.close(&active.choice.upstream);
+    match timeout_at(deadline.timer(), connecting).await.ok()? {
+        Ok(connection) => {
+            context.record_connected();
+            Some(connection)
+        }
+        Err(error) => {
+            let upstream = &active.choice.upstream;
+            context.record_connect_failure(upstream, (&error).into(), began.elapsed());
+            context.pool.close(upstream);
+            active.outcome = UpstreamOutcome::Unreachable;
+            None
+        }
     }
-    connection.ok()
 }
 
 struct Head<'a> {
@@ -219,7 +230,7 @@
 enum ExchangeOutcome {
     Response(Response<Incoming>, Connection),
     NotSent(OutgoingBody),
-    ConnectionLost,
+    ConnectionLost(FailureCause),
     InvalidResponse,
     TimedOut,
 }
@@ -246,7 +257,7 @@
             }
             // An upstream that sends unparsable bytes has not crashed.
             (None, _) if failure.error().is_parse() => ExchangeOutcome::InvalidResponse,
-            (None, _) => ExchangeOutcome::ConnectionLost,
+            (None, _) => ExchangeOutcome::ConnectionLost(failure.error().into()),
         },
         Err(_) => ExchangeOutcome::TimedOut,
     }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -11,6 +11,7 @@
 mod budgets;
 mod catch_up;
 mod clock;
+mod connection_failures;
 mod connections;
 mod context;
 mod counted;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics of the box, in the text format of Prometheus.
 
+use crate::connection_failures::ConnectionCounts;
 use crate::context::Context;
 use brasswinch_observe::{LatencyTable, dropped_lines};
 use brasswinch_routing::{Liveness, RouteKind, Scope};
@@ -25,6 +26,8 @@
     latency: LatencyTable,
     /// Pipelined requests that ran before their turn.
     pub(crate) early_requests: AtomicU64,
+    /// Connections to upstreams.
+    pub(crate) connections: ConnectionCounts,
 }
 
 impl Metrics {
@@ -123,6 +126,14 @@
                 line(&mut text, "view_age_seconds", &labels, age_ms as f64 / 1e3);
             }
         }
+        for (labels, count) in self.metrics.connections.by_label() {
+            line(
+                &mut text,
+                "upstream_connections_total",
+                &labels,
+                count as f64,
+            );
+        }
         let probes = &self.health_probes;
         for (outcome, count) in [
             ("answered", &probes.answered),
