Known red: boxes that are partitioned from all upstreams refuse everything

Four tests reproduce the report: boxes whose packets to all upstreams are dropped, or whose connections are reset or refused, serve nothing while the others serve all. The stand-in upstream drops packets by a socket filter, so that attempts to connect hang and sent bytes stay unacknowledged as behind a real partition; no privilege is needed.

--- a/crates/edge/tests/common/mod.rs
+++ b/crates/edge/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! Test environment of a box: simulated clients, upstreams and store.
 #![allow(dead_code, clippy::unwrap_used, clippy::expect_used)]
 
+pub mod apart;
 pub mod fleet;
 pub mod know_all;
 
--- /dev/null
+++ b/crates/edge/tests/cut_off_boxes.rs
@@ -0,0 +1,79 @@
+//! Boxes that are partitioned from all upstreams, while clients, the store and other boxes reach
+//! them.
+#![allow(clippy::unwrap_used, clippy::expect_used)]
+
+mod common;
+
+use brasswinch_lab::partition::PartitionKind;
+use brasswinch_lab::routed_upstream::Behaviour;
+use common::apart::Apart;
+
+const BOXES: usize = 6;
+
+/// Requests that are sent to each box.
+const REQUESTS: usize = 60;
+
+/// Asserts the bound on first attempts at boxes that are cut off: at least two thirds of the share
+/// that the other boxes serve, or at most 10 and one in 50 of them fail.
+async fn assert_served(boxes: &Apart, cut: usize) {
+    for index in 0..cut {
+        boxes.wait_until_served(index).await;
+    }
+    let (mut at_cut, mut at_others) = (0, 0);
+    for index in 0..boxes.clients.len() {
+        let served = boxes.served(index, REQUESTS).await;
+        if index < cut {
+            at_cut += served;
+        } else {
+            at_others += served;
+        }
+    }
+    let sent_to_cut = cut * REQUESTS;
+    let sent_to_others = boxes.clients.len() * REQUESTS - sent_to_cut;
+    let failed = sent_to_cut - at_cut;
+    assert!(
+        3 * at_cut * sent_to_others >= 2 * at_others * sent_to_cut
+            && failed <= 10 + sent_to_cut / 50,
+        "boxes that are cut off served {at_cut} of {sent_to_cut}, others {at_others} of {sent_to_others}"
+    );
+}
+
+async fn cut_off_boxes_serve(cut: usize, kind: PartitionKind) {
+    let boxes = Apart::start(BOXES).await;
+    for index in 0..BOXES {
+        assert_eq!(boxes.served(index, REQUESTS).await, REQUESTS, "{index}");
+    }
+    boxes.cut(cut, kind);
+    assert_served(&boxes, cut).await;
+    boxes.heal();
+    assert_served(&boxes, cut).await;
+}
+
+#[tokio::test]
+async fn boxes_with_silent_links_to_upstreams_refuse_everything() {
+    cut_off_boxes_serve(3, PartitionKind::Silent).await;
+}
+
+#[tokio::test]
+async fn boxes_with_reset_links_to_upstreams_refuse_everything() {
+    cut_off_boxes_serve(3, PartitionKind::Reset).await;
+}
+
+/// Open connections live on, but upstreams close each after its answer.
+#[tokio::test]
+async fn boxes_whose_new_connections_are_refused_refuse_everything() {
+    let boxes = Apart::start(BOXES).await;
+    for upstream in &boxes.upstreams {
+        upstream.always(Behaviour::AnswerAndLeave);
+    }
+    boxes.cut(3, PartitionKind::RefuseNew);
+    assert_served(&boxes, 3).await;
+    boxes.heal();
+    assert_served(&boxes, 3).await;
+}
+
+/// All boxes but one are cut off, so that none is left in one of the zones.
+#[tokio::test]
+async fn a_zone_without_links_to_upstreams_refuses_everything() {
+    cut_off_boxes_serve(BOXES - 1, PartitionKind::Silent).await;
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod http;
 pub mod measure;
 pub mod memory_store;
+pub mod partition;
 pub mod platform;
 pub mod replay;
 pub mod routed_upstream;
--- a/crates/lab/src/routed_upstream.rs
+++ b/crates/lab/src/routed_upstream.rs
@@ -3,9 +3,11 @@
 //!
 //! It writes bytes itself, since most of what it does wrong no library would write.
 
+use crate::partition::{Partition, PartitionKind, reset_on_close};
 use brasswinch_edge::Dialect;
 use std::collections::VecDeque;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
+use std::os::fd::{AsFd, OwnedFd};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -121,6 +123,7 @@
     dialect: Arc<Dialect>,
     state: Arc<Mutex<State>>,
     has_crashed: Arc<watch::Sender<bool>>,
+    partition: Arc<watch::Sender<Partition>>,
 }
 
 impl Seen {
@@ -143,6 +146,7 @@
             dialect: Arc::new(dialect.clone()),
             state: Arc::default(),
             has_crashed: Arc::new(watch::Sender::new(false)),
+            partition: Arc::default(),
         };
         let serving = upstream.clone();
         tokio::spawn(async move {
@@ -155,19 +159,63 @@
     }
 
     async fn accept(&self, listener: TcpListener) {
-        while let Ok((stream, _)) = listener.accept().await {
-            let upstream = self.clone();
-            upstream.lock().connections += 1;
-            tokio::spawn(async move {
-                tokio::select! {
-                    // A caller that breaks off is counted where it matters.
-                    _ = upstream.serve(stream) => {}
-                    () = upstream.crashed() => {}
+        let mut partitions = self.partition.subscribe();
+        loop {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                Ok(()) = partitions.changed() => {
+                    let partition = partitions.borrow_and_update().clone();
+                    if partition.apply_to_listener(&listener).is_err() {
+                        return;
+                    }
+                    continue;
                 }
-            });
+            };
+            let Ok((stream, from)) = accepted else {
+                return;
+            };
+            let is_refused = partitions.borrow().kind_for(from.ip());
+            if is_refused == Some(PartitionKind::RefuseNew) {
+                // Dropping it afterwards closes it, whether or not the option was taken.
+                let _ = reset_on_close(&stream);
+                continue;
+            }
+            self.lock().connections += 1;
+            let upstream = self.clone();
+            tokio::spawn(async move { upstream.serve_until_cut(stream, from.ip()).await });
         }
     }
 
+    async fn serve_until_cut(&self, stream: TcpStream, from: IpAddr) {
+        let Ok(connection) = stream.as_fd().try_clone_to_owned() else {
+            return;
+        };
+        tokio::select! {
+            // A caller that breaks off is counted where it matters.
+            _ = self.serve(stream) => {}
+            () = self.crashed() => {}
+            () = self.partitioned(connection, from) => {}
+        }
+    }
+
+    /// Applies partitions to a connection; returns when one resets it.
+    async fn partitioned(&self, connection: OwnedFd, from: IpAddr) {
+        let mut partitions = self.partition.subscribe();
+        loop {
+            // The sender lives as long as the upstream.
+            let _ = partitions.changed().await;
+            let partition = partitions.borrow_and_update().clone();
+            if !matches!(partition.apply_to_connection(&connection, from), Ok(true)) {
+                return;
+            }
+        }
+    }
+
+    /// Partitions it from some addresses, or from none.
+    pub fn set_partition(&self, partition: Partition) {
+        self.partition.send_replace(partition);
+    }
+
     /// Waits until a request has ended it.
     pub async fn crashed(&self) {
         let mut changes = self.has_crashed.subscribe();
