edge: a box that reaches no upstream connects through a box that does

Cause: a request is sent by the box that took it or not at all. After the links were lost, all upstreams were ejected one by one, and everything was refused until the links were back, while clients went on sending there. Class: the one path of a box was taken for the state of all upstreams.

Evidence: BW512 at those boxes only and for all services alike; 13 of 20, 9 of 14 and 4 of 12 upstreams left out there after 2 s, none elsewhere; the four tests in KNOWN-RED, in which a box serves nothing in 30 s however often it is asked.

Change: two upstreams that fail one after the other start a check of four others in different zones. If none is reached, the box publishes that, and its connections to upstreams are tunnels: another box, in the zone of either end, connects and copies bytes.

--- a/crates/edge/src/advice.rs
+++ b/crates/edge/src/advice.rs
@@ -8,17 +8,16 @@
 use crate::datagram::Datagram;
 use crate::peer_traffic::Direction;
 use crate::pending_replies::PendingReplies;
+use crate::recent_failures::RecentFailures;
 use brasswinch_observe::{Event, emit};
 use brasswinch_routing::{
     Advice, AdviceQuery, Choice, CompletionReport, LoadReport, UpstreamOutcome, UpstreamRequest,
 };
 use brasswinch_types::{BoxId, Millis};
-use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::UdpSocket;
-use tokio::time::Instant;
 
 /// How long a coordinator is skipped after a missed reply. It may be dead, which the membership
 /// detects in a second or two.
@@ -32,8 +31,8 @@
 pub(crate) struct AdviceRequests {
     socket: Arc<UdpSocket>,
     pending_replies: PendingReplies<Advice>,
-    /// Unreachable coordinators, each with when to try it again.
-    unreachable: Mutex<HashMap<BoxId, Instant>>,
+    /// Coordinators that did not reply.
+    unreachable: RecentFailures,
 }
 
 impl AdviceRequests {
@@ -42,15 +41,11 @@
         Self {
             socket,
             pending_replies: PendingReplies::default(),
-            unreachable: Mutex::default(),
+            unreachable: RecentFailures::new(UNREACHABLE_FOR),
         }
     }
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// Reports to the coordinator how the request ended when it is dropped.
 pub(crate) struct CompletionGuard {
     context: Arc<Context>,
@@ -124,7 +119,7 @@
     let Some(address) = context.peer_address(&coordinator) else {
         return (None, None);
     };
-    if context.advice_requests.is_unreachable(&coordinator) {
+    if context.advice_requests.unreachable.contains(&coordinator) {
         // It may still receive the report, and needs it to track its upstreams' objects.
         return (Some(guard_for(Some(address))), None);
     }
@@ -135,23 +130,6 @@
     (Some(guard), advice)
 }
 
-impl AdviceRequests {
-    fn is_unreachable(&self, coordinator: &BoxId) -> bool {
-        let mut unreachable = lock(&self.unreachable);
-        unreachable.retain(|_, until| Instant::now() < *until);
-        unreachable.contains_key(coordinator)
-    }
-
-    fn mark_reachable(&self, coordinator: &BoxId) {
-        lock(&self.unreachable).remove(coordinator);
-    }
-
-    fn mark_unreachable(&self, coordinator: &BoxId) {
-        let until = Instant::now() + UNREACHABLE_FOR;
-        lock(&self.unreachable).insert(coordinator.clone(), until);
-    }
-}
-
 impl Context {
     async fn query_peer(
         &self,
@@ -165,8 +143,8 @@
             .within(self.settings.coordinator_reply_timeout)
             .await;
         match advice {
-            Some(_) => self.advice_requests.mark_reachable(coordinator),
-            None => self.advice_requests.mark_unreachable(coordinator),
+            Some(_) => self.advice_requests.unreachable.remove(coordinator),
+            None => self.advice_requests.unreachable.insert(coordinator),
         }
         advice
     }
--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -7,9 +7,10 @@
 use crate::connections::Connection;
 use crate::context::Context;
 use crate::request::end_to_end;
+use crate::tunnel::{self, TunnelError};
 use crate::upstream_limits::Grant;
 use crate::upstream_signals::UpstreamSignals;
-use brasswinch_routing::{Choice, RequestDigest, UpstreamOutcome};
+use brasswinch_routing::{Choice, RegionLimits, RequestDigest, UpstreamOutcome, UpstreamPath};
 use brasswinch_types::Workspace;
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Request, Response, header};
@@ -44,6 +45,8 @@
     /// Longer response bodies are streamed, in bytes.
     pub(crate) max_buffered_response: usize,
     pub(crate) identity: Identity<'a>,
+    /// Regions in which the request may be handled.
+    pub(crate) regions: RegionLimits<'a>,
     /// The request's digest, if it has been computed for the quarantine.
     pub(crate) digest: Option<RequestDigest>,
 }
@@ -75,6 +78,8 @@
     NotSent(OutgoingBody),
     /// The request was sent, and the connection closed before the response was complete.
     ConnectionLost,
+    /// The request was sent through another box, which failed before the response was complete.
+    TunnelLost,
     /// The request was sent, and the response is invalid.
     InvalidResponse,
     /// The request was sent, and its deadline passed.
@@ -155,34 +160,42 @@
         deadline: outgoing.deadline,
         identity: outgoing.identity,
     };
+    let regions = outgoing.regions;
     let mut body = outgoing.body;
     let mut pooled = context.pool.take(&upstream, max_idle);
     loop {
         let is_pooled = pooled.is_some();
         let connection = match pooled.take() {
             Some(connection) => connection,
-            None => match connect(context, &mut active, outgoing.deadline).await {
+            None => match connect(context, &mut active, regions, head.deadline).await {
                 Some(connection) if active.may_send() => connection,
                 _ => return AttemptOutcome::NotSent(body),
             },
         };
         let sent = Instant::now();
+        let via = connection.via().cloned();
         match exchange(connection, &head, body, &active).await {
             ExchangeOutcome::Response(response, connection) => {
                 let limits = ResponseLimits {
                     deadline: outgoing.deadline,
                     max_buffered: outgoing.max_buffered_response,
                 };
-                return read_response(response, connection, active, limits).await;
+                return read_response(*response, connection, active, limits).await;
             }
             // The upstream closed the idle connection. A new one shows whether it still serves.
             ExchangeOutcome::NotSent(unsent) if is_pooled => body = unsent,
             ExchangeOutcome::NotSent(unsent) => {
-                active.outcome = UpstreamOutcome::Unreachable;
+                active.outcome = match via {
+                    Some(_) => UpstreamOutcome::Abandoned,
+                    None => UpstreamOutcome::Unreachable,
+                };
                 return AttemptOutcome::NotSent(unsent);
             }
             ExchangeOutcome::ConnectionLost(cause) => {
-                context.record_connection_loss(&upstream, cause, sent.elapsed());
+                context.record_connection_loss(&upstream, via.as_ref(), cause, sent.elapsed());
+                if cause == FailureCause::TunnelLost {
+                    return AttemptOutcome::TunnelLost;
+                }
                 active.outcome = UpstreamOutcome::Unanswered;
                 return AttemptOutcome::ConnectionLost;
             }
@@ -198,29 +211,70 @@
     }
 }
 
+/// Connects to the chosen upstream: directly, or through another box if this one reaches no
+/// upstream.
 async fn connect(
     context: &Arc<Context>,
     active: &mut ActiveAttempt,
+    regions: RegionLimits<'_>,
     deadline: &Deadline,
 ) -> Option<Connection> {
+    let connecting = async {
+        if context.upstream_path() == UpstreamPath::Direct {
+            let connection = connect_directly(context, &active.choice).await;
+            if connection.is_some() || context.settled_upstream_path().await == UpstreamPath::Direct
+            {
+                return connection.ok_or(UpstreamOutcome::Unreachable);
+            }
+        }
+        connect_through_peer(context, &active.choice, regions).await
+    };
+    match timeout_at(deadline.timer(), connecting).await {
+        Ok(Ok(connection)) => Some(connection),
+        Ok(Err(outcome)) => {
+            active.outcome = outcome;
+            None
+        }
+        Err(_) => None,
+    }
+}
+
+async fn connect_directly(context: &Arc<Context>, choice: &Choice) -> Option<Connection> {
     let began = Instant::now();
-    let choice = &active.choice;
-    let connecting = context.pool.connect(&choice.upstream, choice.address);
-    match timeout_at(deadline.timer(), connecting).await.ok()? {
+    let upstream = &choice.upstream;
+    match context.pool.connect(upstream, choice.address).await {
         Ok(connection) => {
             context.record_connected();
             Some(connection)
         }
         Err(error) => {
-            let upstream = &active.choice.upstream;
             context.record_connect_failure(upstream, (&error).into(), began.elapsed());
             context.pool.close(upstream);
-            active.outcome = UpstreamOutcome::Unreachable;
             None
         }
     }
 }
 
+async fn connect_through_peer(
+    context: &Arc<Context>,
+    choice: &Choice,
+    regions: RegionLimits<'_>,
+) -> Result<Connection, UpstreamOutcome> {
+    let upstream = &choice.upstream;
+    match tunnel::open(context, choice, regions).await {
+        Ok((stream, via)) => {
+            let connecting = context.pool.connect_through(upstream, stream, via);
+            connecting.await.map_err(|_| UpstreamOutcome::Abandoned)
+        }
+        Err(TunnelError::UpstreamUnreachable) => Err(UpstreamOutcome::Unreachable),
+        Err(TunnelError::NotOpened) => Err(UpstreamOutcome::Abandoned),
+        // The upstreams may be down everywhere.
+        Err(TunnelError::NoPeer) => connect_directly(context, choice)
+            .await
+            .ok_or(UpstreamOutcome::Unreachable),
+    }
+}
+
 struct Head<'a> {
     parts: &'a http::request::Parts,
     deadline: &'a Deadline,
@@ -228,7 +282,7 @@
 }
 
 enum ExchangeOutcome {
-    Response(Response<Incoming>, Connection),
+    Response(Box<Response<Incoming>>, Connection),
     NotSent(OutgoingBody),
     ConnectionLost(FailureCause),
     InvalidResponse,
@@ -249,7 +303,7 @@
     let request = upstream_request(head, body, active);
     let sending = connection.sender().try_send_request(request);
     match timeout_at(head.deadline.timer(), sending).await {
-        Ok(Ok(response)) => ExchangeOutcome::Response(response, connection),
+        Ok(Ok(response)) => ExchangeOutcome::Response(Box::new(response), connection),
         Ok(Err(mut failure)) => match (failure.take_message(), resendable) {
             (Some(_), Some(bytes)) => ExchangeOutcome::NotSent(OutgoingBody::Buffered(bytes)),
             (Some(request), None) => {
--- a/crates/edge/src/connection_failures.rs
+++ b/crates/edge/src/connection_failures.rs
@@ -1,11 +1,13 @@
 //! Counts and logs how connections to upstreams are established and lost.
 
 use crate::context::Context;
+use crate::tunnel::is_tunnel_loss;
 use brasswinch_observe::{Event, emit};
-use brasswinch_types::UpstreamId;
+use brasswinch_types::{BoxId, UpstreamId};
 use std::error::Error;
 use std::fmt;
 use std::io;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
@@ -20,21 +22,27 @@
     Closed,
     /// Nothing came back in time.
     TimedOut,
+    /// The box that carried it failed, or the link to it.
+    TunnelLost,
     /// Another error.
     Other,
 }
 
 /// All causes, in the order of the counters.
-const CAUSES: [FailureCause; 5] = [
+const CAUSES: [FailureCause; 6] = [
     FailureCause::Refused,
     FailureCause::Reset,
     FailureCause::Closed,
     FailureCause::TimedOut,
+    FailureCause::TunnelLost,
     FailureCause::Other,
 ];
 
 impl From<&io::Error> for FailureCause {
     fn from(error: &io::Error) -> Self {
+        if is_tunnel_loss(error) {
+            return Self::TunnelLost;
+        }
         match error.kind() {
             io::ErrorKind::ConnectionRefused => Self::Refused,
             io::ErrorKind::ConnectionReset | io::ErrorKind::BrokenPipe => Self::Reset,
@@ -64,12 +72,18 @@
 }
 
 impl FailureCause {
+    /// Whether the cause may be this box's own path to the upstream.
+    fn may_be_own_path(self) -> bool {
+        matches!(self, Self::Refused | Self::Reset | Self::TimedOut)
+    }
+
     fn name(self) -> &'static str {
         match self {
             Self::Refused => "refused",
             Self::Reset => "reset",
             Self::Closed => "closed",
             Self::TimedOut => "timed_out",
+            Self::TunnelLost => "tunnel_lost",
             Self::Other => "other",
         }
     }
@@ -108,15 +122,16 @@
 }
 
 impl Context {
-    /// Counts a new connection to an upstream.
+    /// Counts a new direct connection to an upstream.
     pub(crate) fn record_connected(&self) {
         let counts = &self.metrics.connections;
         counts.established.fetch_add(1, Ordering::Relaxed);
+        self.record_upstream_reached();
     }
 
     /// Counts and logs a connection that could not be established in `took`.
     pub(crate) fn record_connect_failure(
-        &self,
+        self: &Arc<Self>,
         upstream: &UpstreamId,
         cause: FailureCause,
         took: Duration,
@@ -128,22 +143,32 @@
             Event::UpstreamFailed,
             format_args!("upstream={upstream} connect={cause} ms={ms}"),
         );
+        if cause.may_be_own_path() {
+            self.record_upstream_unreached(upstream);
+        }
     }
 
     /// Counts and logs a connection that ended before the response was complete, `took` after the
     /// request was sent.
     pub(crate) fn record_connection_loss(
-        &self,
+        self: &Arc<Self>,
         upstream: &UpstreamId,
+        via: Option<&BoxId>,
         cause: FailureCause,
         took: Duration,
     ) {
         let counts = &self.metrics.connections;
         counts.lost[cause as usize].fetch_add(1, Ordering::Relaxed);
         let ms = took.as_millis();
+        let carrier = via.map_or("-", BoxId::as_str);
         emit(
             Event::UpstreamFailed,
-            format_args!("upstream={upstream} lost={cause} ms={ms}"),
+            format_args!("upstream={upstream} lost={cause} via={carrier} ms={ms}"),
         );
+        match via {
+            None if cause.may_be_own_path() => self.record_upstream_unreached(upstream),
+            Some(peer) if cause == FailureCause::TunnelLost => self.tunnel_peers.record_loss(peer),
+            _ => {}
+        }
     }
 }
--- a/crates/edge/src/connections.rs
+++ b/crates/edge/src/connections.rs
@@ -3,15 +3,18 @@
 
 use crate::body::AnyBody;
 use crate::clock::Clock;
-use brasswinch_types::{Millis, UpstreamId};
+use brasswinch_types::{BoxId, Millis, UpstreamId};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use std::collections::HashMap;
 use std::net::{IpAddr, SocketAddr};
+use std::os::fd::AsFd;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use tokio::net::TcpSocket;
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::AbortHandle;
 
 /// Maximum bytes read from an upstream that have not been passed on. Bounds what a slow client
@@ -37,6 +40,9 @@
 /// Maximum idle time of a connection, unless the upstream announces less.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(8);
 
+/// Maximum idle time of a tunnel, which also occupies the box that carries it.
+const MAX_IDLE_TIME_OF_TUNNEL: Duration = Duration::from_secs(2);
+
 /// Subtracted from the idle time that an upstream announces, to allow for network delay.
 const IDLE_MARGIN: Duration = Duration::from_millis(1_500);
 
@@ -59,6 +65,9 @@
     upstream: UpstreamId,
     pool: Arc<ConnectionPool>,
     idle_limit: Duration,
+    epoch: u64,
+    /// The box that carries it; `None` if it is direct.
+    via: Option<BoxId>,
 }
 
 #[derive(Debug)]
@@ -66,12 +75,15 @@
     transport: Transport,
     since: Millis,
     limit: Duration,
+    via: Option<BoxId>,
 }
 
 /// Idle connections by upstream.
 #[derive(Debug)]
 pub(crate) struct ConnectionPool {
     idle: Mutex<HashMap<UpstreamId, Vec<Idle>>>,
+    /// Incremented when all connections are closed; those established before aren't reused.
+    epoch: AtomicU64,
     local: IpAddr,
     clock: Clock,
 }
@@ -81,6 +93,7 @@
     pub(crate) fn new(local: IpAddr, clock: Clock) -> Self {
         Self {
             idle: Mutex::default(),
+            epoch: AtomicU64::new(0),
             local,
             clock,
         }
@@ -104,6 +117,8 @@
                 upstream: upstream.clone(),
                 pool: Arc::clone(self),
                 idle_limit: last.limit,
+                epoch: self.epoch.load(Ordering::Relaxed),
+                via: last.via,
             });
         }
         None
@@ -115,10 +130,26 @@
         upstream: &UpstreamId,
         address: SocketAddr,
     ) -> std::io::Result<Connection> {
-        let connecting = self.connect_stream(address);
-        let stream = tokio::time::timeout(CONNECT_TIMEOUT, connecting)
-            .await
-            .map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
+        let stream = self.open_stream(address).await?;
+        self.handshake(stream, upstream, None).await
+    }
+
+    /// Uses a stream that leads to the upstream through the box `via`.
+    pub(crate) async fn connect_through(
+        self: &Arc<Self>,
+        upstream: &UpstreamId,
+        stream: impl AsyncRead + AsyncWrite + Send + Unpin + 'static,
+        via: BoxId,
+    ) -> std::io::Result<Connection> {
+        self.handshake(stream, upstream, Some(via)).await
+    }
+
+    async fn handshake(
+        self: &Arc<Self>,
+        stream: impl AsyncRead + AsyncWrite + Send + Unpin + 'static,
+        upstream: &UpstreamId,
+        via: Option<BoxId>,
+    ) -> std::io::Result<Connection> {
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_READ_BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
@@ -135,24 +166,27 @@
             },
             upstream: upstream.clone(),
             pool: Arc::clone(self),
-            idle_limit: MAX_IDLE_TIME,
+            idle_limit: max_idle_time(via.as_ref()),
+            epoch: self.epoch.load(Ordering::Relaxed),
+            via,
         })
     }
 
-    async fn connect_stream(&self, address: SocketAddr) -> std::io::Result<tokio::net::TcpStream> {
+    /// Opens a TCP connection to an upstream.
+    pub(crate) async fn open_stream(&self, address: SocketAddr) -> std::io::Result<TcpStream> {
+        tokio::time::timeout(CONNECT_TIMEOUT, self.connect_stream(address))
+            .await
+            .map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))?
+    }
+
+    async fn connect_stream(&self, address: SocketAddr) -> std::io::Result<TcpStream> {
         let socket = if address.is_ipv4() {
             TcpSocket::new_v4()?
         } else {
             TcpSocket::new_v6()?
         };
         socket.bind(SocketAddr::new(self.local, 0))?;
-        let options = SockRef::from(&socket);
-        options.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
-        let keepalive = TcpKeepalive::new()
-            .with_time(KEEPALIVE_INTERVAL)
-            .with_interval(KEEPALIVE_INTERVAL)
-            .with_retries(MAX_KEEPALIVE_PROBES);
-        options.set_tcp_keepalive(&keepalive)?;
+        detect_silence(&socket)?;
         let stream = socket.connect(address).await?;
         stream.set_nodelay(true)?;
         Ok(stream)
@@ -167,6 +201,20 @@
         });
     }
 
+    /// Closes all idle connections. Those in use are closed after their exchange.
+    pub(crate) fn close_all(&self) {
+        self.epoch.fetch_add(1, Ordering::Relaxed);
+        self.lock().clear();
+    }
+
+    /// Closes idle connections through boxes for which `may_carry` is false.
+    pub(crate) fn close_tunnels(&self, may_carry: impl Fn(&BoxId) -> bool) {
+        let mut idle = self.lock();
+        for pooled in idle.values_mut() {
+            pooled.retain(|idle| idle.via.as_ref().is_none_or(&may_carry));
+        }
+    }
+
     /// Closes all idle connections to `upstream`.
     pub(crate) fn close(&self, upstream: &UpstreamId) {
         self.lock().remove(upstream);
@@ -192,6 +240,11 @@
 }
 
 impl Connection {
+    /// Returns the box that carries it; `None` if it is direct.
+    pub(crate) fn via(&self) -> Option<&BoxId> {
+        self.via.as_ref()
+    }
+
     /// Returns the sender of requests.
     pub(crate) fn sender(&mut self) -> &mut SendRequest<AnyBody> {
         &mut self.transport.sender
@@ -200,19 +253,44 @@
     /// Applies the idle timeout that the upstream announces, in seconds.
     pub(crate) fn set_idle_limit(&mut self, seconds: u64) {
         let announced = Duration::from_secs(seconds).saturating_sub(IDLE_MARGIN);
-        self.idle_limit = announced.min(MAX_IDLE_TIME);
+        self.idle_limit = announced.min(max_idle_time(self.via.as_ref()));
     }
 
     /// Returns the connection to the pool, unless it is closed.
     pub(crate) fn reuse(self) {
-        if self.transport.sender.is_closed() || self.idle_limit.is_zero() {
+        let is_of_former_path = self.epoch != self.pool.epoch.load(Ordering::Relaxed);
+        if self.transport.sender.is_closed() || self.idle_limit.is_zero() || is_of_former_path {
             return;
         }
         let idle = Idle {
             transport: self.transport,
             since: self.pool.clock.now(),
             limit: self.idle_limit,
+            via: self.via,
         };
         self.pool.put(&self.upstream, idle);
     }
 }
+
+/// Returns the maximum idle time of a connection, unless the upstream announces less.
+fn max_idle_time(via: Option<&BoxId>) -> Duration {
+    match via {
+        Some(_) => MAX_IDLE_TIME_OF_TUNNEL,
+        None => MAX_IDLE_TIME,
+    }
+}
+
+/// Makes the kernel close a connection whose other side has fallen silent.
+///
+/// # Errors
+///
+/// Fails if the socket takes no options.
+pub(crate) fn detect_silence(socket: &impl AsFd) -> std::io::Result<()> {
+    let options = SockRef::from(socket);
+    options.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE_INTERVAL)
+        .with_interval(KEEPALIVE_INTERVAL)
+        .with_retries(MAX_KEEPALIVE_PROBES);
+    options.set_tcp_keepalive(&keepalive)
+}
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -15,7 +15,9 @@
 use crate::settings::EdgeSettings;
 use crate::store_calls::StoreCalls;
 use crate::store_watch::StoreWatch;
+use crate::tunnel::{CarriedTunnels, TunnelPeers};
 use crate::upstream_limits::UpstreamLimitTasks;
+use crate::upstream_path::UpstreamPathTasks;
 use crate::view_reports::ViewReports;
 use arc_swap::ArcSwapOption;
 use brasswinch_observe::{Event, emit};
@@ -128,6 +130,12 @@
     pub(crate) quotas: QuotaTasks,
     /// Rate limits that upstreams set.
     pub(crate) upstream_limits: UpstreamLimitTasks,
+    /// Whether this box reaches upstreams.
+    pub(crate) upstream_path: UpstreamPathTasks,
+    /// Boxes that carry tunnels for this one.
+    pub(crate) tunnel_peers: TunnelPeers,
+    /// Tunnels that this box carries for others.
+    pub(crate) carried_tunnels: CarriedTunnels,
     /// Health probes of upstreams.
     pub(crate) health_probes: HealthProbes,
     /// Known fleet size.
@@ -197,6 +205,9 @@
             store_watch: StoreWatch::new(&settings, &swim),
             advice_requests: AdviceRequests::new(socket),
             quotas: QuotaTasks::new(settings.id.clone(), settings.bounds.quota),
+            upstream_path: UpstreamPathTasks::default(),
+            tunnel_peers: TunnelPeers::default(),
+            carried_tunnels: CarriedTunnels::default(),
             health_probes: HealthProbes::default(),
             fleet_size: KnownFleetSize::default(),
             quarantine: QuarantineTasks::new(settings.id.clone()),
@@ -377,6 +388,7 @@
         placement.set_coordinators(coordinators);
         drop(placement);
         drop(swim);
+        self.close_tunnels_of_leaving_boxes();
         self.set_quota_boxes();
         self.set_quarantine_boxes();
         self.set_limit_boxes();
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -361,6 +361,7 @@
                     workspace: self.workspace.map(|workspace| &workspace.name),
                     strips_credential: self.strips_credential,
                 },
+                regions: self.regions(),
                 digest: attempts.digest.get().copied(),
             };
             if let Some(permit) = permit.as_deref_mut() {
@@ -392,7 +393,9 @@
                     self.report_connection_lost(&attempts, &incarnation);
                     ErrorKind::UpstreamBroken
                 }
-                AttemptOutcome::InvalidResponse => ErrorKind::UpstreamBroken,
+                AttemptOutcome::TunnelLost | AttemptOutcome::InvalidResponse => {
+                    ErrorKind::UpstreamBroken
+                }
             };
             attempts.count_sent(kind);
             if !self.may_retry(&attempts, kind) {
@@ -558,12 +561,7 @@
                     .map_or(0, |workspace| workspace.config.priority),
                 route: self.route.priority,
             },
-            regions: RegionLimits {
-                route: &self.route.allowed_regions,
-                workspace: self
-                    .workspace
-                    .map(|workspace| &workspace.config.allowed_regions),
-            },
+            regions: self.regions(),
             tried,
         };
         // Later attempts are rare and go to another upstream than the one advised first, so they
@@ -594,6 +592,16 @@
         })
     }
 
+    /// Returns the regions in which the request may be handled.
+    fn regions(&self) -> RegionLimits<'_> {
+        RegionLimits {
+            route: &self.route.allowed_regions,
+            workspace: self
+                .workspace
+                .map(|workspace| &workspace.config.allowed_regions),
+        }
+    }
+
     fn outgoing_body(&self, buffered: BufferedBody, in_force: &ActiveConfig) -> OutgoingBody {
         let Some(remainder) = buffered.remainder else {
             return OutgoingBody::Buffered(buffered.bytes);
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -3,7 +3,7 @@
 use crate::connection_failures::ConnectionCounts;
 use crate::context::Context;
 use brasswinch_observe::{LatencyTable, dropped_lines};
-use brasswinch_routing::{Liveness, RouteKind, Scope};
+use brasswinch_routing::{Liveness, RouteKind, Scope, UpstreamPath};
 use brasswinch_types::{Class, OnceProof, Service, Workspace};
 use std::collections::BTreeMap;
 use std::fmt::Write;
@@ -134,6 +134,21 @@
                 count as f64,
             );
         }
+        let reaches = self.upstream_path() == UpstreamPath::Direct;
+        line(
+            &mut text,
+            "reaches_upstreams",
+            "",
+            f64::from(u8::from(reaches)),
+        );
+        let carried = &self.carried_tunnels;
+        line(&mut text, "tunnels_carried", "", carried.open() as f64);
+        line(
+            &mut text,
+            "tunnels_carried_total",
+            "",
+            carried.total() as f64,
+        );
         let probes = &self.health_probes;
         for (outcome, count) in [
             ("answered", &probes.answered),
--- a/crates/edge/src/peer_traffic.rs
+++ b/crates/edge/src/peer_traffic.rs
@@ -32,6 +32,8 @@
     Updates,
     /// Requests members, or sends them.
     Members,
+    /// Requests a connection to an upstream, or replies.
+    Tunnel,
 }
 
 /// Direction of a message.
@@ -79,6 +81,7 @@
             Self::ColdNotice => "cold_notice",
             Self::Updates => "updates",
             Self::Members => "members",
+            Self::Tunnel => "tunnel",
         }
     }
 }
--- a/crates/edge/src/relay/mod.rs
+++ b/crates/edge/src/relay/mod.rs
@@ -10,6 +10,7 @@
 
 use crate::context::Context;
 use crate::peer_traffic::{Direction, MessageKind};
+use crate::tunnel::{self, TunnelReply, TunnelRequest};
 use brasswinch_routing::{
     CatchUp, ConfigFingerprint, MembersReply, MembersRequest, Revision, Scope,
 };
@@ -61,6 +62,8 @@
     Changes(ChangesRequest),
     /// For members.
     Members(MembersRequest),
+    /// For a connection to an upstream.
+    Tunnel(TunnelRequest),
 }
 
 impl Request {
@@ -68,6 +71,7 @@
         match self {
             Self::Changes(_) => MessageKind::Updates,
             Self::Members(_) => MessageKind::Members,
+            Self::Tunnel(_) => MessageKind::Tunnel,
         }
     }
 }
@@ -80,6 +84,8 @@
     Changes(CatchUp),
     /// The members that the requesting box lacks.
     Members(MembersReply),
+    /// Whether the upstream is connected.
+    Tunnel(TunnelReply),
     /// The box has just started and has no data yet.
     #[serde(rename = "KnowsNothing")]
     NoData,
@@ -133,7 +139,7 @@
         let (context, cache) = (Arc::clone(&context), Arc::clone(&cache));
         tokio::spawn(async move {
             // On an error the requesting box fails too, and asks another box.
-            let _ = timeout(EXCHANGE_TIMEOUT, reply_to(&context, &cache, stream)).await;
+            let _ = reply_to(&context, &cache, stream).await;
         });
     }
 }
@@ -178,6 +184,46 @@
     }
 }
 
+/// Requests a tunnel from the box at `peer`. Returns the connection with its reply.
+///
+/// # Errors
+///
+/// Fails if the box can't be reached or replies to another request.
+pub(crate) async fn request_tunnel(
+    context: &Context,
+    peer: SocketAddr,
+    request: TunnelRequest,
+) -> Result<(WebSocketStream<TcpStream>, TunnelReply), RelayError> {
+    let request = Request::Tunnel(request);
+    let mut socket = connect_and_send(context, peer, &request).await?;
+    let (reply, bytes) = receive(&mut socket).await?;
+    context
+        .peer_traffic
+        .count(request.kind(), Direction::Received, bytes);
+    match reply {
+        Reply::Tunnel(reply) => Ok((socket, reply)),
+        _ => Err(refusal(&reply)),
+    }
+}
+
+/// Sends the reply to a request for a tunnel.
+///
+/// # Errors
+///
+/// Fails if the requesting box can't be reached.
+pub(crate) async fn send_tunnel_reply(
+    context: &Context,
+    socket: &mut WebSocketStream<TcpStream>,
+    reply: TunnelReply,
+) -> Result<(), RelayError> {
+    let encoded = transfer::encode(&Reply::Tunnel(reply))?;
+    send(socket, &encoded).await?;
+    context
+        .peer_traffic
+        .count(MessageKind::Tunnel, Direction::Sent, encoded.len());
+    Ok(())
+}
+
 /// Sends a request and returns the reply with its length on the wire, in bytes.
 async fn exchange(
     context: &Context,
@@ -202,7 +248,7 @@
     match reply {
         Reply::NoData => RelayError::NoData,
         Reply::Busy => RelayError::Busy,
-        Reply::Changes(_) | Reply::Members(_) => RelayError::Mismatch,
+        Reply::Changes(_) | Reply::Members(_) | Reply::Tunnel(_) => RelayError::Mismatch,
     }
 }
 
@@ -250,7 +296,7 @@
 }
 
 async fn reply_to(
-    context: &Context,
+    context: &Arc<Context>,
     cache: &ReplyCache,
     stream: TcpStream,
 ) -> Result<(), RelayError> {
@@ -259,13 +305,21 @@
     context
         .peer_traffic
         .count(request.kind(), Direction::Received, bytes);
-    let reply = cache.reply(context, &request)?;
-    send(&mut socket, &reply.encoded).await?;
-    context
-        .peer_traffic
-        .count(request.kind(), Direction::Sent, reply.encoded.len());
-    transfer::wait_for_close(&mut socket).await;
-    Ok(())
+    if let Request::Tunnel(request) = &request {
+        return tunnel::carry(context, socket, request).await;
+    }
+    let replying = async {
+        let reply = cache.reply(context, &request)?;
+        send(&mut socket, &reply.encoded).await?;
+        context
+            .peer_traffic
+            .count(request.kind(), Direction::Sent, reply.encoded.len());
+        transfer::wait_for_close(&mut socket).await;
+        Ok(())
+    };
+    timeout(EXCHANGE_TIMEOUT, replying)
+        .await
+        .map_err(|_| RelayError::ReplyTimeout)?
 }
 
 /// Accepts a connection and returns it with the request and its length in bytes.
--- a/crates/edge/src/relay/replies.rs
+++ b/crates/edge/src/relay/replies.rs
@@ -64,6 +64,8 @@
                 let members = context.swim().members_reply(request);
                 encode(&Reply::Members(members))?
             }
+            // Tunnels are carried, not replied to from here.
+            Request::Tunnel(_) => encode(&Reply::Busy)?,
         };
         if encoded.len() < LARGE_REPLY_BYTES {
             return Ok(OutgoingReply {
--- a/crates/edge/src/start.rs
+++ b/crates/edge/src/start.rs
@@ -142,8 +142,13 @@
         let deadline = began + grace.mul_f64(MAX_GRACE_FRACTION);
         // Open connections may still receive requests that were sent before they close.
         sleep(server::CLOSE_GRACE + STAGE_POLL).await;
-        // A connection closes when its last response has been written.
-        while context.open_connections.load(Ordering::Relaxed) > 0 && Instant::now() < deadline {
+        // A connection closes when its last response has been written. A tunnel may carry a request
+        // of another box; those without one are closed by that box.
+        let is_busy = || {
+            context.open_connections.load(Ordering::Relaxed) > 0
+                || context.carried_tunnels.open() > 0
+        };
+        while is_busy() && Instant::now() < deadline {
             sleep(STAGE_POLL).await;
         }
         emit(Event::Stopped, format_args!("{}", context.settings.id));
@@ -167,6 +172,7 @@
         reaches_store: true,
         link_mbps: settings.link_mbps,
         fleet_size: 0,
+        reaches_upstreams: Some(true),
     }
 }
 
--- a/crates/edge/tests/common/know_all.rs
+++ b/crates/edge/tests/common/know_all.rs
@@ -71,5 +71,6 @@
         reaches_store: true,
         link_mbps: 0,
         fleet_size: 0,
+        reaches_upstreams: Some(true),
     }
 }
--- a/crates/lab/src/fleet_start/play.rs
+++ b/crates/lab/src/fleet_start/play.rs
@@ -279,6 +279,7 @@
         reaches_store: true,
         link_mbps: 20,
         fleet_size: 0,
+        reaches_upstreams: Some(true),
     }
 }
 
--- a/crates/observe/src/events.rs
+++ b/crates/observe/src/events.rs
@@ -93,6 +93,8 @@
     506 Info UpstreamResting "An upstream refused a request and asked this box for rest." "If it lasts, look at what the upstream is short of, or add upstreams.";
     507 Warn UpstreamCold "An upstream was asked how it is, since the store was silent, and is cold; it gets few requests for a time." "None.";
     508 Info HealthUnanswered "An upstream that was asked how it is gave no answer that can be used." "If it repeats while requests are served, check the upstream's health path.";
+    514 Warn UpstreamPathLost "This box reaches no upstream; it uses connections of other boxes." "Check the network between the box and the upstreams.";
+    515 Info UpstreamPathRestored "This box reaches upstreams again." "None.";
     310 Info MemberHeard "Other boxes are heard again, or for the first time." "None.";
     311 Warn MemberSilent "Other boxes are no longer heard." "Check the boxes and the network between the zones.";
     510 Info RequestServed "A routed request got an upstream's answer." "None.";
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -28,10 +28,12 @@
 mod split;
 mod swim;
 mod token_bucket;
+mod tunnel_peers;
 mod update_pacing;
 mod upstream;
 mod upstream_limits;
 mod upstream_load;
+mod upstream_reach;
 mod view_limits;
 mod watchers;
 mod workspace;
@@ -73,6 +75,7 @@
     KnownView, Liveness, Member, MemberRecord, MemberState, MembersDigest, MembersReply,
     MembersRequest, NeededTransfer, Outgoing, Swim, SwimMessage, SwimSettings,
 };
+pub use tunnel_peers::{TunnelEnds, TunnelPeer, select_tunnel_peer};
 pub use update_pacing::UpdatePacing;
 pub use upstream::{UpstreamIncarnation, UpstreamRecord, UpstreamStart, UpstreamState};
 pub use upstream_limits::{
@@ -80,6 +83,9 @@
     LimitUpdate, ObservedLimit, ToLimitCoordinator, UpstreamLimit, UpstreamLimits,
 };
 pub use upstream_load::{LoadReport, UpstreamLoad};
+pub use upstream_reach::{
+    CHECK_INTERVAL_MS, CheckCandidate, UpstreamPath, UpstreamReach, draw_sample,
+};
 pub use view_limits::ViewLimits;
 pub use watchers::{StoreDuty, Watchers};
 pub use workspace::{
--- a/crates/routing/src/placement/mod.rs
+++ b/crates/routing/src/placement/mod.rs
@@ -18,6 +18,7 @@
 mod entry;
 mod homes;
 mod lost_entries;
+mod reach;
 mod service_upstreams;
 mod shared_load;
 mod signals;
--- a/crates/routing/src/swim/digest.rs
+++ b/crates/routing/src/swim/digest.rs
@@ -82,5 +82,9 @@
         MemberState::Leaving => 2,
     };
     hasher.write(&[state, u8::from(record.reaches_store)]);
+    // Builds that don't know the field have the same hash of all boxes that aren't cut off.
+    if record.is_cut_off() {
+        hasher.write(&[1]);
+    }
     hasher.finish() as u32
 }
--- a/crates/routing/src/swim/member.rs
+++ b/crates/routing/src/swim/member.rs
@@ -57,6 +57,9 @@
     /// if unknown.
     #[serde(rename = "f", default)]
     pub fleet_size: u32,
+    /// Whether it reaches upstreams and connects other boxes to them; `None` if its build can't.
+    #[serde(rename = "u", default, skip_serializing_if = "Option::is_none")]
+    pub reaches_upstreams: Option<bool>,
 }
 
 impl MemberRecord {
@@ -69,6 +72,11 @@
         *held = (*held).max(revision);
     }
 
+    /// Whether the box has reported that it reaches no upstream.
+    pub fn is_cut_off(&self) -> bool {
+        self.reaches_upstreams == Some(false)
+    }
+
     /// Returns the revision up to which the box knows `scope`.
     pub fn revision(&self, scope: Scope) -> Revision {
         match scope {
--- a/crates/routing/src/swim/mod.rs
+++ b/crates/routing/src/swim/mod.rs
@@ -180,6 +180,15 @@
         }
     }
 
+    /// Sets whether this box publishes that it reaches upstreams.
+    pub fn set_reaches_upstreams(&mut self, reaches_upstreams: bool) {
+        if self.me.reaches_upstreams != Some(reaches_upstreams) {
+            self.me.reaches_upstreams = Some(reaches_upstreams);
+            self.me.incarnation += 1;
+            self.generation += 1;
+        }
+    }
+
     /// Sets the fleet size that this box publishes. Returns whether it changed.
     pub fn set_fleet_size(&mut self, fleet_size: u32) -> bool {
         if self.me.fleet_size == fleet_size {
--- a/crates/routing/src/swim/spreading.rs
+++ b/crates/routing/src/swim/spreading.rs
@@ -74,7 +74,8 @@
         }
         let needs_no_spreading = held.liveness == incoming.liveness
             && held.record.state == incoming.record.state
-            && held.record.reaches_store == incoming.record.reaches_store;
+            && held.record.reaches_store == incoming.record.reaches_store
+            && held.record.is_cut_off() == incoming.record.is_cut_off();
         if needs_no_spreading {
             // A changed load, revision or fleet size isn't spread: its box sends it with each
             // probe.
--- a/crates/routing/src/upstream_load.rs
+++ b/crates/routing/src/upstream_load.rs
@@ -55,6 +55,11 @@
 
     /// Records an answer, whether or not the upstream ran the request: it is alive.
     pub fn answered(&mut self) {
+        self.forget_failures();
+    }
+
+    /// Forgets failures, and with them the ejection.
+    pub fn forget_failures(&mut self) {
         self.is_unreachable = false;
         self.failures = 0;
         self.ejections = 0;
--- a/crates/routing/tests/members_sync.rs
+++ b/crates/routing/tests/members_sync.rs
@@ -33,6 +33,7 @@
         reaches_store: true,
         link_mbps: 0,
         fleet_size: 0,
+        reaches_upstreams: Some(true),
     };
     Swim::new(record, vec![address(INFORMED)], SwimSettings::default())
 }
--- a/crates/routing/tests/membership.rs
+++ b/crates/routing/tests/membership.rs
@@ -32,6 +32,7 @@
         reaches_store: true,
         link_mbps: 0,
         fleet_size: 0,
+        reaches_upstreams: Some(true),
     }
 }
 
