quarantine: a connection that timed out is no crash of its upstream

Cause: any connection that ended before its answer counted as an upstream that had ended under the request. A process that ends closes its connections; a connection that falls silent and times out tells of links. Class: what a box concludes in its cut became the view of the whole fleet.

Change: a timed-out connection, or a lost tunnel, is not reported. The request's outcome for the client is unchanged: it may have run.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -78,8 +78,9 @@
     NotSent(OutgoingBody),
     /// The request was sent, and the connection closed before the response was complete.
     ConnectionLost,
-    /// The request was sent through another box, which failed before the response was complete.
-    TunnelLost,
+    /// The request was sent, and the links to the upstream or the box that carried it failed before
+    /// the response was complete. The upstream may be running it.
+    PathLost,
     /// The request was sent, and the response is invalid.
     InvalidResponse,
     /// The request was sent, and its deadline passed.
@@ -193,11 +194,14 @@
             }
             ExchangeOutcome::ConnectionLost(cause) => {
                 context.record_connection_loss(&upstream, via.as_ref(), cause, sent.elapsed());
-                if cause == FailureCause::TunnelLost {
-                    return AttemptOutcome::TunnelLost;
+                if cause != FailureCause::TunnelLost {
+                    active.outcome = UpstreamOutcome::Unanswered;
                 }
-                active.outcome = UpstreamOutcome::Unanswered;
-                return AttemptOutcome::ConnectionLost;
+                return match cause {
+                    // An upstream that crashes closes its connections; a link that fails does not.
+                    FailureCause::TunnelLost | FailureCause::TimedOut => AttemptOutcome::PathLost,
+                    _ => AttemptOutcome::ConnectionLost,
+                };
             }
             ExchangeOutcome::InvalidResponse => {
                 active.outcome = UpstreamOutcome::Unanswered;
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -393,7 +393,7 @@
                     self.report_connection_lost(&attempts, &incarnation);
                     ErrorKind::UpstreamBroken
                 }
-                AttemptOutcome::TunnelLost | AttemptOutcome::InvalidResponse => {
+                AttemptOutcome::PathLost | AttemptOutcome::InvalidResponse => {
                     ErrorKind::UpstreamBroken
                 }
             };
--- a/crates/edge/tests/cut_off_boxes.rs
+++ b/crates/edge/tests/cut_off_boxes.rs
@@ -4,9 +4,12 @@
 
 mod common;
 
-use brasswinch_lab::partition::PartitionKind;
+use brasswinch_edge::Dialect;
+use brasswinch_lab::partition::{Partition, PartitionKind};
 use brasswinch_lab::routed_upstream::Behaviour;
-use common::apart::Apart;
+use common::apart::{Apart, box_ip};
+use common::{call, request};
+use tokio::task::JoinSet;
 
 const BOXES: usize = 6;
 
@@ -77,3 +80,37 @@
 async fn a_zone_without_links_to_upstreams_refuses_everything() {
     cut_off_boxes_serve(BOXES - 1, PartitionKind::Silent).await;
 }
+
+/// Sends requests for different objects to the first box, all at once.
+async fn send_together(boxes: &Apart, count: usize) {
+    let mut clients = JoinSet::new();
+    for number in 0..count {
+        let mut request = request("GET", &format!("/safe/{number}"), "");
+        let object = format!("{}={number}", Dialect::default().object_cookie);
+        request
+            .headers_mut()
+            .insert("cookie", object.parse().unwrap());
+        clients.spawn(call(boxes.clients[0], request));
+    }
+    clients.join_all().await;
+}
+
+/// Guards against a cut that makes innocent requests suspects at all boxes: each loses its
+/// connection, is sent again on another one, and loses that too.
+#[tokio::test]
+async fn requests_that_lose_their_links_become_suspects() {
+    let boxes = Apart::start(2).await;
+    // Leaves several idle connections to each upstream.
+    send_together(&boxes, 2 * REQUESTS).await;
+    for upstream in &boxes.upstreams[1..] {
+        let sources = vec![box_ip(0), box_ip(1)];
+        upstream.set_partition(Partition::new(PartitionKind::Silent, sources));
+    }
+    // Few at a time, so that no upstream is ejected before a request is sent there again.
+    send_together(&boxes, 4).await;
+    for index in 0..2 {
+        let suspects = boxes.context(index).status().quarantine;
+        let count = suspects.len();
+        assert!(suspects.is_empty(), "box {index}: {count} suspects");
+    }
+}
