health: boxes that reach no upstream probe none

While the store is silent one box asks each upstream whether it is cold, chosen among the serving boxes. A box without links to upstreams kept that duty, so the upstreams of its part were asked by nobody: after 30 s none of them had been.

Class: a duty was given by membership alone, whatever the box could reach. Probers are now chosen among the boxes that reach upstreams, among all if none does. A box that is cut off hears notices of cold upstreams from the others, as before.

--- a/crates/edge/src/health.rs
+++ b/crates/edge/src/health.rs
@@ -11,7 +11,8 @@
 use crate::upstream_signals::{InvalidSignal, cold_time};
 use brasswinch_observe::{Event, emit};
 use brasswinch_routing::{
-    HealthProber, HealthProbers, Scope, UpstreamIncarnation, UpstreamRecord, UpstreamState,
+    HealthProber, HealthProbers, MemberRecord, Scope, UpstreamIncarnation, UpstreamRecord,
+    UpstreamState,
 };
 use brasswinch_types::{ColdTime, UpstreamSignal};
 use bytes::Bytes;
@@ -197,14 +198,7 @@
             let service = in_force.config.services.get(&record.service);
             service.is_some_and(|service| !service.health_path.is_empty())
         };
-        let probers: Vec<HealthProber> = self
-            .swim()
-            .serving_boxes()
-            .map(|record| HealthProber {
-                id: record.id.clone(),
-                zone: record.zone.clone(),
-            })
-            .collect();
+        let probers = self.health_probers();
         let zones = &self.settings.zones;
         let probers = HealthProbers::new(&self.settings.id, zones, probers.into_iter());
         let mine: Vec<UpstreamRecord> = self
@@ -221,6 +215,21 @@
         mine.into_iter().filter(needs_probe).collect()
     }
 
+    /// Returns the serving boxes that reach upstreams; all serving boxes if none does.
+    fn health_probers(&self) -> Vec<HealthProber> {
+        let swim = self.swim();
+        let prober = |record: &MemberRecord| HealthProber {
+            id: record.id.clone(),
+            zone: record.zone.clone(),
+        };
+        let reaching = swim.serving_boxes().filter(|record| !record.is_cut_off());
+        let reaching: Vec<HealthProber> = reaching.map(prober).collect();
+        if reaching.is_empty() {
+            return swim.serving_boxes().map(prober).collect();
+        }
+        reaching
+    }
+
     /// Records that an upstream is cold, and notifies all boxes.
     async fn announce_cold(&self, record: &UpstreamRecord, cold: ColdTime) {
         let notice = ColdNotice {
--- a/crates/edge/tests/common/apart.rs
+++ b/crates/edge/tests/common/apart.rs
@@ -22,6 +22,8 @@
 /// Boxes, each with its own address, in front of the same upstreams.
 pub struct Apart {
     pub store: MemoryStore,
+    /// Each box's handle of the store.
+    pub stores: Vec<MemoryStore>,
     pub upstreams: Vec<Upstream>,
     pub boxes: Vec<Option<EdgeHandle>>,
     pub clients: Vec<SocketAddr>,
@@ -67,6 +69,7 @@
         }
         let mut all = Self {
             store,
+            stores: Vec::new(),
             upstreams,
             boxes: Vec::new(),
             clients: Vec::new(),
@@ -82,8 +85,10 @@
         let first = self.boxes.first().and_then(Option::as_ref);
         let seeds = first.map(|first| first.addresses().peers);
         let settings = settings_at(index, seeds.into_iter().collect());
-        let handle = start(settings, Dialect::default(), self.store.handle()).await;
+        let store = self.store.handle();
+        let handle = start(settings, Dialect::default(), store.clone()).await;
         let handle = handle.unwrap();
+        self.stores.push(store);
         self.clients.push(handle.addresses().clients);
         self.boxes.push(Some(handle));
     }
--- a/crates/edge/tests/cut_off_boxes.rs
+++ b/crates/edge/tests/cut_off_boxes.rs
@@ -5,10 +5,11 @@
 mod common;
 
 use brasswinch_edge::Dialect;
+use brasswinch_lab::memory_store::StoreFault;
 use brasswinch_lab::partition::{Partition, PartitionKind};
 use brasswinch_lab::routed_upstream::Behaviour;
 use common::apart::{Apart, box_ip};
-use common::{call, request};
+use common::{call, eventually, request};
 use tokio::task::JoinSet;
 
 const BOXES: usize = 6;
@@ -114,3 +115,19 @@
         assert!(suspects.is_empty(), "box {index}: {count} suspects");
     }
 }
+
+/// Guards against upstreams whose prober reaches none of them, while the store doesn't respond.
+#[tokio::test]
+async fn upstreams_of_a_cut_off_prober_are_not_probed() {
+    let boxes = Apart::start(4).await;
+    boxes.cut(1, PartitionKind::Silent);
+    boxes.wait_until_served(0).await;
+    for store in &boxes.stores {
+        store.set_fault(StoreFault::Silent);
+    }
+    eventually("each upstream was probed", || {
+        let mut upstreams = boxes.upstreams.iter();
+        upstreams.all(|upstream| upstream.health_questions() > 0)
+    })
+    .await;
+}
