look-ups: boxes that reach no upstream are left out

Callers went on being sent to boxes without links to upstreams for the whole cut: the membership's record says whether a box is alive, not what it reaches. Tunnels serve those requests, with a hop more; callers that look up again need none. A region in which fewer than half of the boxes reach upstreams lists all, since its few would get all callers and all tunnels. Callers hold answers for seconds, so this alone serves no first attempt.

--- a/crates/edge/src/look_up.rs
+++ b/crates/edge/src/look_up.rs
@@ -56,5 +56,6 @@
         // The link's bandwidth stands for the box's size: boxes with more CPU have more bandwidth.
         size: record.link_mbps,
         requests_per_s: record.requests_per_s,
+        is_cut_off: record.is_cut_off(),
     }
 }
--- a/crates/edge/tests/cut_off_boxes.rs
+++ b/crates/edge/tests/cut_off_boxes.rs
@@ -8,6 +8,7 @@
 use brasswinch_lab::memory_store::StoreFault;
 use brasswinch_lab::partition::{Partition, PartitionKind};
 use brasswinch_lab::routed_upstream::Behaviour;
+use brasswinch_types::{Region, Zone};
 use common::apart::{Apart, box_ip};
 use common::{call, eventually, request};
 use tokio::task::JoinSet;
@@ -131,3 +132,25 @@
     })
     .await;
 }
+
+/// Guards against look-ups that send clients to boxes that are cut off, and that leave these out
+/// after their links are back.
+#[tokio::test]
+async fn look_ups_list_boxes_that_are_cut_off() {
+    let boxes = Apart::start(BOXES).await;
+    let listed = |index: usize| {
+        let (zone, region) = (Zone::new("west-a"), Region::new("west"));
+        boxes.context(index).directory_answer(&zone, &region)
+    };
+    let is_listed_anywhere =
+        || (0..BOXES).any(|index| listed(index).addresses.contains(&boxes.clients[0]));
+    assert!(is_listed_anywhere());
+    boxes.cut(1, PartitionKind::Silent);
+    boxes.wait_until_served(0).await;
+    eventually("it is listed nowhere", || !is_listed_anywhere()).await;
+    boxes.heal();
+    eventually("it is listed everywhere", || {
+        (0..BOXES).all(|index| listed(index).addresses.contains(&boxes.clients[0]))
+    })
+    .await;
+}
--- a/crates/routing/src/look_up.rs
+++ b/crates/routing/src/look_up.rs
@@ -21,6 +21,10 @@
 /// Ratio of a zone's load to the average of its region's zones above which the zone is overloaded.
 const OVERLOAD_RATIO: f64 = 2.0;
 
+/// Part of a region's boxes that has to reach upstreams for the others to be left out. The callers
+/// of a region with fewer are better off with all its boxes, which connect through other regions'.
+const MIN_REACHING_PART: f64 = 0.5;
+
 /// A serving box as a candidate for a look-up.
 #[derive(Clone, Debug, PartialEq)]
 pub struct CandidateBox {
@@ -32,6 +36,8 @@
     pub size: u32,
     /// Request rate of its callers, per second; `None` if not reported.
     pub requests_per_s: Option<f32>,
+    /// Whether it has reported that it reaches no upstream.
+    pub is_cut_off: bool,
 }
 
 impl CandidateBox {
@@ -47,21 +53,25 @@
     zone: &Zone,
     random: &mut impl Rng,
 ) -> Vec<SocketAddr> {
-    let own: Vec<&CandidateBox> = region_boxes
-        .iter()
-        .filter(|candidate| &candidate.zone == zone)
-        .collect();
-    let stays_in_zone = own.len() >= MIN_ZONE_BOXES && !is_overloaded(region_boxes, zone);
-    let candidates = if stays_in_zone {
-        own
-    } else {
-        region_boxes.iter().collect()
-    };
-    draw(candidates, random)
+    let usable = usable_boxes(region_boxes);
+    let in_zone = usable.iter().filter(|candidate| &candidate.zone == zone);
+    let own: Vec<&CandidateBox> = in_zone.copied().collect();
+    let stays_in_zone = own.len() >= MIN_ZONE_BOXES && !is_overloaded(&usable, zone);
+    draw(if stays_in_zone { own } else { usable }, random)
+}
+
+/// Returns the boxes that reach upstreams, or all boxes if too few do.
+fn usable_boxes(region_boxes: &[CandidateBox]) -> Vec<&CandidateBox> {
+    let all = region_boxes.iter();
+    let reaching: Vec<&CandidateBox> = all.filter(|candidate| !candidate.is_cut_off).collect();
+    if reaching.len() as f64 >= region_boxes.len() as f64 * MIN_REACHING_PART {
+        return reaching;
+    }
+    region_boxes.iter().collect()
 }
 
 /// Whether the zone's load per unit of size exceeds the region's average by the overload ratio.
-fn is_overloaded(region_boxes: &[CandidateBox], zone: &Zone) -> bool {
+fn is_overloaded(region_boxes: &[&CandidateBox], zone: &Zone) -> bool {
     let mut loads: BTreeMap<&Zone, (f64, f64)> = BTreeMap::new();
     for candidate in region_boxes {
         // The rate comes from other boxes; an invalid one counts as missing.
--- a/crates/routing/tests/look_up.rs
+++ b/crates/routing/tests/look_up.rs
@@ -27,6 +27,7 @@
                 zone: zone(number % zones),
                 size: if is_large { 100 } else { 20 },
                 requests_per_s: Some(10.0),
+                is_cut_off: false,
             }
         })
         .collect()
@@ -164,3 +165,28 @@
         assert!(names.len() >= 32);
     }
 }
+
+fn with_cut_off(count: usize) -> Vec<CandidateBox> {
+    let mut boxes = region(2, 6);
+    for cut_off in &mut boxes[..count] {
+        cut_off.is_cut_off = true;
+    }
+    boxes
+}
+
+/// Guards against callers that are sent to boxes without links to upstreams.
+#[test]
+fn boxes_that_reach_no_upstream_are_listed() {
+    let boxes = with_cut_off(6);
+    let listed = select_boxes(&boxes, &zone(0), &mut random());
+    assert_eq!(listed.len(), 6);
+    let mut cut_off = boxes.iter().filter(|candidate| candidate.is_cut_off);
+    assert!(cut_off.all(|candidate| !listed.contains(&candidate.address)));
+}
+
+/// Guards against a region whose callers all go to the few boxes that are left.
+#[test]
+fn the_last_box_that_reaches_upstreams_is_listed_alone() {
+    let listed = select_boxes(&with_cut_off(11), &zone(0), &mut random());
+    assert_eq!(listed.len(), 12);
+}
