--- a/crates/lab/src/partition.rs
+++ b/crates/lab/src/partition.rs
@@ -6,8 +6,9 @@
 use socket2::{SockFilter, SockRef};
 use std::io;
 use std::net::{IpAddr, Ipv4Addr};
-use std::os::fd::AsFd;
+use std::os::fd::{AsFd, OwnedFd};
 use std::time::Duration;
+use tokio::sync::watch;
 
 /// Loads a 32-bit word of the packet (`BPF_LD | BPF_W | BPF_ABS`).
 const LOAD_WORD: u16 = 0x20;
@@ -87,6 +88,20 @@
     }
 }
 
+/// Applies partitions to an open connection of `source` as they change; returns when one resets it.
+pub async fn apply_to_connection(
+    mut partitions: watch::Receiver<Partition>,
+    connection: OwnedFd,
+    source: IpAddr,
+) {
+    while partitions.changed().await.is_ok() {
+        let partition = partitions.borrow_and_update().clone();
+        if !matches!(partition.apply_to_connection(&connection, source), Ok(true)) {
+            return;
+        }
+    }
+}
+
 /// Makes the close of a connection a reset.
 ///
 /// # Errors
--- a/crates/lab/src/routed_upstream.rs
+++ b/crates/lab/src/routed_upstream.rs
@@ -3,11 +3,11 @@
 //!
 //! It writes bytes itself, since most of what it does wrong no library would write.
 
-use crate::partition::{Partition, PartitionKind, reset_on_close};
+use crate::partition::{Partition, PartitionKind, apply_to_connection, reset_on_close};
 use brasswinch_edge::Dialect;
 use std::collections::VecDeque;
 use std::net::{IpAddr, SocketAddr};
-use std::os::fd::{AsFd, OwnedFd};
+use std::os::fd::AsFd;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -194,20 +194,7 @@
             // A caller that breaks off is counted where it matters.
             _ = self.serve(stream) => {}
             () = self.crashed() => {}
-            () = self.partitioned(connection, from) => {}
-        }
-    }
-
-    /// Applies partitions to a connection; returns when one resets it.
-    async fn partitioned(&self, connection: OwnedFd, from: IpAddr) {
-        let mut partitions = self.partition.subscribe();
-        loop {
-            // The sender lives as long as the upstream.
-            let _ = partitions.changed().await;
-            let partition = partitions.borrow_and_update().clone();
-            if !matches!(partition.apply_to_connection(&connection, from), Ok(true)) {
-                return;
-            }
+            () = apply_to_connection(self.partition.subscribe(), connection, from) => {}
         }
     }
 
