fleet state: an upstream that announced that it leaves doesn't come back by an older entry

A store that was restored from a copy holds entries from before an upstream said that it leaves.

Open: an upstream whose entry vanished without an announcement is taken back from the copy until the store drops it again.

--- a/crates/routing/src/fleet_state/upstream_entries.rs
+++ b/crates/routing/src/fleet_state/upstream_entries.rs
@@ -1,7 +1,7 @@
 //! The upstreams' entries, and tombstones of entries removed recently.
 
 use crate::change::{Change, ChangeKey, Revised, Revision};
-use crate::upstream::UpstreamRecord;
+use crate::upstream::{UpstreamRecord, UpstreamStart, UpstreamState};
 use brasswinch_types::{Millis, UpstreamId};
 use std::collections::BTreeMap;
 
@@ -25,6 +25,22 @@
     removed_at: Millis,
     /// The last time as of which the entry is known to have existed, if it was held.
     present_as_of: Option<Millis>,
+    /// The run of the upstream that announced that it is leaving.
+    left: Option<Run>,
+}
+
+/// One run of an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Run {
+    started: Option<UpstreamStart>,
+}
+
+impl Run {
+    fn of(record: &UpstreamRecord) -> Self {
+        Self {
+            started: record.started,
+        }
+    }
 }
 
 /// The entries of all upstreams.
@@ -57,6 +73,11 @@
             held.revision = revision;
             return false;
         }
+        if self.has_left(&record) {
+            // A restored store holds entries from before the upstream announced that it leaves.
+            self.raise_revision(&record.id, revision);
+            return false;
+        }
         let held = HeldUpstream {
             record,
             revision,
@@ -66,6 +87,28 @@
         true
     }
 
+    /// Whether this run of the upstream has announced that it is leaving, which is final, and the
+    /// record doesn't.
+    fn has_left(&self, record: &UpstreamRecord) -> bool {
+        if record.state == UpstreamState::Draining {
+            return false;
+        }
+        if let Some(held) = self.held.get(&record.id) {
+            return held.record.state == UpstreamState::Draining
+                && Run::of(&held.record) == Run::of(record);
+        }
+        let tombstone = self.tombstones.get(&record.id);
+        tombstone.is_some_and(|tombstone| tombstone.left == Some(Run::of(record)))
+    }
+
+    fn raise_revision(&mut self, id: &UpstreamId, revision: Revision) {
+        if let Some(held) = self.held.get_mut(id) {
+            held.revision = revision;
+        } else if let Some(tombstone) = self.tombstones.get_mut(id) {
+            tombstone.revision = revision;
+        }
+    }
+
     /// Records the removal of an entry. Returns whether it was held. `present_as_of` is the last
     /// time as of which all entries are known.
     pub(super) fn remove(
@@ -79,12 +122,17 @@
         if held.is_some_and(|held| held.revision > revision) {
             return false;
         }
-        let was_held = self.held.remove(id).is_some();
+        let removed = self.held.remove(id);
+        let was_held = removed.is_some();
+        let left = removed
+            .filter(|held| held.record.state == UpstreamState::Draining)
+            .map(|held| Run::of(&held.record));
         let tombstone = self.tombstones.entry(id.clone()).or_insert(Tombstone {
             revision,
             is_unreadable: false,
             removed_at: now,
             present_as_of,
+            left,
         });
         if revision >= tombstone.revision {
             tombstone.revision = revision;
@@ -93,6 +141,7 @@
         if was_held {
             tombstone.removed_at = now;
             tombstone.present_as_of = present_as_of;
+            tombstone.left = left;
         }
         was_held
     }
