store: changes are ordered by era and revision

What callers saw: a request was handled by version 80 over 2 s after version 82 had been acknowledged (CONFIG); a request reached an upstream 3.1 s after it had said that it leaves (DRAIN).

Cause: the store came back from a copy, and its counter went back. All that a box knows is ordered by revision alone, and Store-Era was read nowhere, so everything written after the restore was taken for older than what had been known, until the counter had passed the last revision before it. Each watch from there got 410, each listing after it was passed over, without a pause: 130 refused calls a second at each of two followers. Class: an order kept by a counter that can go back.

Change: a revision carries the era in its upper 16 bits, so every order of revisions, in entries, listings, watch positions, digests, reports on views and transfers between boxes, is one by era and counter, without a second field in each of them. A lease belongs to its era, since its id is given out again. Boxes log the change (BW229), and store the requests that they shut out again.

Ruled out: a field of its own in every message, which older builds would drop.

--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -14,6 +14,7 @@
 use crate::quotas::QuotaTasks;
 use crate::settings::EdgeSettings;
 use crate::store_calls::StoreCalls;
+use crate::store_era::KnownEra;
 use crate::store_watch::StoreWatch;
 use crate::tunnel::{CarriedTunnels, TunnelPeers};
 use crate::upstream_limits::UpstreamLimitTasks;
@@ -124,6 +125,8 @@
     /// Age limits of the view.
     pub(crate) view_limits: ViewLimits,
     pub(crate) store_watch: StoreWatch,
+    /// The store's newest era that this box has learned of.
+    pub(crate) store_era: KnownEra,
     /// Requests for advice that are sent before a request is routed.
     pub(crate) advice_requests: AdviceRequests,
     /// The workspaces' quotas.
@@ -212,6 +215,7 @@
             fleet_size: KnownFleetSize::default(),
             quarantine: QuarantineTasks::new(settings.id.clone()),
             upstream_limits: UpstreamLimitTasks::new(settings.id.clone(), settings.zones.clone()),
+            store_era: KnownEra::default(),
             view_reports: ViewReports::default(),
             dialect,
             clock: settings.clock.clone(),
@@ -343,12 +347,13 @@
         let Some(newest) = self.fleet().newest(scope) else {
             return;
         };
+        self.observe_store_era(newest.era(), source);
         if self.swim().set_revision(scope, newest) {
-            let revision = newest.0;
+            let (revision, era) = (newest.counter(), newest.era());
             emit(
                 Event::NewsLearned,
                 format_args!(
-                    "scope={scope:?} revision={revision} age_ms={} from={source}",
+                    "scope={scope:?} revision={revision} era={era} age_ms={} from={source}",
                     age_ms.map_or_else(|| "-".to_owned(), |age_ms| age_ms.to_string()),
                 ),
             );
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -44,6 +44,7 @@
 mod status;
 mod store;
 mod store_calls;
+mod store_era;
 mod store_fetch;
 mod store_watch;
 mod tunnel;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -119,7 +119,9 @@
         ] {
             if let Some(revision) = self.fleet().newest(scope) {
                 let labels = format!("scope=\"{name}\"");
-                line(&mut text, "store_revision", &labels, revision.0 as f64);
+                let (era, counter) = (f64::from(revision.era().0), revision.counter() as f64);
+                line(&mut text, "store_revision", &labels, counter);
+                line(&mut text, "store_era", &labels, era);
             }
             if let Some(age_ms) = self.view_age_ms(scope) {
                 let labels = format!("scope=\"{name}\"");
--- a/crates/edge/src/quarantine.rs
+++ b/crates/edge/src/quarantine.rs
@@ -119,6 +119,13 @@
             .collect()
     }
 
+    /// Stores the quarantined requests of this box again.
+    pub(crate) fn confirm_quarantine_again(&self) {
+        let now = self.clock.now();
+        self.quarantine.lock().confirm_again(now);
+        self.quarantine.has_unconfirmed.notify_one();
+    }
+
     /// Merges the store's report on a request.
     pub(crate) fn merge_stored_quarantine(&self, report: &CrashReport) {
         let now = self.clock.now();
--- a/crates/edge/src/registry.rs
+++ b/crates/edge/src/registry.rs
@@ -53,7 +53,7 @@
         context.count_call(StoreCall::Register);
         match store.register(&registration, LEASE_TTL).await {
             Ok(lease) => {
-                emit(Event::Registered, format_args!("lease={}", lease.0));
+                emit(Event::Registered, format_args!("lease={}", lease.id));
                 backoff = INITIAL_BACKOFF;
                 keep_lease(&context, &*store, lease).await;
             }
--- a/crates/edge/src/status.rs
+++ b/crates/edge/src/status.rs
@@ -2,8 +2,8 @@
 
 use crate::context::{Context, Lifecycle, SCOPES};
 use brasswinch_routing::{
-    ConfigGaps, LimitStatus, Liveness, QuarantineStatus, QuotaStatus, Scope, ServiceStatus,
-    StoreDuty,
+    ConfigGaps, LimitStatus, Liveness, QuarantineStatus, QuotaStatus, Revision, Scope,
+    ServiceStatus, StoreDuty, StoreEra,
 };
 use brasswinch_types::{BoxId, Millis, Service, Zone};
 use serde::{Deserialize, Serialize};
@@ -62,6 +62,9 @@
     pub scope: Scope,
     /// Revision of the last known change; `None` before the first listing.
     pub revision: Option<u64>,
+    /// Era of the store in which that change was made.
+    #[serde(default)]
+    pub era: StoreEra,
     /// Milliseconds since the view was last known to be complete; `None` if it never was.
     pub age_ms: Option<Millis>,
     /// Revision of a later change that other boxes announced.
@@ -120,9 +123,10 @@
         let fleet = self.fleet();
         ViewStatus {
             scope,
-            revision: fleet.newest(scope).map(|revision| revision.0),
+            revision: fleet.newest(scope).map(Revision::counter),
+            era: fleet.newest(scope).map(Revision::era).unwrap_or_default(),
             age_ms,
-            pending_revision: fleet.pending_revision(scope).map(|revision| revision.0),
+            pending_revision: fleet.pending_revision(scope).map(Revision::counter),
         }
     }
 
@@ -189,6 +193,9 @@
             return writeln!(f, "view of {:?}: none", self.scope);
         };
         write!(f, "view of {:?}: revision {revision}", self.scope)?;
+        if self.era != StoreEra::default() {
+            write!(f, " of era {}", self.era)?;
+        }
         write!(f, ", complete {age_ms} ms ago")?;
         match self.pending_revision {
             Some(pending) => writeln!(f, ", pending revision {pending}"),
--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -1,6 +1,6 @@
 //! Interface of the store that holds configuration and upstreams.
 
-use brasswinch_routing::{CrashReport, Revised, Revision, Scope, Snapshot};
+use brasswinch_routing::{CrashReport, Revised, Revision, Scope, Snapshot, StoreEra};
 use brasswinch_types::BoxId;
 use serde::{Deserialize, Serialize};
 use std::future::Future;
@@ -75,9 +75,14 @@
     pub peer_address: SocketAddr,
 }
 
-/// ID of a lease in the store.
+/// A lease in the store. A restored store may give its id out again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct LeaseId(pub u64);
+pub struct LeaseId {
+    /// The era of the store that granted it.
+    pub era: StoreEra,
+    /// Its id in that era.
+    pub id: u64,
+}
 
 /// Quarantined requests, stored for boxes that start or were cut off.
 pub trait QuarantineStore: Send + Sync + 'static {
--- a/crates/lab/src/memory_store.rs
+++ b/crates/lab/src/memory_store.rs
@@ -8,7 +8,7 @@
     StoreFailure, WatchReply,
 };
 use brasswinch_routing::{
-    Change, ChangeKey, CrashReport, RequestDigest, Revised, Revision, Scope, Snapshot,
+    Change, ChangeKey, CrashReport, RequestDigest, Revised, Revision, Scope, Snapshot, StoreEra,
 };
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -318,18 +318,18 @@
         state.next_lease += 1;
         let lease = state.next_lease;
         state.registrations.insert(lease, registration.clone());
-        Ok(LeaseId(lease))
+        Ok(lease_id(lease))
     }
 
     async fn renew(&self, lease: LeaseId) -> Result<(), StoreFailure> {
         self.fail_if_told(Duration::ZERO).await?;
-        let is_held = self.state().registrations.contains_key(&lease.0);
+        let is_held = self.state().registrations.contains_key(&lease.id);
         is_held.then_some(()).ok_or(StoreFailure::LeaseEnded)
     }
 
     async fn withdraw(&self, lease: LeaseId) -> Result<(), StoreFailure> {
         self.fail_if_told(Duration::ZERO).await?;
-        let removed = self.state().registrations.remove(&lease.0);
+        let removed = self.state().registrations.remove(&lease.id);
         removed.map(|_| ()).ok_or(StoreFailure::LeaseEnded)
     }
 
@@ -345,7 +345,7 @@
         let mut state = self.state();
         state.next_lease += 1;
         state.quarantine.insert(report.digest, report.clone());
-        Ok(LeaseId(state.next_lease))
+        Ok(lease_id(state.next_lease))
     }
 
     async fn confirmed(&self) -> Result<Vec<CrashReport>, StoreFailure> {
@@ -366,3 +366,11 @@
         Ok(())
     }
 }
+
+/// Returns a lease of this store, which is never restored.
+fn lease_id(id: u64) -> LeaseId {
+    LeaseId {
+        era: StoreEra::default(),
+        id,
+    }
+}
--- a/crates/observe/src/events.rs
+++ b/crates/observe/src/events.rs
@@ -73,6 +73,7 @@
     226 Info ViewOld "No other box has lately confirmed that this one knows everything; it asks the store itself." "If it repeats, check the links between boxes.";
     227 Info FleetSize "How many boxes share what the whole fleet may do, as this box now knows it." "None, unless it is not the number of boxes.";
     228 Warn FleetSizeUnknown "Neither the store nor another box told how many boxes there are; this one goes by those that it hears." "Check the platform's store and the links between boxes.";
+    229 Warn StoreRestored "The store came back from an older copy; what it holds was listed anew." "Check that what was written lately is there.";
     300 Info PeerUp "A link to another box is up." "None.";
     301 Warn PeerDown "A link to another box went down." "Check the box and the network between the zones.";
     302 Warn PeerMalformed "A peer sent a message that can't be read; its link was closed." "Check that all boxes run versions that speak the same protocol.";
--- a/crates/routing/src/change.rs
+++ b/crates/routing/src/change.rs
@@ -5,14 +5,48 @@
 use crate::upstream::UpstreamRecord;
 use brasswinch_types::{UpstreamId, Zone};
 use serde::{Deserialize, Serialize};
+use std::fmt;
 use std::sync::Arc;
 
-/// The store's change counter; later changes have larger revisions.
+/// How often the store was restored from an older copy.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
+pub struct StoreEra(pub u16);
+
+impl fmt::Display for StoreEra {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+/// The store's change counter, with the era in its upper 16 bits; later changes have larger
+/// revisions. A restored store gives out values of its counter again, in a new era.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
 )]
 pub struct Revision(pub u64);
 
+impl Revision {
+    /// Bits of the counter.
+    const COUNTER_BITS: u32 = 48;
+
+    /// Returns the revision of a value of the store's counter.
+    pub fn new(era: StoreEra, counter: u64) -> Self {
+        Self(u64::from(era.0) << Self::COUNTER_BITS | counter)
+    }
+
+    /// Returns the era of the store.
+    pub fn era(self) -> StoreEra {
+        StoreEra((self.0 >> Self::COUNTER_BITS) as u16)
+    }
+
+    /// Returns the value of the store's counter.
+    pub fn counter(self) -> u64 {
+        self.0 & ((1 << Self::COUNTER_BITS) - 1)
+    }
+}
+
 /// The two parts of the store; each is followed separately.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Scope {
--- a/crates/routing/src/fleet_state/mod.rs
+++ b/crates/routing/src/fleet_state/mod.rs
@@ -11,7 +11,7 @@
 pub use held_config::PatchMismatch;
 pub use view::Watermark;
 
-use crate::change::{Change, ChangeKey, Revised, Revision, Scope, Snapshot};
+use crate::change::{Change, ChangeKey, Revised, Revision, Scope, Snapshot, StoreEra};
 use crate::config::SteeringConfig;
 use crate::config_patch::ConfigFingerprint;
 use crate::upstream::UpstreamRecord;
@@ -196,6 +196,12 @@
         self.scopes.get(&scope).map(|progress| progress.newest)
     }
 
+    /// Returns the era of the store, as far as it is known.
+    pub fn era(&self) -> StoreEra {
+        let newest = self.scopes.values().map(|progress| progress.newest.era());
+        newest.max().unwrap_or_default()
+    }
+
     /// Records a watermark of `scope` from the store or from a peer.
     pub fn record_watermark(&mut self, scope: Scope, watermark: Watermark) {
         let newest = self.newest(scope);
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -38,7 +38,7 @@
 mod watchers;
 mod workspace;
 
-pub use change::{Change, ChangeKey, Revised, Revision, Scope, Snapshot};
+pub use change::{Change, ChangeKey, Revised, Revision, Scope, Snapshot, StoreEra};
 pub use cold_pacing::ColdPacing;
 pub use config::{
     Backend, ClientLimits, ConfigError, ConfigVersion, MAX_TIME_S, Route, RouteKind, ServiceConfig,
--- a/crates/routing/src/quarantine/mod.rs
+++ b/crates/routing/src/quarantine/mod.rs
@@ -178,6 +178,17 @@
         quarantined.collect()
     }
 
+    /// Marks the quarantined requests that this box coordinates as not stored, because the store
+    /// may have lost them.
+    pub fn confirm_again(&mut self, now: Millis) {
+        for (digest, record) in &self.records {
+            let is_quarantined = record.level(now) == Level::Quarantined;
+            if is_quarantined && self.sender.is_coordinator(*digest) {
+                self.unconfirmed.push(*digest);
+            }
+        }
+    }
+
     /// Sets the serving boxes, and informs new ones of suspected and quarantined requests.
     pub fn set_boxes(&mut self, boxes: Vec<QuarantineBox>, now: Millis) {
         let new_boxes = self.sender.set_boxes(boxes);
