fleet size: written again after the store was restored

The size is written where it differs from what this box last read or wrote. A restore that takes the key away, or brings an older one, went unnoticed until the fleet's size changed.

--- a/crates/edge/src/fleet_size.rs
+++ b/crates/edge/src/fleet_size.rs
@@ -43,12 +43,15 @@
         sleep(backoff.mul_f64(0.5 + rand::random::<f64>())).await;
         backoff = (backoff * 2).min(MAX_BACKOFF);
     }
+    let mut era = context.fleet().era();
     loop {
         sleep(REVIEW_INTERVAL).await;
-        if context.duty() != StoreDuty::Lead || lock(&context.fleet_size.size).to_store().is_none()
-        {
+        let newest_era = context.fleet().era();
+        let is_due = newest_era != era || lock(&context.fleet_size.size).to_store().is_some();
+        if context.duty() != StoreDuty::Lead || !is_due {
             continue;
         }
+        era = newest_era;
         // Another box may have written since this one read the size.
         if read(&context, &*store).await {
             write(&context, &*store).await;
