fleet state: entries of a copy that a box knows to be outdated are passed over

An upstream may have announced that it leaves, or lost its entry, after the copy was made. The copy's entry would put it back into use until the upstream writes anew or the store drops it. Its removal is now remembered with the revision of the entry that was removed, and in a new era an entry written no later is passed over; one that a box holds as leaving stays so until it is written again.

--- a/crates/routing/src/fleet_state/upstream_entries.rs
+++ b/crates/routing/src/fleet_state/upstream_entries.rs
@@ -1,7 +1,7 @@
 //! The upstreams' entries, and tombstones of entries removed recently.
 
 use crate::change::{Change, ChangeKey, Revised, Revision};
-use crate::upstream::{UpstreamRecord, UpstreamStart, UpstreamState};
+use crate::upstream::{UpstreamRecord, UpstreamState};
 use brasswinch_types::{Millis, UpstreamId};
 use std::collections::BTreeMap;
 
@@ -25,22 +25,8 @@
     removed_at: Millis,
     /// The last time as of which the entry is known to have existed, if it was held.
     present_as_of: Option<Millis>,
-    /// The run of the upstream that announced that it is leaving.
-    left: Option<Run>,
-}
-
-/// One run of an upstream.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct Run {
-    started: Option<UpstreamStart>,
-}
-
-impl Run {
-    fn of(record: &UpstreamRecord) -> Self {
-        Self {
-            started: record.started,
-        }
-    }
+    /// The revision of the removed entry, if it was held.
+    entry_revision: Option<Revision>,
 }
 
 /// The entries of all upstreams.
@@ -73,8 +59,7 @@
             held.revision = revision;
             return false;
         }
-        if self.has_left(&record) {
-            // A restored store holds entries from before the upstream announced that it leaves.
+        if self.is_restored(&record, revision) {
             self.raise_revision(&record.id, revision);
             return false;
         }
@@ -87,18 +72,21 @@
         true
     }
 
-    /// Whether this run of the upstream has announced that it is leaving, which is final, and the
-    /// record doesn't.
-    fn has_left(&self, record: &UpstreamRecord) -> bool {
-        if record.state == UpstreamState::Draining {
-            return false;
-        }
+    /// Whether an entry of a new era is one from before the store was restored, which this box
+    /// knows to be outdated: the upstream has announced since that it leaves, or its entry was
+    /// removed.
+    fn is_restored(&self, record: &UpstreamRecord, revision: Revision) -> bool {
         if let Some(held) = self.held.get(&record.id) {
-            return held.record.state == UpstreamState::Draining
-                && Run::of(&held.record) == Run::of(record);
+            return held.revision.era() < revision.era()
+                && held.record.started == record.started
+                && held.record.state == UpstreamState::Draining
+                && record.state != UpstreamState::Draining;
         }
-        let tombstone = self.tombstones.get(&record.id);
-        tombstone.is_some_and(|tombstone| tombstone.left == Some(Run::of(record)))
+        let Some(tombstone) = self.tombstones.get(&record.id) else {
+            return false;
+        };
+        let known = tombstone.entry_revision.map(Revision::counter);
+        tombstone.revision.era() < revision.era() && known >= Some(revision.counter())
     }
 
     fn raise_revision(&mut self, id: &UpstreamId, revision: Revision) {
@@ -124,15 +112,13 @@
         }
         let removed = self.held.remove(id);
         let was_held = removed.is_some();
-        let left = removed
-            .filter(|held| held.record.state == UpstreamState::Draining)
-            .map(|held| Run::of(&held.record));
+        let entry_revision = removed.map(|held| held.revision);
         let tombstone = self.tombstones.entry(id.clone()).or_insert(Tombstone {
             revision,
             is_unreadable: false,
             removed_at: now,
             present_as_of,
-            left,
+            entry_revision,
         });
         if revision >= tombstone.revision {
             tombstone.revision = revision;
@@ -141,7 +127,7 @@
         if was_held {
             tombstone.removed_at = now;
             tombstone.present_as_of = present_as_of;
-            tombstone.left = left;
+            tombstone.entry_revision = entry_revision;
         }
         was_held
     }
