tunnels: a time-out at the carrier is told apart from an upstream that ended

It names a time-out now. Found by reading.

a_request_whose_carrier_is_cut_off_counts_as_a_crash failed before (0 timed out, 1 reset). A first form of the test, with an upstream that answers, passed before: its answer still came.

--- a/crates/edge/src/tunnel/carry.rs
+++ b/crates/edge/src/tunnel/carry.rs
@@ -143,7 +143,7 @@
     let mut tunnel = TunnelStream::new(socket);
     let mut upstream = UpstreamSide {
         stream: upstream,
-        has_failed: false,
+        failure: None,
     };
     let copied = copy_bidirectional_with_sizes(
         &mut tunnel,
@@ -152,21 +152,23 @@
         COPY_BUFFER_BYTES,
     )
     .await;
-    if copied.is_err() && upstream.has_failed {
+    if let (Err(_), Some(failure)) = (copied, upstream.failure) {
         // If this fails too, the other box takes the tunnel for lost.
-        let _ = tunnel.report_upstream_failure().await;
+        let _ = tunnel.report_upstream_failure(failure).await;
     }
 }
 
 /// The connection to the upstream; tells its failures from those of the tunnel.
 struct UpstreamSide {
     stream: TcpStream,
-    has_failed: bool,
+    failure: Option<io::ErrorKind>,
 }
 
 impl UpstreamSide {
     fn checked<T>(&mut self, result: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
-        self.has_failed |= matches!(result, Poll::Ready(Err(_)));
+        if let Poll::Ready(Err(error)) = &result {
+            self.failure = Some(error.kind());
+        }
         result
     }
 }
--- a/crates/edge/src/tunnel/stream.rs
+++ b/crates/edge/src/tunnel/stream.rs
@@ -18,6 +18,9 @@
 /// Close code if the upstream's connection failed. Without a close message the tunnel itself did.
 const UPSTREAM_FAILED: CloseCode = CloseCode::Library(4001);
 
+/// Close code if the upstream's connection timed out, which may be the fault of the carrier's links.
+const UPSTREAM_SILENT: CloseCode = CloseCode::Library(4002);
+
 /// The tunnel failed, rather than the upstream's connection behind it.
 #[derive(Debug)]
 struct TunnelLost(WebSocketError);
@@ -54,9 +57,18 @@
     }
 
     /// Tells the other end that the upstream's connection failed.
-    pub(super) async fn report_upstream_failure(&mut self) -> Result<(), WebSocketError> {
+    pub(super) async fn report_upstream_failure(
+        &mut self,
+        failure: io::ErrorKind,
+    ) -> Result<(), WebSocketError> {
+        let code = match failure {
+            io::ErrorKind::TimedOut
+            | io::ErrorKind::HostUnreachable
+            | io::ErrorKind::NetworkUnreachable => UPSTREAM_SILENT,
+            _ => UPSTREAM_FAILED,
+        };
         let frame = CloseFrame {
-            code: UPSTREAM_FAILED,
+            code,
             reason: "".into(),
         };
         self.socket.send(Message::Close(Some(frame))).await
@@ -77,8 +89,14 @@
                 Some(Ok(Message::Binary(bytes))) => self.received = bytes,
                 Some(Ok(Message::Close(frame))) => {
                     self.is_ended = true;
-                    if frame.is_some_and(|frame| frame.code == UPSTREAM_FAILED) {
-                        return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
+                    match frame.map(|frame| frame.code) {
+                        Some(UPSTREAM_FAILED) => {
+                            return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
+                        }
+                        Some(UPSTREAM_SILENT) => {
+                            return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
+                        }
+                        _ => {}
                     }
                 }
                 Some(Ok(_)) => {}
--- a/crates/edge/tests/tunnels.rs
+++ b/crates/edge/tests/tunnels.rs
@@ -256,25 +256,36 @@
     assert!(unknown.contains("NotAccepted"), "{unknown}");
 }
 
-/// Guards against kept connections that fail as a whole because one upstream is out of reach.
+/// Guards against a carrier's lost links that speak against the requests in its tunnels.
+#[tokio::test]
+async fn a_request_whose_carrier_is_cut_off_counts_as_a_crash() {
+    let boxes = with_tunnels(2).await;
+    always(&boxes, &Behaviour::Hang);
+    let to = boxes.clients[0];
+    let pending = tokio::spawn(call(to, request("POST", "/once/carried", "")));
+    eventually("it runs", || runs(&boxes.upstreams, "/once/carried") == 1).await;
+    boxes.cut(2, PartitionKind::Silent);
+    assert_eq!(pending.await.unwrap().unwrap().status, 502);
+    let lost = |cause| {
+        format!("brasswinch_upstream_connections_total{{outcome=\"lost\",cause=\"{cause}\"}}")
+    };
+    assert_eq!(metric(&boxes, 0, &lost("timed_out")), 1);
+    assert_eq!(metric(&boxes, 0, &lost("reset")), 0);
+}
+
+/// Sends a request on a kept connection; returns its status.
+async fn status_on(kept: &mut KeptConnection) -> u16 {
+    let answer = kept.call(request("GET", "/safe/kept", "")).await;
+    answer.unwrap().status
+}
+
+/// Guards against a client's kept connection that ends with the box's own path.
 #[tokio::test]
 async fn a_kept_connection_ends_with_the_path() {
     let boxes = Apart::start(BOXES).await;
     let mut kept = KeptConnection::open(boxes.clients[0]).await;
-    assert_eq!(
-        kept.call(request("GET", "/safe/kept", ""))
-            .await
-            .unwrap()
-            .status,
-        200
-    );
+    assert_eq!(status_on(&mut kept).await, 200);
     boxes.cut(1, PartitionKind::Silent);
     boxes.wait_until_served(0).await;
-    assert_eq!(
-        kept.call(request("GET", "/safe/kept", ""))
-            .await
-            .unwrap()
-            .status,
-        200
-    );
+    assert_eq!(status_on(&mut kept).await, 200);
 }
