--- a/crates/routing/tests/quarantine.rs
+++ b/crates/routing/tests/quarantine.rs
@@ -440,3 +440,28 @@
     started.deliver_reports(&[], 1_000);
     assert_eq!(started.quarantined_count("/a", 1_000), 6);
 }
+
+/// Guards against a quarantine that a restored store has lost and that no box stores again.
+#[test]
+fn a_quarantine_is_stored_only_once() {
+    let mut fleet = Fleet::new(6);
+    for number in 0..3 {
+        let began = 1_000 + 200 * number as Millis;
+        let upstream = format!("upstream-{number}");
+        fleet.record_crash(0, "/a", crash(&upstream, began, began + 100));
+    }
+    fleet.deliver_reports(&[], 1_501);
+    let mut stored = |again: bool| {
+        let boxes = fleet.boxes.iter_mut();
+        let reports = boxes.map(|quarantine| {
+            if again {
+                quarantine.confirm_again(1_600);
+            }
+            quarantine.take_unconfirmed(1_600).len()
+        });
+        reports.sum::<usize>()
+    };
+    assert_eq!(stored(false), 2);
+    assert_eq!(stored(false), 0);
+    assert_eq!(stored(true), 2);
+}
