quota: interface for queued grants

A request has a class (its route) and a longest wait. Messages get optional fields, which older builds neither send nor need. Nothing is queued yet: the edge sets no class.

--- a/crates/edge/src/quotas.rs
+++ b/crates/edge/src/quotas.rs
@@ -6,8 +6,8 @@
 use crate::pending_replies::PendingReplies;
 use brasswinch_observe::{Event, emit};
 use brasswinch_routing::{
-    Admission, KnownWorkspace, MemberRecord, QuotaBounds, QuotaBox, QuotaCount, QuotaLimit,
-    QuotaReply, QuotaStatus, Quotas, SteeringConfig, ToCoordinator,
+    Admission, KnownWorkspace, MemberRecord, QuotaBounds, QuotaBox, QuotaClass, QuotaCount,
+    QuotaLimit, QuotaReply, QuotaStatus, Quotas, SteeringConfig, ToCoordinator,
 };
 use brasswinch_types::{BoxId, Millis, Workspace};
 use std::net::SocketAddr;
@@ -84,10 +84,14 @@
         };
         let id = rand::random();
         let now = self.clock.now();
-        let admission = self
-            .quotas
-            .quotas()
-            .admit(&workspace.name, limit, id, rand::random(), now);
+        let admission = self.quotas.quotas().admit(
+            &workspace.name,
+            limit,
+            QuotaClass::default(),
+            id,
+            rand::random(),
+            now,
+        );
         let admission = match admission {
             Admission::Ask(query) => self.query_quota(query, limit).await,
             decided => decided,
@@ -103,8 +107,9 @@
                     runs: 0,
                 }))
             }
-            // A timeout of the last query yields a decision, never another query.
-            Admission::Ask(_) => Err(Failure::OverQuota {
+            // A timeout of the last query yields a decision, never another query; requests without
+            // a class don't wait.
+            Admission::Ask(_) | Admission::Wait(_) => Err(Failure::OverQuota {
                 workspace: workspace.name.clone(),
                 retry_after_ms: REPLY_TIMEOUT.as_millis() as Millis,
             }),
@@ -136,7 +141,13 @@
         let now = self.clock.now();
         let mut quotas = self.quotas.quotas();
         match reply {
-            Some(reply) => quotas.handle_grant_reply(&reply, query.address, rand::random(), now),
+            Some(reply) => quotas.handle_grant_reply(
+                &reply,
+                query.address,
+                QuotaClass::default(),
+                rand::random(),
+                now,
+            ),
             None => quotas.handle_timeout(query, limit, is_last, now),
         }
     }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -62,8 +62,8 @@
     ReportError, ReportedCrash, Suspect, UpstreamCrash, Verdict,
 };
 pub use quota::{
-    Admission, QuotaBounds, QuotaBox, QuotaCount, QuotaLoan, QuotaReply, QuotaStatus, Quotas,
-    ToCoordinator,
+    Admission, QueuedGrant, QueuedReply, QuotaBounds, QuotaBox, QuotaClass, QuotaClassStatus,
+    QuotaCount, QuotaLoan, QuotaReply, QuotaStatus, Quotas, ToCoordinator,
 };
 pub use region_plan::{RegionCapacity, RegionPlan};
 pub use rendezvous::{object_hash, weighted_score};
--- a/crates/routing/src/quota/coordinator.rs
+++ b/crates/routing/src/quota/coordinator.rs
@@ -200,6 +200,7 @@
             is_near_limit: counter.is_near_limit,
             retry_after_ms: counter.retry_after_ms(limit),
             stamp: now,
+            wait_ms: None,
         }
     }
 
--- a/crates/routing/src/quota/message.rs
+++ b/crates/routing/src/quota/message.rs
@@ -26,6 +26,23 @@
     /// The box's share, where it is lent to this coordinator.
     #[serde(rename = "l", default)]
     pub loan: Option<QuotaLoan>,
+    /// Hash of the name of the request's route; 0 if unknown.
+    #[serde(rename = "c", default, skip_serializing_if = "is_default")]
+    pub class: u64,
+    /// Priority of the class; 0 is the most urgent.
+    #[serde(rename = "p", default, skip_serializing_if = "is_default")]
+    pub priority: u32,
+    /// Longest time that the request may wait for a grant, in milliseconds; 0 in older builds.
+    #[serde(rename = "m", default, skip_serializing_if = "is_default")]
+    pub max_wait_ms: Millis,
+    /// Whether the request `id` is withdrawn: it no longer waits, and gives back its grant.
+    #[serde(rename = "x", default, skip_serializing_if = "is_default")]
+    pub withdraw: bool,
+}
+
+/// Whether a field is unset, so that it is left out of the message.
+fn is_default<T: Default + PartialEq>(value: &T) -> bool {
+    *value == T::default()
 }
 
 /// A coordinator's reply or broadcast.
@@ -49,6 +66,9 @@
     /// The coordinator's time, for loans.
     #[serde(rename = "s", default)]
     pub stamp: Millis,
+    /// Set if the request waits for a grant, which is expected after that many milliseconds.
+    #[serde(rename = "v", default, skip_serializing_if = "Option::is_none")]
+    pub wait_ms: Option<Millis>,
 }
 
 impl QuotaReply {
@@ -61,6 +81,7 @@
             is_near_limit: true,
             retry_after_ms: 0,
             stamp: now,
+            wait_ms: None,
         }
     }
 }
--- a/crates/routing/src/quota/mod.rs
+++ b/crates/routing/src/quota/mod.rs
@@ -26,6 +26,7 @@
 //! beyond the quota ([`QuotaBounds`]). Quotas so small that the slack covers two coordinators with
 //! the whole quota each need no loans: boxes send too seldom to lend.
 
+mod class;
 mod coordinator;
 mod loan;
 mod local;
@@ -37,12 +38,13 @@
 use crate::rendezvous::{object_hash, weighted_score};
 use crate::workspace::QuotaLimit;
 use brasswinch_types::{BoxId, Millis, Workspace};
+pub use class::{QueuedGrant, QuotaClass};
 use coordinator::QuotaCoordinator;
 use loan::LEASE_MS;
 pub use loan::QuotaLoan;
 use local::LocalQuota;
 pub use message::{QuotaCount, QuotaReply};
-pub use status::QuotaStatus;
+pub use status::{QuotaClassStatus, QuotaStatus};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 
@@ -103,6 +105,10 @@
     Send(Option<ToCoordinator>),
     /// The coordinator must grant the request first.
     Ask(ToCoordinator),
+    /// The request waits for a grant at the coordinator. The reply has its id: from another box it
+    /// arrives as a datagram, from this one in [`Quotas::take_grants`], which may happen before
+    /// the caller of [`Quotas::admit`] handles this variant.
+    Wait(QueuedGrant),
     /// The request must not be sent.
     Refuse {
         /// Time until a request may be admitted again, in milliseconds.
@@ -110,6 +116,15 @@
     },
 }
 
+/// A reply about a request that waited for a grant.
+#[derive(Clone, Debug, PartialEq)]
+pub struct QueuedReply {
+    /// The address of the box that waits; this box's own for its own requests.
+    pub address: SocketAddr,
+    /// The reply.
+    pub reply: QuotaReply,
+}
+
 /// One box's state of all quotas.
 #[derive(Debug)]
 pub struct Quotas {
@@ -233,6 +248,7 @@
         &mut self,
         workspace: &Workspace,
         limit: QuotaLimit,
+        class: QuotaClass,
         id: u64,
         random: f64,
         now: Millis,
@@ -271,6 +287,10 @@
                 needs_grant: local.must_ask(now) || !is_settled,
                 refused_locally: local.take_refused_locally(),
                 loan,
+                class: class.class,
+                priority: class.priority,
+                max_wait_ms: class.max_wait_ms,
+                withdraw: false,
             },
         };
         if local.is_coordinator_unreachable(now) {
@@ -318,6 +338,10 @@
             needs_grant: true,
             refused_locally: 0,
             loan: self.lend(workspace, address, limit, now),
+            class: 0,
+            priority: 0,
+            max_wait_ms: 0,
+            withdraw: false,
         };
         let reply = self.coordinated.handle_count(&count, address, limit, now);
         let local = self.local_quotas.entry(workspace.clone()).or_default();
@@ -332,12 +356,14 @@
         }
     }
 
-    /// Handles the reply of the coordinator at `from` to a request that waits for a grant. Returns
-    /// whether the request may be sent, or when the client should retry.
+    /// Handles the reply of the coordinator at `from` to a request of `class` that needs a grant.
+    /// Returns whether the request may be sent, waits for a second reply, or when the client
+    /// should retry.
     pub fn handle_grant_reply(
         &mut self,
         reply: &QuotaReply,
         from: SocketAddr,
+        _class: QuotaClass,
         random: f64,
         now: Millis,
     ) -> Admission {
@@ -375,6 +401,45 @@
         local.admit_without_reply(even_rate, now)
     }
 
+    /// Handles that the wait of `queued` ended without a reply. Returns the last query to the
+    /// coordinator, with the same id, whose missing reply is passed to
+    /// [`Quotas::handle_timeout`] with `is_last`; or the decision if this box is the coordinator.
+    pub fn handle_wait_end(
+        &mut self,
+        queued: QueuedGrant,
+        _limit: QuotaLimit,
+        random: f64,
+        _now: Millis,
+    ) -> Admission {
+        Admission::Refuse {
+            retry_after_ms: with_jitter(queued.class.max_wait_ms, random),
+        }
+    }
+
+    /// Withdraws a request whose client has disconnected. Returns the message to the coordinator,
+    /// unless that is this box.
+    pub fn withdraw(&mut self, queued: &QueuedGrant, _now: Millis) -> Option<ToCoordinator> {
+        let me = self.me.clone();
+        if self.coordinator(&queued.workspace)?.id == me {
+            return None;
+        }
+        Some(ToCoordinator {
+            address: queued.address,
+            count: QuotaCount {
+                id: queued.id,
+                workspace: queued.workspace.clone(),
+                runs: 0,
+                needs_grant: false,
+                refused_locally: 0,
+                loan: None,
+                class: queued.class.class,
+                priority: queued.class.priority,
+                max_wait_ms: 0,
+                withdraw: true,
+            },
+        })
+    }
+
     /// Handles a reply or broadcast of the box at `from` that no request waits for. Returns the
     /// loan that a broadcast asks for: a coordinator whose workspace is near its limit needs the
     /// boxes' shares.
@@ -403,6 +468,10 @@
             needs_grant: false,
             refused_locally: 0,
             loan: Some(loan),
+            class: 0,
+            priority: 0,
+            max_wait_ms: 0,
+            withdraw: false,
         };
         Some(ToCoordinator {
             address: from,
@@ -439,6 +508,10 @@
             needs_grant: false,
             refused_locally: 0,
             loan: None,
+            class: 0,
+            priority: 0,
+            max_wait_ms: 0,
+            withdraw: false,
         };
         let me = self.me.clone();
         let coordinator = self.coordinator(workspace)?;
@@ -455,6 +528,13 @@
         self.coordinated.tick(now);
     }
 
+    /// Takes the replies to requests that waited for a grant, to be sent after each count, each
+    /// request of this box and each tick. A reply for this box itself is delivered to its own
+    /// pending requests.
+    pub fn take_grants(&mut self, _now: Millis) -> Vec<QueuedReply> {
+        Vec::new()
+    }
+
     /// Takes the messages to broadcast to all other boxes.
     pub fn take_broadcasts(&mut self) -> Vec<QuotaReply> {
         self.coordinated.take_broadcasts()
@@ -488,6 +568,7 @@
             is_near_limit: local.is_near_limit(),
             is_coordinator_unreachable: local.is_coordinator_unreachable(now),
             level: self.coordinated.level(workspace),
+            classes: Vec::new(),
         };
         local_quotas.into_iter().map(status).collect()
     }
--- a/crates/routing/src/quota/status.rs
+++ b/crates/routing/src/quota/status.rs
@@ -21,6 +21,28 @@
     pub is_coordinator_unreachable: bool,
     /// Tokens in the bucket, where this box is the coordinator.
     pub level: Option<f64>,
+    /// Requests at this box by class, ordered by class.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub classes: Vec<QuotaClassStatus>,
+}
+
+/// The requests of one class of a workspace at one box, counted since the box started.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuotaClassStatus {
+    /// Hash of the route's name ([`super::QuotaClass::class`]).
+    pub class: u64,
+    /// Requests that needed a grant of the coordinator.
+    pub asked: u64,
+    /// Requests admitted, with or without a grant.
+    pub granted: u64,
+    /// Requests that waited for a grant.
+    pub waited: u64,
+    /// Requests refused by the coordinator, or by this box's own share.
+    pub refused: u64,
+    /// Requests refused without asking, since the coordinator refused one of the class before.
+    pub refused_locally: u64,
+    /// Requests whose wait ended without a grant; also counted as refused.
+    pub expired: u64,
 }
 
 impl fmt::Display for QuotaStatus {
--- a/crates/routing/tests/quota_loans.rs
+++ b/crates/routing/tests/quota_loans.rs
@@ -2,8 +2,8 @@
 #![allow(clippy::unwrap_used, clippy::expect_used)]
 
 use brasswinch_routing::{
-    Admission, KnownSize, QuotaBounds, QuotaBox, QuotaCount, QuotaLimit, QuotaLoan, QuotaReply,
-    Quotas, ToCoordinator,
+    Admission, KnownSize, QuotaBounds, QuotaBox, QuotaClass, QuotaCount, QuotaLimit, QuotaLoan,
+    QuotaReply, Quotas, ToCoordinator,
 };
 use brasswinch_types::{BoxId, Workspace};
 use std::net::SocketAddr;
@@ -55,7 +55,7 @@
 
 /// Returns the request for a grant that the next request causes.
 fn ask(quotas: &mut Quotas, now: u64) -> ToCoordinator {
-    match quotas.admit(&workspace(), LIMIT, now, 0.5, now) {
+    match quotas.admit(&workspace(), LIMIT, QuotaClass::default(), now, 0.5, now) {
         Admission::Ask(ask) => ask,
         other => panic!("{other:?}"),
     }
@@ -69,6 +69,7 @@
         is_near_limit: true,
         retry_after_ms: 0,
         stamp,
+        wait_ms: None,
     }
 }
 
@@ -80,6 +81,10 @@
         needs_grant,
         refused_locally: 0,
         loan,
+        class: 0,
+        priority: 0,
+        max_wait_ms: 0,
+        withdraw: false,
     }
 }
 
@@ -93,6 +98,7 @@
     quotas.handle_grant_reply(
         &reply(first.count.id, 70),
         coordinator,
+        QuotaClass::default(),
         0.5,
         SETTLED_AT_MS + 10,
     );
@@ -112,12 +118,18 @@
     let next = quotas.coordinator(&workspace()).unwrap().address;
     for now in [SETTLED_AT_MS + 40, SETTLED_AT_MS + 700] {
         let id = ask(&mut quotas, now).count.id;
-        quotas.handle_grant_reply(&reply(id, 900), next, 0.5, now + 10);
+        quotas.handle_grant_reply(&reply(id, 900), next, QuotaClass::default(), 0.5, now + 10);
         assert_eq!(ask(&mut quotas, now + 20).count.loan, None, "{now}");
     }
     // The lease of the first coordinator has expired.
     let id = ask(&mut quotas, SETTLED_AT_MS + 810).count.id;
-    quotas.handle_grant_reply(&reply(id, 1_600), next, 0.5, SETTLED_AT_MS + 820);
+    quotas.handle_grant_reply(
+        &reply(id, 1_600),
+        next,
+        QuotaClass::default(),
+        0.5,
+        SETTLED_AT_MS + 820,
+    );
     let loan = ask(&mut quotas, SETTLED_AT_MS + 830).count.loan.unwrap();
     assert_eq!(
         loan,
@@ -137,6 +149,7 @@
     quotas.handle_grant_reply(
         &reply(first.count.id, 70),
         coordinator,
+        QuotaClass::default(),
         0.5,
         SETTLED_AT_MS + 10,
     );
@@ -217,11 +230,17 @@
     let (mut quotas, coordinator) = box_and_coordinator();
     for now in [700, 790] {
         let id = ask(&mut quotas, now).count.id;
-        quotas.handle_grant_reply(&reply(id, 70), coordinator, 0.5, now + 1);
+        quotas.handle_grant_reply(
+            &reply(id, 70),
+            coordinator,
+            QuotaClass::default(),
+            0.5,
+            now + 1,
+        );
         assert_eq!(ask(&mut quotas, now + 2).count.loan, None, "{now}");
     }
     let id = ask(&mut quotas, 810).count.id;
-    quotas.handle_grant_reply(&reply(id, 80), coordinator, 0.5, 811);
+    quotas.handle_grant_reply(&reply(id, 80), coordinator, QuotaClass::default(), 0.5, 811);
     assert!(ask(&mut quotas, 812).count.loan.is_some());
 }
 
@@ -239,8 +258,15 @@
         is_near_limit: true,
         retry_after_ms: 0,
         stamp: SETTLED_AT_MS,
+        wait_ms: None,
     };
-    quotas.handle_grant_reply(&reply, coordinator, 0.5, SETTLED_AT_MS + 20);
+    quotas.handle_grant_reply(
+        &reply,
+        coordinator,
+        QuotaClass::default(),
+        0.5,
+        SETTLED_AT_MS + 20,
+    );
     assert_eq!(ask(&mut quotas, SETTLED_AT_MS + 30).count.loan, None);
     let count = asked.count;
     let reply = quotas.handle_count(&count, address(9), LIMIT, SETTLED_AT_MS + 40);
@@ -259,11 +285,18 @@
     quotas.set_boxes(alone(), 1, 1);
     let mut sent = 0;
     for now in (SETTLED_AT_MS..SETTLED_AT_MS + 5_000).step_by(10) {
-        let admission = quotas.admit(&workspace(), LIMIT, now, 0.5, now);
+        let admission = quotas.admit(&workspace(), LIMIT, QuotaClass::default(), now, 0.5, now);
         sent += usize::from(matches!(admission, Admission::Send(_)));
     }
     assert!(sent <= 1, "{sent} requests in 5 s");
     quotas.set_fleet_size(KnownSize::Reported(1));
-    let admission = quotas.admit(&workspace(), LIMIT, 1, 0.5, SETTLED_AT_MS + 6_000);
+    let admission = quotas.admit(
+        &workspace(),
+        LIMIT,
+        QuotaClass::default(),
+        1,
+        0.5,
+        SETTLED_AT_MS + 6_000,
+    );
     assert_eq!(admission, Admission::Send(None));
 }
--- a/crates/routing/tests/quotas.rs
+++ b/crates/routing/tests/quotas.rs
@@ -6,7 +6,8 @@
 #![allow(clippy::unwrap_used, clippy::expect_used)]
 
 use brasswinch_routing::{
-    Admission, QuotaBounds, QuotaBox, QuotaCount, QuotaLimit, QuotaReply, Quotas, ToCoordinator,
+    Admission, QuotaBounds, QuotaBox, QuotaClass, QuotaCount, QuotaLimit, QuotaReply, Quotas,
+    ToCoordinator,
 };
 use brasswinch_types::{BoxId, Workspace};
 use rand::rngs::StdRng;
@@ -310,10 +311,13 @@
             Some(place) => {
                 model_box.pending.remove(place);
                 let random = self.random.random();
-                let admission =
-                    model_box
-                        .quotas
-                        .handle_grant_reply(reply, address(from), random, self.now);
+                let admission = model_box.quotas.handle_grant_reply(
+                    reply,
+                    address(from),
+                    QuotaClass::default(),
+                    random,
+                    self.now,
+                );
                 self.apply(index, admission, false);
             }
             None => {
@@ -368,9 +372,14 @@
         self.requested += 1;
         let (id, random) = (self.random.random(), self.random.random());
         let model_box = &mut self.boxes[index];
-        let admission = model_box
-            .quotas
-            .admit(&workspace(), self.limit, id, random, self.now);
+        let admission = model_box.quotas.admit(
+            &workspace(),
+            self.limit,
+            QuotaClass::default(),
+            id,
+            random,
+            self.now,
+        );
         self.apply(index, admission, false);
     }
 
@@ -380,6 +389,7 @@
                 self.runs.push(self.now);
                 self.send_count(index, outgoing);
             }
+            Admission::Wait(queued) => panic!("{queued:?}: it has no class"),
             Admission::Ask(question) => {
                 let model_box = &mut self.boxes[index];
                 let until = self.now + REPLY_TIMEOUT_MS;
--- a/crates/routing/tests/quotas_in_cuts.rs
+++ b/crates/routing/tests/quotas_in_cuts.rs
@@ -4,8 +4,8 @@
 #![allow(clippy::unwrap_used, clippy::expect_used)]
 
 use brasswinch_routing::{
-    Admission, FleetSize, QuotaBounds, QuotaBox, QuotaCount, QuotaLimit, QuotaReply, Quotas,
-    ToCoordinator,
+    Admission, FleetSize, QuotaBounds, QuotaBox, QuotaClass, QuotaCount, QuotaLimit, QuotaReply,
+    Quotas, ToCoordinator,
 };
 use brasswinch_types::{BoxId, Workspace};
 use rand::rngs::StdRng;
@@ -254,9 +254,13 @@
         };
         model_box.pending.remove(place);
         let random = self.random.random();
-        let admission = model_box
-            .quotas
-            .handle_grant_reply(reply, address(from), random, self.now);
+        let admission = model_box.quotas.handle_grant_reply(
+            reply,
+            address(from),
+            QuotaClass::default(),
+            random,
+            self.now,
+        );
         self.apply(index, admission, true);
     }
 
@@ -293,7 +297,14 @@
         self.requested += 1;
         let (id, random) = (self.random.random(), self.random.random());
         let quotas = &mut self.boxes[index].quotas;
-        let admission = quotas.admit(&workspace(), LIMIT, id, random, self.now);
+        let admission = quotas.admit(
+            &workspace(),
+            LIMIT,
+            QuotaClass::default(),
+            id,
+            random,
+            self.now,
+        );
         self.apply(index, admission, false);
     }
 
@@ -303,6 +314,7 @@
                 self.runs.push(self.now);
                 self.send_count(index, outgoing);
             }
+            Admission::Wait(queued) => panic!("{queued:?}: it has no class"),
             Admission::Ask(question) => {
                 self.boxes[index].pending.push(PendingGrant {
                     question: question.clone(),
