edge: requests wait for queued grants; quota counts by route

Context::admit passes the request's class and keeps waiting for a grant that the coordinator queues, asks once more when the wait ends, and withdraws the request if its future is dropped. A timer grants waiting requests every 20 ms; it sleeps while none waits. Metrics and the status show what became of requests by workspace and route.

--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -14,7 +14,7 @@
 use crate::context::{ActiveConfig, Context};
 use crate::counted::{BufferedBytes, InFlight};
 use crate::failure::{Attempts, Failure, LoggedChoice, OptionalDigest};
-use crate::quotas::Permit;
+use crate::quota_admission::{Permit, quota_class};
 use crate::request::{RequestFacts, request_id};
 use crate::upstream_limits::Grant;
 use brasswinch_observe::{Event, emit};
@@ -291,7 +291,10 @@
         let _reserved = reserved.ok_or(ErrorKind::AtCapacity)?;
         let stream_reservation = self.reserve_stream()?;
         let mut permit = match self.workspace {
-            Some(workspace) => self.context.admit(workspace).await?,
+            Some(workspace) => {
+                let class = quota_class(self.route, &self.deadline);
+                self.context.admit(workspace, class).await?
+            }
             None => None,
         };
         let buffered = self.read_body(body).await?;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -223,9 +223,18 @@
         }
     }
 
-    /// Writes the sent and refused requests of the workspaces with most refused requests.
+    /// Writes the sent and refused requests of the workspaces with most refused requests, and what
+    /// became of requests by route.
     fn write_quotas(&self, text: &mut String) {
         let mut quotas = self.quota_status();
+        for route in self.take_quota_routes(&mut quotas) {
+            for (outcome, count) in route.outcomes() {
+                let (workspace, route) = (&route.workspace, escape_label(&route.route));
+                let labels =
+                    format!("workspace=\"{workspace}\",route=\"{route}\",outcome=\"{outcome}\"");
+                line(text, "quota_requests_total", &labels, count as f64);
+            }
+        }
         quotas.sort_by_key(|quota| std::cmp::Reverse((quota.refused, quota.sent)));
         quotas.truncate(MAX_WORKSPACES);
         for quota in quotas {
@@ -238,6 +247,12 @@
     }
 }
 
+/// Escapes a label's value that operators choose freely.
+fn escape_label(value: &str) -> String {
+    let escaped = value.replace('\\', "\\\\").replace('"', "\\\"");
+    escaped.replace('\n', "\\n")
+}
+
 fn line(text: &mut String, name: &str, labels: &str, value: f64) {
     let labels = if labels.is_empty() {
         String::new()
--- a/crates/edge/src/quotas.rs
+++ b/crates/edge/src/quotas.rs
@@ -2,169 +2,85 @@
 
 use crate::context::Context;
 use crate::datagram::Datagram;
-use crate::failure::Failure;
-use crate::pending_replies::PendingReplies;
+use crate::grant_replies::GrantReplies;
 use brasswinch_observe::{Event, emit};
 use brasswinch_routing::{
-    Admission, KnownWorkspace, MemberRecord, QuotaBounds, QuotaBox, QuotaClass, QuotaCount,
-    QuotaLimit, QuotaReply, QuotaStatus, Quotas, SteeringConfig, ToCoordinator,
+    MemberRecord, QueuedGrant, QueuedReply, QuotaBounds, QuotaBox, QuotaCount, QuotaLimit,
+    QuotaReply, QuotaStatus, Quotas, SteeringConfig, ToCoordinator,
 };
 use brasswinch_types::{BoxId, Millis, Workspace};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::sleep;
 
-/// Timeout for a coordinator's reply. A round trip to another region takes 25 ms; the rest
-/// allows for a busy processor.
-const REPLY_TIMEOUT: Duration = Duration::from_millis(60);
+/// Interval at which requests that wait for a grant are granted or expire, while any wait here.
+const QUEUE_TICK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// How long the queue's timer runs after a request began to wait, in milliseconds: longer than any
+/// request waits.
+const MAX_QUEUE_MS: Millis = 600;
 
 /// This box's state of the quotas, and the requests that wait for a coordinator.
 #[derive(Debug)]
 pub(crate) struct QuotaTasks {
     quotas: Mutex<Quotas>,
-    pending_replies: PendingReplies<QuotaReply>,
+    pub(crate) grant_replies: GrantReplies,
+    /// Wakes the queue's timer when a request begins to wait at this box.
+    pub(crate) queue_wake: Notify,
 }
 
 impl QuotaTasks {
     pub(crate) fn new(me: BoxId, bounds: QuotaBounds) -> Self {
         Self {
             quotas: Mutex::new(Quotas::new(me, bounds)),
-            pending_replies: PendingReplies::default(),
+            grant_replies: GrantReplies::default(),
+            queue_wake: Notify::new(),
         }
     }
 
-    fn quotas(&self) -> MutexGuard<'_, Quotas> {
+    pub(crate) fn quotas(&self) -> MutexGuard<'_, Quotas> {
         self.quotas.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
-/// A request that is counted in its workspace's quota.
-pub(crate) struct Permit {
-    context: Arc<Context>,
-    workspace: Workspace,
-    limit: QuotaLimit,
-    /// Number of upstreams that may have run the request.
-    runs: u32,
-}
-
-impl Permit {
-    /// Records that an upstream may run the request.
-    pub(crate) fn runs(&mut self) {
-        self.runs += 1;
-        if self.runs > 1 {
-            self.context.correct_quota(&self.workspace, self.limit, 1);
-        }
-    }
-
-    /// Records that the upstream it was sent to did not run the request.
-    pub(crate) fn did_not_run(&mut self) {
-        if self.runs > 1 {
-            self.context.correct_quota(&self.workspace, self.limit, -1);
-        }
-        self.runs = self.runs.saturating_sub(1);
-    }
-}
-
-impl Drop for Permit {
-    fn drop(&mut self) {
-        if self.runs == 0 {
-            self.context.correct_quota(&self.workspace, self.limit, -1);
+impl Context {
+    pub(crate) fn send_to_coordinator(&self, message: Option<ToCoordinator>) {
+        if let Some(ToCoordinator { address, count }) = message {
+            self.send_datagram(&Datagram::QuotaCount(count), address);
         }
     }
-}
 
-impl Context {
-    /// Counts a request of `workspace`, if it has a quota with capacity left.
-    pub(crate) async fn admit(
-        self: &Arc<Self>,
-        workspace: &KnownWorkspace,
-    ) -> Result<Option<Permit>, Failure> {
-        let Some(limit) = workspace.config.quota else {
-            return Ok(None);
-        };
-        let id = rand::random();
+    pub(crate) fn correct_quota(&self, workspace: &Workspace, limit: QuotaLimit, runs: i32) {
         let now = self.clock.now();
-        let admission = self.quotas.quotas().admit(
-            &workspace.name,
-            limit,
-            QuotaClass::default(),
-            id,
-            rand::random(),
-            now,
-        );
-        let admission = match admission {
-            Admission::Ask(query) => self.query_quota(query, limit).await,
-            decided => decided,
-        };
+        let message = self.quotas.quotas().correct(workspace, limit, runs, now);
+        self.send_to_coordinator(message);
+        self.send_queued_replies();
         self.broadcast_at_quota();
-        match admission {
-            Admission::Send(message) => {
-                self.send_to_coordinator(message);
-                Ok(Some(Permit {
-                    context: Arc::clone(self),
-                    workspace: workspace.name.clone(),
-                    limit,
-                    runs: 0,
-                }))
-            }
-            // A timeout of the last query yields a decision, never another query; requests without
-            // a class don't wait.
-            Admission::Ask(_) | Admission::Wait(_) => Err(Failure::OverQuota {
-                workspace: workspace.name.clone(),
-                retry_after_ms: REPLY_TIMEOUT.as_millis() as Millis,
-            }),
-            Admission::Refuse { retry_after_ms } => Err(Failure::OverQuota {
-                workspace: workspace.name.clone(),
-                retry_after_ms,
-            }),
-        }
     }
 
-    /// Queries a quota's coordinator, and once more if the reply doesn't come.
-    async fn query_quota(&self, query: ToCoordinator, limit: QuotaLimit) -> Admission {
-        match self.query_quota_once(query, limit, false).await {
-            Admission::Ask(again) => self.query_quota_once(again, limit, true).await,
-            decided => decided,
-        }
-    }
-
-    async fn query_quota_once(
-        &self,
-        query: ToCoordinator,
-        limit: QuotaLimit,
-        is_last: bool,
-    ) -> Admission {
-        let waiting = self.quotas.pending_replies.wait(query.count.id);
-        let datagram = Datagram::QuotaCount(query.count.clone());
-        self.send_datagram(&datagram, query.address);
-        let reply = waiting.within(REPLY_TIMEOUT).await;
+    /// Withdraws a request whose client has disconnected, or which no longer waits for its grant.
+    pub(crate) fn withdraw_from_quota(&self, queued: &QueuedGrant) {
         let now = self.clock.now();
-        let mut quotas = self.quotas.quotas();
-        match reply {
-            Some(reply) => quotas.handle_grant_reply(
-                &reply,
-                query.address,
-                QuotaClass::default(),
-                rand::random(),
-                now,
-            ),
-            None => quotas.handle_timeout(query, limit, is_last, now),
-        }
+        let message = self.quotas.quotas().withdraw(queued, now);
+        self.send_to_coordinator(message);
+        self.send_queued_replies();
     }
 
-    fn send_to_coordinator(&self, message: Option<ToCoordinator>) {
-        if let Some(ToCoordinator { address, count }) = message {
-            self.send_datagram(&Datagram::QuotaCount(count), address);
+    /// Sends the grants of requests that waited, and the refusals of those that waited too long.
+    pub(crate) fn send_queued_replies(&self) {
+        let replies = self.quotas.quotas().take_grants(self.clock.now());
+        for QueuedReply { address, reply } in replies {
+            if address == self.settings.addresses.peers {
+                // A request that is gone has been withdrawn.
+                let _ = self.quotas.grant_replies.deliver(reply);
+                continue;
+            }
+            self.send_datagram(&Datagram::QuotaReply(reply), address);
         }
     }
 
-    fn correct_quota(&self, workspace: &Workspace, limit: QuotaLimit, runs: i32) {
-        let now = self.clock.now();
-        let message = self.quotas.quotas().correct(workspace, limit, runs, now);
-        self.send_to_coordinator(message);
-        self.broadcast_at_quota();
-    }
-
     /// Replies to another box's count.
     pub(crate) fn handle_quota_count(&self, count: &QuotaCount, from: SocketAddr) {
         let Some(limit) = self.quota_limit(&count.workspace) else {
@@ -174,16 +90,20 @@
         };
         let now = self.clock.now();
         let reply = self.quotas.quotas().handle_count(count, from, limit, now);
-        // A correction needs no reply.
-        if let Some(reply) = reply.filter(|_| count.id != 0) {
+        // Corrections and withdrawals need no reply.
+        if let Some(reply) = reply.filter(|_| count.id != 0 && !count.withdraw) {
+            if reply.wait_ms.is_some() {
+                self.quotas.queue_wake.notify_one();
+            }
             self.send_datagram(&Datagram::QuotaReply(reply), from);
         }
+        self.send_queued_replies();
         self.broadcast_at_quota();
     }
 
     /// Handles a coordinator's reply or broadcast.
     pub(crate) fn handle_quota_reply(&self, reply: QuotaReply, from: SocketAddr) {
-        let Some(reply) = self.quotas.pending_replies.answered(reply.id, reply) else {
+        let Some(reply) = self.quotas.grant_replies.deliver(reply) else {
             return;
         };
         let Some(limit) = self.quota_limit(&reply.workspace) else {
@@ -201,7 +121,7 @@
     }
 
     /// Broadcasts which workspaces have reached their quota, where that is due.
-    fn broadcast_at_quota(&self) {
+    pub(crate) fn broadcast_at_quota(&self) {
         let mut quotas = self.quotas.quotas();
         let broadcasts = quotas.take_broadcasts();
         if broadcasts.is_empty() {
@@ -225,6 +145,7 @@
     /// Runs the timers of the quotas.
     pub(crate) fn tick_quotas(&self) {
         self.quotas.quotas().tick(self.clock.now());
+        self.send_queued_replies();
         self.broadcast_at_quota();
     }
 
@@ -260,6 +181,19 @@
     }
 }
 
+/// Grants requests that wait at this box as tokens accrue, for as long as the process runs. Sleeps
+/// while none waits.
+pub(crate) async fn run_queue_timer(context: Arc<Context>) {
+    loop {
+        context.quotas.queue_wake.notified().await;
+        let until = context.clock.now() + MAX_QUEUE_MS;
+        while context.clock.now() < until {
+            sleep(QUEUE_TICK_INTERVAL).await;
+            context.tick_quotas();
+        }
+    }
+}
+
 fn quota_box(record: &MemberRecord) -> QuotaBox {
     QuotaBox {
         id: record.id.clone(),
--- a/crates/edge/src/start.rs
+++ b/crates/edge/src/start.rs
@@ -5,8 +5,8 @@
 use crate::settings::{EdgeAddresses, EdgeSettings};
 use crate::store::{BoxRegistry, FleetSizeStore, FleetStore, QuarantineStore};
 use crate::{
-    catch_up, fleet_size, follow, gossip, health, quarantine_store, refresh, registry, relay,
-    server,
+    catch_up, fleet_size, follow, gossip, health, quarantine_store, quotas, refresh, registry,
+    relay, server,
 };
 use brasswinch_observe::{Event, emit};
 use brasswinch_routing::{
@@ -109,6 +109,7 @@
         Arc::clone(&context),
         Arc::clone(&socket),
     ));
+    tokio::spawn(quotas::run_queue_timer(Arc::clone(&context)));
     tokio::spawn(relay::serve(Arc::clone(&context), relay_listener));
     tokio::spawn(server::serve(Arc::clone(&context), listener));
     tokio::spawn(serve_when_ready(Arc::clone(&context)));
--- a/crates/edge/src/status.rs
+++ b/crates/edge/src/status.rs
@@ -1,6 +1,7 @@
 //! The status of a box for operators: JSON through `serde`, text through [`Display`](fmt::Display).
 
 use crate::context::{Context, Lifecycle, SCOPES};
+use crate::quota_routes::QuotaRouteStatus;
 use brasswinch_routing::{
     ConfigGaps, LimitStatus, Liveness, QuarantineStatus, QuotaStatus, Revision, Scope,
     ServiceStatus, StoreDuty, StoreEra,
@@ -41,6 +42,9 @@
     pub knows_quota_coordinators: bool,
     /// Quotas of workspaces that sent requests to this box.
     pub quotas: Vec<QuotaStatus>,
+    /// Requests of those workspaces by route, those with most refused requests first.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub quota_routes: Vec<QuotaRouteStatus>,
     /// Request limits of upstreams.
     pub limits: Vec<LimitStatus>,
     /// Requests that are suspected of crashing upstreams, or blocked for it.
@@ -94,6 +98,8 @@
         drop(fleet);
         // A separate statement: the lock of `placement` is released before the calls below.
         let services = self.placement().status(now);
+        let mut quotas = self.quota_status();
+        let quota_routes = self.take_quota_routes(&mut quotas);
         BoxStatus {
             id: self.settings.id.clone(),
             zone: self.settings.zone.clone(),
@@ -109,7 +115,8 @@
             services,
             retries_left: self.retries_left(),
             knows_quota_coordinators: self.knows_quota_coordinators(),
-            quotas: self.quota_status(),
+            quotas,
+            quota_routes,
             limits: self.limit_status(),
             quarantine: self.quarantine_status(),
             fleet_size: self.fleet_size.boxes(),
@@ -172,6 +179,9 @@
         self.quotas
             .iter()
             .try_for_each(|quota| writeln!(f, "quota of {quota}"))?;
+        self.quota_routes
+            .iter()
+            .try_for_each(|route| writeln!(f, "quota of {route}"))?;
         self.limits
             .iter()
             .try_for_each(|limit| writeln!(f, "limit of {limit}"))?;
