--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -11,6 +11,7 @@
 mod config_gaps;
 mod config_patch;
 mod demand;
+mod fair_queue;
 mod fleet_size;
 mod fleet_state;
 mod health_probers;
@@ -47,6 +48,7 @@
 pub use config_gaps::{ConfigGaps, ConfigProblem, ProblemEffect};
 pub use config_patch::{ConfigFingerprint, ConfigPatch, RouteKey};
 pub use demand::{AveragedDemand, DemandSample};
+pub use fair_queue::{FairQueue, MIN_CLASS_WEIGHT, class_weight};
 pub use fleet_size::{FleetSize, KnownSize, SIZE_RETENTION_MS};
 pub use fleet_state::{CatchUp, FleetState, LostEntry, PatchMismatch, Watermark};
 pub use health_probers::{HealthProber, HealthProbers};
