quota: coordinators queue requests, fairly among routes

Requests near a workspace's limit were granted first come, first served, so a busy route starved the others, and a refusal of one route made boxes refuse the others without asking. Now a request with a class may wait up to 500 ms at the coordinator, which grants by deficit round robin. Each grant takes a token of the same bucket when it is granted, so the bound is unchanged. Local refusals, retry times and counts are per class. Requests without a class behave as before.

Quotas::take_queue_full tells when 4,096 requests wait. A grant is remembered for 700 ms instead of 200 ms, by box and id.

--- a/crates/routing/src/fair_queue.rs
+++ b/crates/routing/src/fair_queue.rs
@@ -22,8 +22,10 @@
 
 /// Limits a weight to its valid range, from [`MIN_CLASS_WEIGHT`] to 1.
 fn valid_weight(weight: f64) -> f64 {
-    // NaN compares as neither, and becomes the minimum.
-    weight.max(MIN_CLASS_WEIGHT).min(1.0)
+    if weight.is_nan() {
+        return MIN_CLASS_WEIGHT;
+    }
+    weight.clamp(MIN_CLASS_WEIGHT, 1.0)
 }
 
 /// An entry of the queue.
--- a/crates/routing/src/quota/coordinator.rs
+++ b/crates/routing/src/quota/coordinator.rs
@@ -1,12 +1,14 @@
 //! The coordinator's side of quotas: counts requests and grants them.
 
-use super::loan::{LEASE_MS, ReceivedLoans};
-use super::{QuotaBounds, QuotaCount, QuotaReply};
-use crate::refusals::Refusals;
-use crate::token_bucket::{Filling, TokenBucket};
+use super::class::QuotaClass;
+use super::counter::{Decision, Fractions, QuotaCounter};
+use super::grants::RequestKey;
+use super::waiting::{MAX_WAITING, WaitingRequest};
+use super::{QueuedReply, QuotaBounds, QuotaCount, QuotaReply};
+use crate::token_bucket::Filling;
 use crate::workspace::QuotaLimit;
 use brasswinch_types::{Millis, Workspace};
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 
 /// Fraction of the overage that a new coordinator's bucket holds at first: it doesn't know which
@@ -27,68 +29,10 @@
 /// requests arrive in clumps.
 const MIN_CAPACITY_FRACTION: f64 = 0.25;
 
-/// Time until boxes have received the broadcast and their loans have arrived, in seconds: a round
-/// trip of 60 ms, and an occasional lost message.
-const LOAN_DELAY_S: f64 = 0.2;
-
-/// Largest fraction of a bucket's capacity that is reserved for requests sent in that time.
-const MAX_RESERVE_FRACTION: f64 = 0.25;
-
-/// How long a grant is remembered, so that a repeated request for it isn't counted twice: two
-/// reply timeouts of 60 ms, and the message's delay.
-const GRANT_RETENTION_MS: Millis = 200;
-
-/// Fraction of a bucket's capacity from which on its workspace is no longer near its limit.
-const RECOVERED_FRACTION: f64 = 0.5;
-
 /// Interval between two broadcasts that a workspace is near its limit; shorter than a loan's
 /// duration, since each broadcast requests the loans again.
 const REBROADCAST_INTERVAL_MS: Millis = 500;
 
-/// Bounds of the retry time for refused clients, in milliseconds: at least the time that a request
-/// takes to arrive, and no longer than the clients with the shortest deadlines wait.
-const RETRY_AFTER_MS: std::ops::RangeInclusive<f64> = 100.0..=5_000.0;
-
-/// The count of one workspace.
-#[derive(Debug)]
-struct QuotaCounter {
-    bucket: TokenBucket,
-    /// Level of the bucket when this box began to count.
-    initial_level: f64,
-    is_coordinator: bool,
-    is_near_limit: bool,
-    near_limit_since: Millis,
-    broadcast_at: Millis,
-    refusals: Refusals,
-    loans: ReceivedLoans,
-    needs_loans: bool,
-    /// Recent grants; a repeated request for one takes no further token.
-    granted: VecDeque<Granted>,
-}
-
-/// A granted request.
-#[derive(Clone, Copy, Debug)]
-struct Granted {
-    id: u64,
-    at: Millis,
-}
-
-/// Fractions of a quota that a coordinator may use.
-#[derive(Clone, Copy, Debug)]
-struct Fractions {
-    rate: f64,
-    capacity: f64,
-}
-
-impl Fractions {
-    fn both(reachable_fraction: f64) -> Self {
-        Self {
-            rate: reachable_fraction,
-            capacity: reachable_fraction,
-        }
-    }
-}
-
 /// The quotas that this box coordinates or has coordinated.
 #[derive(Debug)]
 pub(super) struct QuotaCoordinator {
@@ -98,6 +42,12 @@
     reachable_fraction: f64,
     /// Messages to broadcast.
     broadcasts: Vec<QuotaReply>,
+    /// Replies to requests that waited.
+    replies: Vec<QueuedReply>,
+    /// Requests that wait, of all workspaces.
+    waiting: usize,
+    /// Whether a request was refused since as many wait as may.
+    was_full: bool,
 }
 
 impl QuotaCoordinator {
@@ -107,6 +57,9 @@
             counters: HashMap::new(),
             reachable_fraction: 1.0,
             broadcasts: Vec::new(),
+            replies: Vec::new(),
+            waiting: 0,
+            was_full: false,
         }
     }
 
@@ -120,8 +73,14 @@
     }
 
     /// Sets whether this box is the workspace's coordinator. If it becomes the coordinator again,
-    /// it doesn't know which requests others granted meanwhile, and lowers its bucket.
-    pub(super) fn set_is_coordinator(&mut self, workspace: &Workspace, is_coordinator: bool) {
+    /// it doesn't know which requests others granted meanwhile, and lowers its bucket. If it stops
+    /// being the coordinator, it refuses the requests that wait.
+    pub(super) fn set_is_coordinator(
+        &mut self,
+        workspace: &Workspace,
+        is_coordinator: bool,
+        now: Millis,
+    ) {
         let Some(counter) = self.counters.get_mut(workspace) else {
             return;
         };
@@ -129,10 +88,23 @@
             counter.bucket.lower_to(counter.initial_level);
         }
         counter.is_coordinator = is_coordinator;
+        if is_coordinator {
+            return;
+        }
+        let waited = counter.waiting.drain();
+        self.waiting -= waited.len();
+        for request in waited {
+            let reply = counter.reply(workspace, request, Decision::Refused, now);
+            self.replies.push(reply);
+        }
     }
 
+    /// Removes the counts of other workspaces than those that have a quota. Their boxes decide
+    /// about the requests that waited.
     pub(super) fn retain(&mut self, is_limited: impl Fn(&Workspace) -> bool) {
         self.counters.retain(|workspace, _| is_limited(workspace));
+        let waiting = self.counters.values().map(|counter| counter.waiting.len());
+        self.waiting = waiting.sum();
     }
 
     pub(super) fn level(&self, workspace: &Workspace) -> Option<f64> {
@@ -140,77 +112,103 @@
         counter.is_coordinator.then(|| counter.bucket.level())
     }
 
-    /// Handles a count of the box at `from`. Returns whether a request that needs a grant may be
-    /// sent.
-    pub(super) fn handle_count(
-        &mut self,
-        count: &QuotaCount,
-        from: SocketAddr,
-        limit: QuotaLimit,
-        now: Millis,
-    ) -> QuotaReply {
+    /// Returns how the bucket of a quota fills now.
+    fn filling(&mut self, workspace: &Workspace, limit: QuotaLimit, now: Millis) -> Filling {
         let overage = self.bounds.overage(limit);
         let needs_loans = self.bounds.needs_loans(limit);
-        let known = self.counters.get_mut(&count.workspace);
+        let known = self.counters.get_mut(workspace);
         let fractions = match known.filter(|_| needs_loans) {
             Some(counter) => counter.fractions(self.reachable_fraction, now),
             None => Fractions::both(self.reachable_fraction),
         };
         let capacity = (limit.burst * BURST_FRACTION).max(overage * MIN_CAPACITY_FRACTION);
-        let filling = Filling {
+        Filling {
             rate_per_s: limit.rate_per_s * fractions.rate,
             capacity: (capacity * fractions.capacity).max(1.0),
-        };
-        let initial_level = (overage * INITIAL_FRACTION * self.reachable_fraction)
-            .clamp(MIN_INITIAL_TOKENS, filling.capacity);
-        let counter = self.counters.entry(count.workspace.clone());
-        let counter = counter.or_insert_with(|| QuotaCounter {
-            bucket: TokenBucket::new(initial_level, now),
-            initial_level,
-            is_coordinator: true,
-            is_near_limit: false,
-            near_limit_since: 0,
-            broadcast_at: 0,
-            refusals: Refusals::default(),
-            loans: ReceivedLoans::default(),
-            granted: VecDeque::new(),
-            needs_loans,
-        });
+        }
+    }
+
+    /// Handles a count of the box at `from`. Returns the reply, which tells whether a request that
+    /// needs a grant may be sent, or waits; `None` for a withdrawal.
+    pub(super) fn handle_count(
+        &mut self,
+        count: &QuotaCount,
+        from: SocketAddr,
+        limit: QuotaLimit,
+        now: Millis,
+    ) -> Option<QuotaReply> {
+        let workspace = &count.workspace;
+        if count.withdraw {
+            self.withdraw(workspace, RequestKey { from, id: count.id }, now);
+            return None;
+        }
+        let filling = self.filling(workspace, limit, now);
+        let initial_level =
+            (self.bounds.overage(limit) * INITIAL_FRACTION * self.reachable_fraction)
+                .clamp(MIN_INITIAL_TOKENS, filling.capacity);
+        let needs_loans = self.bounds.needs_loans(limit);
+        let counter = self.counters.entry(workspace.clone());
+        let counter = counter.or_insert_with(|| QuotaCounter::new(initial_level, limit, now));
+        let waiting_before = counter.waiting.len();
         counter.bucket.fill(filling, now);
         counter.needs_loans = needs_loans;
+        counter.limit = limit;
         if let Some(loan) = count.loan {
             counter.loans.add(from, loan, now);
         }
-        counter
-            .refusals
-            .count(f64::from(count.refused_locally), now);
-        let is_granted = counter.count(count, now);
+        let class = QuotaClass::of_count(count);
+        counter.count_refused(class, f64::from(count.refused_locally), now);
+        counter.serve(workspace, now, &mut self.replies);
+        let other_waiting = self.waiting - waiting_before;
+        let may_queue = other_waiting + counter.waiting.len() < MAX_WAITING;
+        let rate_per_s = filling.rate_per_s;
+        let decision = counter.count(count, from, rate_per_s, may_queue, now);
+        self.waiting = other_waiting + counter.waiting.len();
+        let is_refused = matches!(decision, Decision::Refused);
+        self.was_full |= is_refused && !may_queue && class.max_wait_ms > 0;
         let was_near_limit = counter.is_near_limit;
         counter.update_near_limit(filling);
         if counter.is_near_limit && !was_near_limit {
             counter.near_limit_since = now;
             counter.broadcast_at = now;
-            self.broadcasts
-                .push(QuotaReply::near_limit(&count.workspace, now));
+            self.broadcasts.push(QuotaReply::near_limit(workspace, now));
         }
-        QuotaReply {
-            id: count.id,
-            workspace: count.workspace.clone(),
-            is_granted,
-            is_near_limit: counter.is_near_limit,
-            retry_after_ms: counter.retry_after_ms(limit),
-            stamp: now,
-            wait_ms: None,
+        let key = RequestKey { from, id: count.id };
+        let request = WaitingRequest { key, class };
+        Some(counter.reply(workspace, request, decision, now).reply)
+    }
+
+    /// Withdraws a request: it no longer waits, or gives back its grant if it has one.
+    pub(super) fn withdraw(&mut self, workspace: &Workspace, key: RequestKey, now: Millis) {
+        let Some(counter) = self.counters.get_mut(workspace) else {
+            return;
+        };
+        if counter.waiting.remove(key) {
+            self.waiting -= 1;
+        } else if counter.granted.remove(key, now) {
+            counter.bucket.take(-1.0);
         }
     }
 
+    /// Takes the replies to requests that waited.
+    pub(super) fn take_replies(&mut self) -> Vec<QueuedReply> {
+        std::mem::take(&mut self.replies)
+    }
+
+    /// Returns whether requests were refused since the last call because too many wait.
+    pub(super) fn take_was_full(&mut self) -> bool {
+        std::mem::take(&mut self.was_full)
+    }
+
     /// Takes the messages to broadcast.
     pub(super) fn take_broadcasts(&mut self) -> Vec<QuotaReply> {
         std::mem::take(&mut self.broadcasts)
     }
 
-    /// Repeats broadcasts for workspaces that are still near their limits.
+    /// Grants requests that wait, ends expired waits, and repeats broadcasts for workspaces that
+    /// are still near their limits.
     pub(super) fn tick(&mut self, now: Millis) {
+        self.serve_all(now);
         for (workspace, counter) in &mut self.counters {
             let is_due = now.saturating_sub(counter.broadcast_at) >= REBROADCAST_INTERVAL_MS;
             // The bucket fills at the rate of the loans, and each broadcast asks boxes for them.
@@ -221,78 +219,22 @@
             }
         }
     }
-}
 
-impl QuotaCounter {
-    /// Returns the fractions by which the bucket fills, where this box reaches the fraction
-    /// `reachable` of all boxes.
-    fn fractions(&mut self, reachable: f64, now: Millis) -> Fractions {
-        let lent = self.loans.total(now);
-        if !self.is_near_limit {
-            // Boxes lend nothing while the workspace is below its limit.
-            return Fractions::both(reachable);
-        }
-        // Keeps the bucket's level while loans are under way.
-        let loans_are_due = now.saturating_sub(self.near_limit_since) < LEASE_MS;
-        Fractions {
-            rate: lent,
-            capacity: if loans_are_due { reachable } else { lent },
-        }
-    }
-
-    /// Counts a request. Returns whether it may be sent; one that needs no grant has been sent
-    /// already.
-    fn count(&mut self, count: &QuotaCount, now: Millis) -> bool {
-        if !count.needs_grant {
-            self.bucket.take(f64::from(count.runs.clamp(-1, 1)));
-            return true;
-        }
-        let is_expired = |granted: &Granted| now.saturating_sub(granted.at) >= GRANT_RETENTION_MS;
-        while self.granted.front().is_some_and(is_expired) {
-            self.granted.pop_front();
-        }
-        // Requests of this box itself have no id.
-        let is_same_request = |granted: &Granted| granted.id == count.id && count.id != 0;
-        if self.granted.iter().any(is_same_request) {
-            return true;
-        }
-        let is_granted = self.bucket.try_take();
-        if is_granted {
-            self.granted.push_back(Granted {
-                id: count.id,
-                at: now,
-            });
-        } else {
-            self.refusals.count(1.0, now);
-        }
-        is_granted
-    }
-
-    /// Returns the bucket's level below which the workspace is near its limit. Loans are requested
-    /// while the bucket still covers what is sent until they arrive.
-    fn near_limit_level(&self, filling: Filling) -> f64 {
-        if !self.needs_loans {
-            return 1.0;
+    /// Grants requests that wait in any workspace, as far as there are tokens.
+    fn serve_all(&mut self, now: Millis) {
+        if self.waiting == 0 {
+            return;
         }
-        let sent_until_loans = filling.rate_per_s * LOAN_DELAY_S;
-        1.0 + sent_until_loans.min(filling.capacity * MAX_RESERVE_FRACTION)
-    }
-
-    fn update_near_limit(&mut self, filling: Filling) {
-        let level = self.bucket.level();
-        if level < self.near_limit_level(filling) {
-            self.is_near_limit = true;
-        } else if level >= filling.capacity * RECOVERED_FRACTION {
-            self.is_near_limit = false;
+        let has_waiting = |(workspace, counter): (&Workspace, &QuotaCounter)| {
+            (!counter.waiting.is_empty()).then(|| (workspace.clone(), counter.limit))
+        };
+        let due: Vec<_> = self.counters.iter().filter_map(has_waiting).collect();
+        for (workspace, limit) in due {
+            let filling = self.filling(&workspace, limit, now);
+            if let Some(counter) = self.counters.get_mut(&workspace) {
+                counter.bucket.fill(filling, now);
+                self.waiting -= counter.serve(&workspace, now, &mut self.replies);
+            }
         }
     }
-
-    /// Returns when a client that is refused now may retry, assuming that all clients refused
-    /// recently come back in the same order.
-    fn retry_after_ms(&self, limit: QuotaLimit) -> Millis {
-        let debt = (1.0 - self.bucket.level()).max(0.0);
-        let ahead = self.refusals.per_s() + debt;
-        let ms = ahead / limit.rate_per_s.max(f64::MIN_POSITIVE) * 1_000.0;
-        ms.clamp(*RETRY_AFTER_MS.start(), *RETRY_AFTER_MS.end()) as Millis
-    }
 }
--- a/crates/routing/src/quota/local.rs
+++ b/crates/routing/src/quota/local.rs
@@ -1,17 +1,13 @@
 //! A box's side of one workspace's quota that another box coordinates.
 
 use super::loan::{Lending, QuotaLoan};
-use super::{Admission, QuotaReply, ToCoordinator};
-use crate::refusals::with_jitter;
+use super::local_class::{LocalClass, LocalClasses};
+use super::{Admission, QuotaClassStatus, QuotaReply, ToCoordinator};
 use crate::token_bucket::{Filling, TokenBucket};
 use brasswinch_types::Millis;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 
-/// How long a box refuses requests without asking after the coordinator refused one: each box then
-/// asks three to five times a second, whatever the traffic.
-const LOCAL_REFUSAL_MS: Millis = 200;
-
 /// Time without a reply after which a coordinator is considered unreachable: a round trip takes 25
 /// ms, and the rest is for a busy processor.
 const UNREACHABLE_AFTER_MS: Millis = 150;
@@ -41,7 +37,6 @@
     /// Whether the coordinator allowed sending before asking. Only its reply sets this: neither
     /// its silence nor a change of coordinator does.
     may_send_without_grant: bool,
-    refuse_until: Millis,
     /// When the oldest message without a reply was sent.
     waiting_since: Option<Millis>,
     /// When each count that awaits a reply was sent.
@@ -51,11 +46,7 @@
     probed_at: Millis,
     coordinator: Option<SocketAddr>,
     lending: Lending,
-    /// The coordinator's last retry time for refused clients, in milliseconds.
-    retry_after_ms: Millis,
-    refused_locally: u32,
-    sent_count: u64,
-    refused_count: u64,
+    classes: LocalClasses,
 }
 
 impl LocalQuota {
@@ -79,25 +70,14 @@
         since.is_some_and(|since| now.saturating_sub(since) > UNREACHABLE_AFTER_MS)
     }
 
-    /// Refuses a request without asking, if the coordinator refused one recently. Returns when the
-    /// client may retry, in milliseconds.
-    pub(super) fn refuse_locally(&mut self, random: f64, now: Millis) -> Option<Millis> {
-        if now >= self.refuse_until {
-            return None;
-        }
-        self.refused_locally = self.refused_locally.saturating_add(1);
-        self.refused_count += 1;
-        let refuse_for_ms = self.refuse_until - now;
-        Some(with_jitter(self.retry_after_ms.max(refuse_for_ms), random))
+    /// Returns the state of a class.
+    pub(super) fn class(&mut self, class: u64) -> &mut LocalClass {
+        self.classes.get(class)
     }
 
-    /// Starts a period in which requests are refused without asking.
-    pub(super) fn start_local_refusal(&mut self, random: f64, now: Millis) {
-        self.refuse_until = now + with_jitter(LOCAL_REFUSAL_MS, random);
-    }
-
-    pub(super) fn take_refused_locally(&mut self) -> u32 {
-        std::mem::take(&mut self.refused_locally)
+    /// Returns the requests by class, ordered by class.
+    pub(super) fn class_status(&self) -> Vec<QuotaClassStatus> {
+        self.classes.status()
     }
 
     /// Records that a count was sent to the coordinator, which has to reply.
@@ -108,22 +88,6 @@
         }
     }
 
-    pub(super) fn count_sent(&mut self) {
-        self.sent_count += 1;
-    }
-
-    pub(super) fn count_refused(&mut self) {
-        self.refused_count += 1;
-    }
-
-    pub(super) fn sent_total(&self) -> u64 {
-        self.sent_count
-    }
-
-    pub(super) fn refused_total(&self) -> u64 {
-        self.refused_count
-    }
-
     /// Sets the coordinator. No replies are expected from a new one.
     pub(super) fn set_coordinator(&mut self, coordinator: Option<SocketAddr>) {
         if self.coordinator != coordinator {
@@ -152,12 +116,10 @@
         }
         self.lending.record_reply(from, reply.stamp, now);
         self.waiting_since = None;
-        if reply.id != 0 {
+        // A request that waits gets a second reply.
+        if reply.id != 0 && reply.wait_ms.is_none() {
             self.pending_counts.pop_front();
         }
-        if reply.retry_after_ms > 0 {
-            self.retry_after_ms = reply.retry_after_ms;
-        }
         self.may_send_without_grant = !reply.is_near_limit;
     }
 
@@ -167,30 +129,38 @@
     pub(super) fn admit_unreachable(
         &mut self,
         even_rate: f64,
-        outgoing: Option<ToCoordinator>,
+        outgoing: ToCoordinator,
         now: Millis,
     ) -> Admission {
-        if self.try_take_local(even_rate, now) {
-            return Admission::Send(outgoing);
+        let class = outgoing.count.class;
+        if self.try_take_local(class, even_rate, now) {
+            return Admission::Send(Some(outgoing));
         }
         let is_due = now.saturating_sub(self.probed_at) >= PROBE_INTERVAL_MS;
-        if let Some(mut outgoing) = outgoing.filter(|_| is_due) {
-            self.probed_at = now;
-            outgoing.count.needs_grant = true;
-            return Admission::Ask(outgoing);
+        if !is_due {
+            return self.refuse_without_reply(class, even_rate, now);
         }
-        self.refuse_without_reply(even_rate, now)
+        self.probed_at = now;
+        let mut probe = outgoing;
+        probe.count.needs_grant = true;
+        self.class(class).count_asked();
+        Admission::Ask(probe)
     }
 
     /// Decides about a request without a reply of the coordinator.
-    pub(super) fn admit_without_reply(&mut self, even_rate: f64, now: Millis) -> Admission {
-        if self.try_take_local(even_rate, now) {
+    pub(super) fn admit_without_reply(
+        &mut self,
+        class: u64,
+        even_rate: f64,
+        now: Millis,
+    ) -> Admission {
+        if self.try_take_local(class, even_rate, now) {
             return Admission::Send(None);
         }
-        self.refuse_without_reply(even_rate, now)
+        self.refuse_without_reply(class, even_rate, now)
     }
 
-    fn try_take_local(&mut self, even_rate: f64, now: Millis) -> bool {
+    fn try_take_local(&mut self, class: u64, even_rate: f64, now: Millis) -> bool {
         if self.lending.is_lent(now) {
             return false;
         }
@@ -204,13 +174,13 @@
         bucket.fill(filling, now);
         let is_taken = bucket.try_take();
         if is_taken {
-            self.sent_count += 1;
+            self.class(class).count_granted();
         }
         is_taken
     }
 
-    fn refuse_without_reply(&mut self, even_rate: f64, now: Millis) -> Admission {
-        self.refused_count += 1;
+    fn refuse_without_reply(&mut self, class: u64, even_rate: f64, now: Millis) -> Admission {
+        self.class(class).count_refused();
         let seconds = 1.0 / (even_rate * LOCAL_RATE_FRACTION).max(f64::MIN_POSITIVE);
         let loan_ends_in_ms = self.lending.lent_until().saturating_sub(now);
         Admission::Refuse {
--- a/crates/routing/src/quota/message.rs
+++ b/crates/routing/src/quota/message.rs
@@ -1,5 +1,6 @@
 //! Messages between boxes and the coordinators of quotas.
 
+use super::QuotaClass;
 use super::loan::QuotaLoan;
 use brasswinch_types::{Millis, Workspace};
 use serde::{Deserialize, Serialize};
@@ -40,6 +41,36 @@
     pub withdraw: bool,
 }
 
+impl QuotaCount {
+    /// Returns a count of `runs` requests that needs neither a grant nor a reply.
+    pub(super) fn without_reply(workspace: &Workspace, runs: i32) -> Self {
+        Self {
+            id: 0,
+            workspace: workspace.clone(),
+            runs,
+            needs_grant: false,
+            refused_locally: 0,
+            loan: None,
+            class: 0,
+            priority: 0,
+            max_wait_ms: 0,
+            withdraw: false,
+        }
+    }
+
+    /// Returns the request for a grant of the request `id`.
+    pub(super) fn needing_grant(workspace: &Workspace, id: u64, class: QuotaClass) -> Self {
+        Self {
+            id,
+            needs_grant: true,
+            class: class.class,
+            priority: class.priority,
+            max_wait_ms: class.max_wait_ms,
+            ..Self::without_reply(workspace, 1)
+        }
+    }
+}
+
 /// Whether a field is unset, so that it is left out of the message.
 fn is_default<T: Default + PartialEq>(value: &T) -> bool {
     *value == T::default()
