--- a/crates/edge/src/quota_admission.rs
+++ b/crates/edge/src/quota_admission.rs
@@ -80,8 +80,7 @@
             }
             None => admission,
         };
-        self.send_queued_replies();
-        self.broadcast_at_quota();
+        self.send_quota_messages();
         match admission {
             Admission::Send(message) => {
                 self.send_to_coordinator(message);
--- a/crates/edge/src/quotas.rs
+++ b/crates/edge/src/quotas.rs
@@ -10,6 +10,7 @@
 };
 use brasswinch_types::{BoxId, Millis, Workspace};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -18,9 +19,8 @@
 /// Interval at which requests that wait for a grant are granted or expire, while any wait here.
 const QUEUE_TICK_INTERVAL: Duration = Duration::from_millis(20);
 
-/// How long the queue's timer runs after a request began to wait, in milliseconds: longer than any
-/// request waits.
-const MAX_QUEUE_MS: Millis = 600;
+/// Minimum interval between two events that the queue is full, which each refused request finds.
+const QUEUE_FULL_EVENT_INTERVAL_MS: Millis = 1_000;
 
 /// This box's state of the quotas, and the requests that wait for a coordinator.
 #[derive(Debug)]
@@ -29,6 +29,8 @@
     pub(crate) grant_replies: GrantReplies,
     /// Wakes the queue's timer when a request begins to wait at this box.
     pub(crate) queue_wake: Notify,
+    /// When an event last reported that the queue is full; 0 if never.
+    queue_full_reported_at: AtomicU64,
 }
 
 impl QuotaTasks {
@@ -37,6 +39,7 @@
             quotas: Mutex::new(Quotas::new(me, bounds)),
             grant_replies: GrantReplies::default(),
             queue_wake: Notify::new(),
+            queue_full_reported_at: AtomicU64::new(0),
         }
     }
 
@@ -56,8 +59,7 @@
         let now = self.clock.now();
         let message = self.quotas.quotas().correct(workspace, limit, runs, now);
         self.send_to_coordinator(message);
-        self.send_queued_replies();
-        self.broadcast_at_quota();
+        self.send_quota_messages();
     }
 
     /// Withdraws a request whose client has disconnected, or which no longer waits for its grant.
@@ -65,20 +67,7 @@
         let now = self.clock.now();
         let message = self.quotas.quotas().withdraw(queued, now);
         self.send_to_coordinator(message);
-        self.send_queued_replies();
-    }
-
-    /// Sends the grants of requests that waited, and the refusals of those that waited too long.
-    pub(crate) fn send_queued_replies(&self) {
-        let replies = self.quotas.quotas().take_grants(self.clock.now());
-        for QueuedReply { address, reply } in replies {
-            if address == self.settings.addresses.peers {
-                // A request that is gone has been withdrawn.
-                let _ = self.quotas.grant_replies.deliver(reply);
-                continue;
-            }
-            self.send_datagram(&Datagram::QuotaReply(reply), address);
-        }
+        self.send_quota_messages();
     }
 
     /// Replies to another box's count.
@@ -97,8 +86,7 @@
             }
             self.send_datagram(&Datagram::QuotaReply(reply), from);
         }
-        self.send_queued_replies();
-        self.broadcast_at_quota();
+        self.send_quota_messages();
     }
 
     /// Handles a coordinator's reply or broadcast.
@@ -120,15 +108,22 @@
         config.workspaces.get(workspace)?.quota
     }
 
-    /// Broadcasts which workspaces have reached their quota, where that is due.
-    pub(crate) fn broadcast_at_quota(&self) {
+    /// Sends the grants of requests that waited, the refusals of those that waited too long, and
+    /// broadcasts which workspaces have reached their quota, where that is due.
+    pub(crate) fn send_quota_messages(&self) {
+        let now = self.clock.now();
         let mut quotas = self.quotas.quotas();
+        let replies = quotas.take_grants(now);
         let broadcasts = quotas.take_broadcasts();
-        if broadcasts.is_empty() {
-            return;
-        }
-        let others: Vec<SocketAddr> = quotas.others().collect();
+        let others: Vec<SocketAddr> = if broadcasts.is_empty() {
+            Vec::new()
+        } else {
+            quotas.others().collect()
+        };
         drop(quotas);
+        replies
+            .into_iter()
+            .for_each(|reply| self.send_queued_reply(reply));
         for broadcast in broadcasts {
             let workspace = &broadcast.workspace;
             emit(
@@ -142,11 +137,36 @@
         }
     }
 
+    fn send_queued_reply(&self, queued: QueuedReply) {
+        let QueuedReply { address, reply } = queued;
+        if address == self.settings.addresses.peers {
+            // A request that is gone has been withdrawn.
+            let _ = self.quotas.grant_replies.deliver(reply);
+            return;
+        }
+        self.send_datagram(&Datagram::QuotaReply(reply), address);
+    }
+
     /// Runs the timers of the quotas.
     pub(crate) fn tick_quotas(&self) {
-        self.quotas.quotas().tick(self.clock.now());
-        self.send_queued_replies();
-        self.broadcast_at_quota();
+        let now = self.clock.now();
+        let mut quotas = self.quotas.quotas();
+        quotas.tick(now);
+        let is_full = quotas.take_queue_full();
+        drop(quotas);
+        if is_full {
+            self.report_queue_full(now);
+        }
+        self.send_quota_messages();
+    }
+
+    fn report_queue_full(&self, now: Millis) {
+        let reported_at = &self.quotas.queue_full_reported_at;
+        let last = reported_at.load(Ordering::Relaxed);
+        if last == 0 || now.saturating_sub(last) >= QUEUE_FULL_EVENT_INTERVAL_MS {
+            reported_at.store(now, Ordering::Relaxed);
+            emit(Event::QuotaQueueFull, format_args!("{}", self.settings.id));
+        }
     }
 
     /// Sets the serving boxes and the number of live ones.
@@ -159,6 +179,9 @@
         let mut quotas = self.quotas.quotas();
         quotas.set_fleet_size(self.known_fleet_size());
         quotas.set_boxes(boxes, count, now);
+        drop(quotas);
+        // Requests that wait here for a quota that another box now coordinates are refused.
+        self.send_quota_messages();
     }
 
     /// Drops quotas that `config` no longer contains.
@@ -186,8 +209,7 @@
 pub(crate) async fn run_queue_timer(context: Arc<Context>) {
     loop {
         context.quotas.queue_wake.notified().await;
-        let until = context.clock.now() + MAX_QUEUE_MS;
-        while context.clock.now() < until {
+        while context.quotas.quotas().has_waiting() {
             sleep(QUEUE_TICK_INTERVAL).await;
             context.tick_quotas();
         }
--- a/crates/observe/src/events.rs
+++ b/crates/observe/src/events.rs
@@ -85,6 +85,7 @@
     404 Warn UnitsUnclaimed "This box could not claim units and serves on borrowed load." "Check the platform's store.";
     410 Warn WorkspaceAtQuota "A workspace has nearly or wholly used up its quota; boxes ask its keeper before they send." "None, unless the workspace should have more.";
     411 Warn SlotMissing "A request got no slot of its service in time and was refused; the line tells of the slots at that moment." "If slots were idle elsewhere, check the links between the zone's boxes and their processors.";
+    412 Warn QuotaQueueFull "As many requests wait for grants at this box as it queues; further ones are refused at once." "Check which workspace exceeds its quota; its limit may be too low.";
     500 Warn UpstreamFailed "An upstream could not be reached or broke off." "Check the upstream.";
     501 Info UpstreamLeaving "An upstream said that it is leaving." "None.";
     502 Info UpstreamRestarted "An upstream has started again under its name; nothing known of it before holds." "None, unless it repeats.";
--- a/crates/routing/src/quota/coordinator.rs
+++ b/crates/routing/src/quota/coordinator.rs
@@ -190,6 +190,11 @@
         }
     }
 
+    /// Returns whether requests wait, of any workspace.
+    pub(super) fn has_waiting(&self) -> bool {
+        self.waiting > 0
+    }
+
     /// Takes the replies to requests that waited.
     pub(super) fn take_replies(&mut self) -> Vec<QueuedReply> {
         std::mem::take(&mut self.replies)
--- a/crates/routing/src/quota/queued.rs
+++ b/crates/routing/src/quota/queued.rs
@@ -90,6 +90,12 @@
         replies
     }
 
+    /// Returns whether requests wait for a grant at this box, so that [`Quotas::tick`] has to be
+    /// called every 20 ms.
+    pub fn has_waiting(&self) -> bool {
+        self.coordinated.has_waiting()
+    }
+
     /// Returns whether this box refused requests since the last call because too many wait for a
     /// grant.
     pub fn take_queue_full(&mut self) -> bool {
