--- a/crates/routing/src/fair_queue.rs
+++ b/crates/routing/src/fair_queue.rs
@@ -2,7 +2,7 @@
 //! weight among the classes, first in, first out within a class.
 
 use brasswinch_types::Millis;
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Lowest weight of a class, so that no class is starved.
 pub const MIN_CLASS_WEIGHT: f64 = 0.125;
@@ -57,7 +57,7 @@
 #[derive(Debug)]
 pub struct FairQueue<T> {
     /// Classes that have entries.
-    classes: HashMap<u64, Class<T>>,
+    classes: BTreeMap<u64, Class<T>>,
     /// The same classes, in the order in which they are served.
     round: VecDeque<u64>,
     expiries: BTreeSet<Expiry>,
@@ -67,7 +67,7 @@
 impl<T> Default for FairQueue<T> {
     fn default() -> Self {
         Self {
-            classes: HashMap::new(),
+            classes: BTreeMap::new(),
             round: VecDeque::new(),
             expiries: BTreeSet::new(),
             next_sequence: 0,
@@ -186,12 +186,12 @@
         self.take(class, place)
     }
 
-    /// Removes all items, in no particular order.
+    /// Removes all items, ordered by class.
     pub fn drain(&mut self) -> Vec<T> {
         self.round.clear();
         self.expiries.clear();
-        let classes = self.classes.drain();
-        let entries = classes.flat_map(|(_, held)| held.entries);
+        let classes = std::mem::take(&mut self.classes);
+        let entries = classes.into_values().flat_map(|held| held.entries);
         entries.map(|entry| entry.item).collect()
     }
 
--- a/crates/routing/tests/quota_waiting.rs
+++ b/crates/routing/tests/quota_waiting.rs
@@ -334,6 +334,25 @@
     assert_eq!((status.waited, status.granted, status.expired), (3, 1, 2));
 }
 
+/// Guards against a retry time that makes the clients of a class that is seldom refused wait for
+/// those of a class that is often refused.
+#[test]
+fn a_class_is_told_to_retry_when_another_class_can() {
+    let mut quotas = empty_coordinator();
+    let mut retry_after_ms = |id, class| {
+        let reply = ask(&mut quotas, count(id, class, 0), START_MS);
+        assert!(!reply.is_granted);
+        reply.retry_after_ms
+    };
+    let busy: Vec<u64> = (1..=10).map(|id| retry_after_ms(id, 7)).collect();
+    // One refused request and the token that is missing, at 8/9 of 4 per second: class 0 was
+    // refused before, and has the lowest weight.
+    assert_eq!((busy[0], busy[9]), (562, 3_093));
+    // Class 8 has 8/17 of the rate.
+    assert_eq!(retry_after_ms(11, 8), 1_062);
+    assert_eq!(retry_after_ms(12, 7), 5_000, "limited");
+}
+
 /// Guards against a queue that grows without limit. Prints how long a decision takes while as many requests wait as may.
 #[test]
 fn more_requests_wait_than_may() {
