quota: requests that can't wait aren't starved by those that wait

While requests waited, each token went to one of them, and boxes of an older build, whose requests can't wait, got none. A coordinator now keeps a token for them as often as the lowest weight, 1/8, allows, if it refused one within the last second.

--- a/crates/routing/src/fair_queue.rs
+++ b/crates/routing/src/fair_queue.rs
@@ -98,6 +98,11 @@
         self.round.len()
     }
 
+    /// Returns the sum of the weights of the classes that have items.
+    pub fn total_weight(&self) -> f64 {
+        self.classes.values().map(|held| held.weight).sum()
+    }
+
     /// Adds an item that expires at `expires_at`. `weight` becomes the weight of the whole class,
     /// limited to [`MIN_CLASS_WEIGHT`] to 1.
     pub fn push(&mut self, class: u64, weight: f64, expires_at: Millis, item: T) {
--- a/crates/routing/src/quota/coordinator.rs
+++ b/crates/routing/src/quota/coordinator.rs
@@ -158,7 +158,7 @@
         }
         let class = QuotaClass::of_count(count);
         counter.count_refused(class, f64::from(count.refused_locally), now);
-        counter.serve(workspace, now, &mut self.replies);
+        counter.serve(workspace, filling.capacity, now, &mut self.replies);
         let other_waiting = self.waiting - waiting_before;
         let may_queue = other_waiting + counter.waiting.len() < MAX_WAITING;
         let rate_per_s = filling.rate_per_s;
@@ -233,7 +233,7 @@
             let filling = self.filling(&workspace, limit, now);
             if let Some(counter) = self.counters.get_mut(&workspace) {
                 counter.bucket.fill(filling, now);
-                self.waiting -= counter.serve(&workspace, now, &mut self.replies);
+                self.waiting -= counter.serve(&workspace, filling.capacity, now, &mut self.replies);
             }
         }
     }
--- a/crates/routing/src/quota/counter.rs
+++ b/crates/routing/src/quota/counter.rs
@@ -105,11 +105,12 @@
         }
     }
 
-    /// Grants requests that wait, as far as there are tokens, and refuses those whose wait has
-    /// ended. Returns how many no longer wait.
+    /// Grants requests that wait, as far as the bucket of `capacity` has tokens, and refuses those
+    /// whose wait has ended. Returns how many no longer wait.
     pub(super) fn serve(
         &mut self,
         workspace: &Workspace,
+        capacity: f64,
         now: Millis,
         replies: &mut Vec<QueuedReply>,
     ) -> usize {
@@ -118,11 +119,11 @@
             self.count_refused(request.class, 1.0, now);
             replies.push(self.reply(workspace, request, Decision::Refused, now));
         }
-        while !self.waiting.is_empty() && self.bucket.try_take() {
+        while self.bucket.level() >= self.waiting.granting_level(capacity, now) {
             let Some(request) = self.waiting.pop(now) else {
-                self.bucket.take(-1.0);
                 break;
             };
+            self.bucket.take(1.0);
             self.granted.insert(request.key, now);
             replies.push(self.reply(workspace, request, Decision::Granted, now));
         }
@@ -154,8 +155,14 @@
             // The last query about a request that waits: it is decided now.
             self.waiting.remove(key);
         }
-        if self.bucket.try_take() {
+        let can_wait = class.max_wait_ms > 0;
+        // Requests that wait come first, except for the token kept for those that can't.
+        let may_take = self.waiting.is_empty() || !can_wait;
+        if may_take && self.bucket.try_take() {
             self.granted.insert(key, now);
+            if !can_wait {
+                self.waiting.use_reserve();
+            }
             return Decision::Granted;
         }
         let wait_ms = self.waiting.wait_ms(class, rate_per_s, now);
@@ -165,6 +172,9 @@
             return Decision::Waits(wait_ms);
         }
         self.count_refused(class, 1.0, now);
+        if !can_wait {
+            self.waiting.refuse_unqueued(now);
+        }
         Decision::Refused
     }
 
--- a/crates/routing/src/quota/waiting.rs
+++ b/crates/routing/src/quota/waiting.rs
@@ -3,7 +3,7 @@
 
 use super::class::QuotaClass;
 use super::grants::RequestKey;
-use crate::fair_queue::{FairQueue, class_weight};
+use crate::fair_queue::{FairQueue, MIN_CLASS_WEIGHT, class_weight};
 use crate::refusals::Refusals;
 use brasswinch_types::Millis;
 use std::collections::{BTreeMap, HashSet};
@@ -15,6 +15,9 @@
 /// treated as those of unknown class.
 const MAX_CLASSES: usize = 64;
 
+/// Time after the refusal of a request that can't wait in which a token is kept for such requests.
+const RESERVE_MS: Millis = 1_000;
+
 /// Bounds of the retry time for refused clients, in milliseconds: at least the time that a request
 /// takes to arrive, and no longer than the clients with the shortest deadlines wait.
 const RETRY_AFTER_MS: std::ops::RangeInclusive<f64> = 100.0..=5_000.0;
@@ -41,6 +44,10 @@
     keys: HashSet<RequestKey>,
     /// Classes with waiting or recently refused requests.
     classes: BTreeMap<u64, ClassLoad>,
+    /// The share of the grants that requests which can't wait have not used, from 0 to 1.
+    reserve: f64,
+    /// Until when that share grows.
+    reserves_until: Millis,
 }
 
 impl Waiting {
@@ -131,9 +138,35 @@
             .set_weights(|class| class_weight(priority(class), most_urgent));
     }
 
+    /// Returns the bucket's level from which on the next request that waits is granted. Requests
+    /// of older builds can't wait, and would never find a token while others do; so one is kept
+    /// for them as often as the lowest weight allows.
+    ///
+    /// A bucket whose `capacity` is below 2 keeps none, since it would never reach that level.
+    pub(super) fn granting_level(&self, capacity: f64, now: Millis) -> f64 {
+        let keeps_one = self.reserve >= 1.0 && now < self.reserves_until && capacity >= 2.0;
+        if keeps_one { 2.0 } else { 1.0 }
+    }
+
+    /// Records that a request that can't wait was refused.
+    pub(super) fn refuse_unqueued(&mut self, now: Millis) {
+        self.reserves_until = now.saturating_add(RESERVE_MS);
+    }
+
+    /// Records that a request that can't wait was granted.
+    pub(super) fn use_reserve(&mut self) {
+        self.reserve = 0.0;
+    }
+
     /// Takes the next request to grant.
     pub(super) fn pop(&mut self, now: Millis) -> Option<WaitingRequest> {
+        let total_weight = self.queue.total_weight() + MIN_CLASS_WEIGHT;
         let request = self.queue.pop(now)?;
+        self.reserve = if now < self.reserves_until {
+            (self.reserve + MIN_CLASS_WEIGHT / total_weight).min(1.0)
+        } else {
+            0.0
+        };
         self.forget(request);
         Some(request)
     }
--- a/crates/routing/tests/quota_waiting.rs
+++ b/crates/routing/tests/quota_waiting.rs
@@ -248,6 +248,22 @@
     assert_eq!((reply.is_granted, reply.wait_ms), (false, None));
 }
 
+/// Guards against requests of older builds that never find a token while others wait.
+#[test]
+fn an_older_build_is_starved() {
+    let mut quotas = empty_coordinator();
+    let (mut of_older, mut waited) = (0, 0);
+    for now in (START_MS..START_MS + 60_000).step_by(20) {
+        ask(&mut quotas, count(now, 7, 500), now);
+        let reply = ask(&mut quotas, count(1 + now, 0, 0), now);
+        of_older += usize::from(reply.is_granted);
+        waited += decided(&mut quotas, now).0.len();
+    }
+    // A weight of 1/8 beside 1, of 240 tokens.
+    assert!((20..=28).contains(&of_older), "{of_older}");
+    assert!((238..=240).contains(&(of_older + waited)), "{waited}");
+}
+
 /// Guards against a refused class that keeps a box from asking for another class.
 #[test]
 fn a_refused_class_delays_another_class() {
