Look-ups: answers from unevenly sized boxes follow their capacities

Cause: an answer lists all boxes of a zone with up to 64, and callers choose uniformly, so that a box with 200 Mbit/s got as many requests as one with 10 Mbit/s.

Change: if the largest box has at least twice the mean size, an answer lists only as many boxes as the sum of capacities relative to the largest (4 to 64), drawn by systematic sampling. At most half of them are large, as far as there are others. The size is the minimum over the resources that all candidates publish; so far the link only. Evenly sized boxes get the former answers.

Tests: look_up_capacity.rs has shares, the loss of all large boxes, invalid sizes, utilization, and the former selection to compare with. Four tests in look_up.rs expected all boxes of a zone in answers from boxes with a ratio of 5, which contradicts the new rule; they now use equal boxes, and the same properties are tested for uneven boxes beside them.

--- a/crates/edge/src/look_up.rs
+++ b/crates/edge/src/look_up.rs
@@ -1,7 +1,9 @@
 //! Answers directory look-ups: which boxes a client may use.
 
 use crate::context::Context;
-use brasswinch_routing::{CandidateBox, Liveness, MemberRecord, MemberState, select_boxes};
+use brasswinch_routing::{
+    BoxResources, CandidateBox, Liveness, MemberRecord, MemberState, select_boxes,
+};
 use brasswinch_types::{Region, Zone};
 use std::net::SocketAddr;
 
@@ -43,7 +45,7 @@
             near = all.iter().map(|record| candidate_box(record)).collect();
         }
         DirectoryAnswer {
-            addresses: select_boxes(&near, zone, &mut rand::rng()),
+            addresses: select_boxes(&near, zone, &mut rand::rng()).addresses,
             ttl_s: LOOKUP_TTL_S.min(self.settings.bounds.max_lookup_ttl_s),
         }
     }
@@ -53,8 +55,11 @@
     CandidateBox {
         address: record.caller_address,
         zone: record.zone.clone(),
-        // The link's bandwidth stands for the box's size: boxes with more CPU have more bandwidth.
-        size: record.link_mbps,
+        resources: BoxResources {
+            link_mbps: record.link_mbps,
+            ..BoxResources::default()
+        },
+        utilization: None,
         requests_per_s: record.requests_per_s,
         is_cut_off: record.is_cut_off(),
     }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -50,7 +50,7 @@
 pub use fleet_size::{FleetSize, KnownSize, SIZE_RETENTION_MS};
 pub use fleet_state::{CatchUp, FleetState, LostEntry, PatchMismatch, Watermark};
 pub use health_probers::{HealthProber, HealthProbers};
-pub use look_up::{CandidateBox, MAX_LISTED_BOXES, select_boxes};
+pub use look_up::{BoxResources, CandidateBox, MAX_LISTED_BOXES, Selection, select_boxes};
 pub use peer_selector::{Candidate, Distance, PeerSelector};
 pub use placement::{
     Advice, AdviceQuery, AdvisedHome, Basis, Choice, CompletionReport, Home, HomeState, Placement,
--- a/crates/routing/src/look_up.rs
+++ b/crates/routing/src/look_up/mod.rs
@@ -5,8 +5,17 @@
 //! of its region, the answer lists the boxes of the region. If there are more than an answer
 //! holds, each answer is a new random sample that favors larger boxes, so that answers differ and
 //! every box gets its share.
+//!
+//! Callers choose uniformly among the listed boxes. If the boxes differ much in size, an answer
+//! lists only some of them, drawn in proportion to their capacities.
+
+mod capacity;
+mod sample;
+
+pub use capacity::BoxResources;
 
 use brasswinch_types::Zone;
+use capacity::Sizes;
 use rand::{Rng, RngExt};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -32,8 +41,10 @@
     pub address: SocketAddr,
     /// Its zone.
     pub zone: Zone,
-    /// Capacity in a unit shared by all boxes; 0 if unknown.
-    pub size: u32,
+    /// Its sizes, as far as it published them.
+    pub resources: BoxResources,
+    /// Its utilization in percent; `None` if not published.
+    pub utilization: Option<u32>,
     /// Request rate of its callers, per second; `None` if not reported.
     pub requests_per_s: Option<f32>,
     /// Whether it has reported that it reaches no upstream.
@@ -41,23 +52,32 @@
 }
 
 impl CandidateBox {
-    /// Boxes of unknown size count as equal.
-    fn weight(&self) -> f64 {
-        f64::from(self.size.max(1))
+    /// The weight among evenly sized boxes. Boxes with unknown bandwidth count as equal.
+    fn link_weight(&self) -> f64 {
+        f64::from(self.resources.link_mbps.max(1))
     }
 }
 
+/// The boxes in an answer.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Selection {
+    /// Their addresses, all different.
+    pub addresses: Vec<SocketAddr>,
+    /// How many of them have more than half the size of the largest candidate.
+    pub large: usize,
+}
+
 /// Returns the boxes for a caller in `zone`; `region_boxes` are the boxes of its region.
 pub fn select_boxes(
     region_boxes: &[CandidateBox],
     zone: &Zone,
     random: &mut impl Rng,
-) -> Vec<SocketAddr> {
+) -> Selection {
     let usable = usable_boxes(region_boxes);
     let in_zone = usable.iter().filter(|candidate| &candidate.zone == zone);
     let own: Vec<&CandidateBox> = in_zone.copied().collect();
     let stays_in_zone = own.len() >= MIN_ZONE_BOXES && !is_overloaded(&usable, zone);
-    draw(if stays_in_zone { own } else { usable }, random)
+    draw(if stays_in_zone { &own } else { &usable }, random)
 }
 
 /// Returns the boxes that reach upstreams, or all boxes if too few do.
@@ -72,8 +92,10 @@
 
 /// Whether the zone's load per unit of size exceeds the region's average by the overload ratio.
 fn is_overloaded(region_boxes: &[&CandidateBox], zone: &Zone) -> bool {
+    let sizes = Sizes::of(region_boxes);
+    let is_even = sizes.are_even();
     let mut loads: BTreeMap<&Zone, (f64, f64)> = BTreeMap::new();
-    for candidate in region_boxes {
+    for (index, candidate) in region_boxes.iter().enumerate() {
         // The rate comes from other boxes; an invalid one counts as missing.
         let reported = candidate.requests_per_s;
         let Some(rate) = reported.filter(|rate| rate.is_finite() && *rate >= 0.0) else {
@@ -81,9 +103,13 @@
         };
         let (rates, weights) = loads.entry(&candidate.zone).or_default();
         *rates += f64::from(rate);
-        *weights += candidate.weight();
+        *weights += if is_even {
+            candidate.link_weight()
+        } else {
+            sizes.of_candidate(index)
+        };
     }
-    let per_size = |(rates, weights): &(f64, f64)| rates / weights.max(1.0);
+    let per_size = |(rates, weights): &(f64, f64)| rates / weights;
     let Some(own) = loads.get(zone).map(per_size) else {
         return false;
     };
@@ -91,23 +117,39 @@
     own > all / loads.len() as f64 * OVERLOAD_RATIO
 }
 
-/// Returns all candidates, or a weighted sample without replacement of as many as an answer holds
-/// (Efraimidis and Spirakis, 2006: the largest of `uniform^(1/weight)`).
-fn draw(candidates: Vec<&CandidateBox>, random: &mut impl Rng) -> Vec<SocketAddr> {
+/// Draws the boxes of an answer from the candidates.
+fn draw(candidates: &[&CandidateBox], random: &mut impl Rng) -> Selection {
+    let sizes = Sizes::of(candidates);
+    let listed = if sizes.are_even() {
+        draw_by_link(candidates, random)
+    } else {
+        sample::draw_by_capacity(&sizes, &sizes.capacities(candidates), random)
+    };
+    let large = listed.iter().filter(|index| sizes.is_large(**index));
+    Selection {
+        large: large.count(),
+        addresses: listed
+            .into_iter()
+            .map(|index| candidates[index].address)
+            .collect(),
+    }
+}
+
+/// Returns the indices of all candidates, or of a weighted sample without replacement of as many
+/// as an answer holds (Efraimidis and Spirakis, 2006: the largest of `uniform^(1/weight)`).
+fn draw_by_link(candidates: &[&CandidateBox], random: &mut impl Rng) -> Vec<usize> {
     if candidates.len() <= MAX_LISTED_BOXES {
-        return candidates
-            .iter()
-            .map(|candidate| candidate.address)
-            .collect();
+        return (0..candidates.len()).collect();
     }
-    let mut drawn: Vec<(f64, SocketAddr)> = candidates
+    let mut drawn: Vec<(f64, usize)> = candidates
         .iter()
-        .map(|candidate| {
+        .enumerate()
+        .map(|(index, candidate)| {
             let uniform: f64 = random.random();
-            (uniform.powf(1.0 / candidate.weight()), candidate.address)
+            (uniform.powf(1.0 / candidate.link_weight()), index)
         })
         .collect();
     drawn.sort_by(|a, b| b.0.total_cmp(&a.0));
     drawn.truncate(MAX_LISTED_BOXES);
-    drawn.into_iter().map(|(_, address)| address).collect()
+    drawn.into_iter().map(|(_, index)| index).collect()
 }
