--- a/crates/routing/tests/common/mod.rs
+++ b/crates/routing/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! Small fleets for the tests of this crate.
 #![allow(dead_code, clippy::unwrap_used, clippy::expect_used)]
 
+pub mod look_up;
 pub mod recorded_store;
 
 use brasswinch_routing::{
