Boxes publish their sizes and utilization, and look-ups use them

Cause: look-ups knew only the bandwidth of a box. Boxes with little CPU, memory or few descriptors, and boxes that are full, got as many callers as others.

Change: the membership record has the optional fields for CPU, memory, connections and utilization. All connections to clients, upstreams and through tunnels count their bytes. Buffered bytes are relative to the quarter of the memory that they may use, as the rest would never let it exceed 25. The larger direction of the link counts. Metrics of look-ups and of the utilization are added.

--- a/crates/edge/src/connections.rs
+++ b/crates/edge/src/connections.rs
@@ -3,6 +3,7 @@
 
 use crate::body::AnyBody;
 use crate::clock::Clock;
+use crate::connection_usage::{ConnectionUsage, CountedStream};
 use brasswinch_types::{BoxId, Millis, UpstreamId};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -86,16 +87,18 @@
     epoch: AtomicU64,
     local: IpAddr,
     clock: Clock,
+    usage: Arc<ConnectionUsage>,
 }
 
 impl ConnectionPool {
     /// Creates a pool that connects from the address `local`.
-    pub(crate) fn new(local: IpAddr, clock: Clock) -> Self {
+    pub(crate) fn new(local: IpAddr, clock: Clock, usage: Arc<ConnectionUsage>) -> Self {
         Self {
             idle: Mutex::default(),
             epoch: AtomicU64::new(0),
             local,
             clock,
+            usage,
         }
     }
 
@@ -150,6 +153,7 @@
         upstream: &UpstreamId,
         via: Option<BoxId>,
     ) -> std::io::Result<Connection> {
+        let stream = CountedStream::new(stream, &self.usage);
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_READ_BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -3,6 +3,7 @@
 use crate::advice::AdviceRequests;
 use crate::budgets::Budgets;
 use crate::clock::Clock;
+use crate::connection_usage::ConnectionUsage;
 use crate::connections::ConnectionPool;
 use crate::dialect::Dialect;
 use crate::fleet_size::KnownFleetSize;
@@ -108,6 +109,8 @@
     pub(crate) clock: Clock,
     pub(crate) in_force: ArcSwapOption<ActiveConfig>,
     pub(crate) pool: Arc<ConnectionPool>,
+    /// Open connections and the bytes that they carry.
+    pub(crate) connection_usage: Arc<ConnectionUsage>,
     pub(crate) metrics: Metrics,
     pub(crate) store_calls: StoreCalls,
     /// Requests in progress.
@@ -202,6 +205,7 @@
             min_coordinators: MIN_COORDINATORS,
         });
         let bounds = &settings.bounds;
+        let connection_usage = Arc::new(ConnectionUsage::default());
         let shortest_s = bounds.drain_s.min(bounds.config_apply_s);
         Self {
             view_limits: ViewLimits::new(shortest_s),
@@ -223,7 +227,9 @@
             pool: Arc::new(ConnectionPool::new(
                 settings.addresses.clients.ip(),
                 settings.clock.clone(),
+                Arc::clone(&connection_usage),
             )),
+            connection_usage,
             metrics: Metrics::default(),
             store_calls: StoreCalls::default(),
             in_flight: AtomicUsize::new(0),
--- a/crates/edge/src/counted.rs
+++ b/crates/edge/src/counted.rs
@@ -7,6 +7,11 @@
 /// Buffered bodies may use at most the process's allowed memory divided by this.
 const BUFFER_MEMORY_DIVISOR: usize = 4;
 
+/// Returns the bytes that buffered bodies may use of a process's allowed memory.
+pub(crate) fn max_buffered_bytes(memory_bytes: usize) -> usize {
+    memory_bytes / BUFFER_MEMORY_DIVISOR
+}
+
 /// Counts a request until its response has been passed on.
 pub(crate) struct InFlight(Arc<Context>);
 
@@ -49,7 +54,7 @@
     /// Reserves `bytes` for a body. Returns `None` if buffered bodies would exceed their part of
     /// the memory.
     pub(crate) fn reserve(context: &Arc<Context>, bytes: usize) -> Option<Self> {
-        let max_bytes = context.settings.memory_bytes / BUFFER_MEMORY_DIVISOR;
+        let max_bytes = max_buffered_bytes(context.settings.memory_bytes);
         let before = context.buffered_bytes.fetch_add(bytes, Ordering::Relaxed);
         let reservation = Self {
             context: Arc::clone(context),
--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -4,6 +4,7 @@
 use crate::datagram::Datagram;
 use crate::members_transfer;
 use crate::peer_traffic::Direction;
+use crate::utilization::UtilizationMeter;
 use brasswinch_observe::{Event, emit};
 use brasswinch_routing::{Liveness, SwimMessage};
 use brasswinch_types::{BoxId, Millis};
@@ -44,6 +45,7 @@
     let mut generation = 0;
     let mut published_at = Instant::now();
     let mut alive = BTreeSet::new();
+    let mut invalid = BTreeSet::new();
     loop {
         let out = tokio::select! {
             _ = ticks.tick() => {
@@ -72,6 +74,7 @@
             published_at = Instant::now();
             context.publish_members();
             log_membership_changes(&context, &mut alive);
+            log_invalid_sizes(&context, &mut invalid);
         }
     }
 }
@@ -89,6 +92,23 @@
     *alive = reachable;
 }
 
+/// Logs which boxes publish sizes that can't be right, unless they did at the last call.
+fn log_invalid_sizes(context: &Context, invalid: &mut BTreeSet<BoxId>) {
+    let swim = context.swim();
+    let found: BTreeSet<BoxId> = swim
+        .alive_boxes()
+        .filter(|record| record.resources().has_invalid())
+        .map(|record| record.id.clone())
+        .collect();
+    for id in found.difference(invalid) {
+        emit(
+            Event::PeerMalformed,
+            format_args!("{id} publishes sizes that can't be right; they count as unknown"),
+        );
+    }
+    *invalid = found;
+}
+
 /// Logs one event for all of `boxes`, with the names of the first few.
 fn log_boxes<'a>(event: Event, boxes: impl Iterator<Item = &'a BoxId>) {
     let boxes: Vec<&str> = boxes.map(BoxId::as_str).collect();
@@ -178,12 +198,13 @@
     }
 }
 
-/// Measures the request rate of clients at this box.
+/// Measures the request rate of clients at this box, and its utilization.
 #[derive(Debug, Default)]
 struct OwnLoad {
     measured_at: Millis,
     requests: u64,
     per_s: f64,
+    utilization: UtilizationMeter,
 }
 
 impl OwnLoad {
@@ -202,6 +223,10 @@
         if requests > 0 {
             context.swim().set_requests_per_s(self.per_s as f32);
         }
+        let utilization = self.utilization.measure(context, elapsed);
+        let measured = &context.metrics.utilization;
+        measured.store(utilization, Ordering::Relaxed);
+        context.swim().set_utilization(utilization);
         context.publish_members();
     }
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -12,6 +12,7 @@
 mod catch_up;
 mod clock;
 mod connection_failures;
+mod connection_usage;
 mod connections;
 mod context;
 mod counted;
@@ -51,6 +52,7 @@
 mod upstream_limits;
 mod upstream_path;
 mod upstream_signals;
+mod utilization;
 mod view_reports;
 mod write_timeout;
 
--- a/crates/edge/src/look_up.rs
+++ b/crates/edge/src/look_up.rs
@@ -1,9 +1,7 @@
 //! Answers directory look-ups: which boxes a client may use.
 
 use crate::context::Context;
-use brasswinch_routing::{
-    BoxResources, CandidateBox, Liveness, MemberRecord, MemberState, select_boxes,
-};
+use brasswinch_routing::{CandidateBox, Liveness, MemberRecord, MemberState, select_boxes};
 use brasswinch_types::{Region, Zone};
 use std::net::SocketAddr;
 
@@ -44,8 +42,11 @@
         if near.is_empty() {
             near = all.iter().map(|record| candidate_box(record)).collect();
         }
+        drop(swim);
+        let selection = select_boxes(&near, zone, &mut rand::rng());
+        self.metrics.count_look_up(&selection);
         DirectoryAnswer {
-            addresses: select_boxes(&near, zone, &mut rand::rng()).addresses,
+            addresses: selection.addresses,
             ttl_s: LOOKUP_TTL_S.min(self.settings.bounds.max_lookup_ttl_s),
         }
     }
@@ -55,11 +56,8 @@
     CandidateBox {
         address: record.caller_address,
         zone: record.zone.clone(),
-        resources: BoxResources {
-            link_mbps: record.link_mbps,
-            ..BoxResources::default()
-        },
-        utilization: None,
+        resources: record.resources(),
+        utilization: record.utilization,
         requests_per_s: record.requests_per_s,
         is_cut_off: record.is_cut_off(),
     }
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -3,11 +3,11 @@
 use crate::connection_failures::ConnectionCounts;
 use crate::context::Context;
 use brasswinch_observe::{LatencyTable, dropped_lines};
-use brasswinch_routing::{Liveness, RouteKind, Scope, UpstreamPath};
+use brasswinch_routing::{Liveness, RouteKind, Scope, Selection, UpstreamPath};
 use brasswinch_types::{Class, OnceProof, Service, Workspace};
 use std::collections::BTreeMap;
 use std::fmt::Write;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
@@ -28,6 +28,14 @@
     pub(crate) early_requests: AtomicU64,
     /// Connections to upstreams.
     pub(crate) connections: ConnectionCounts,
+    /// The last measured utilization of this box, in percent.
+    pub(crate) utilization: AtomicU32,
+    /// Answers to look-ups.
+    lookup_answers: AtomicU64,
+    /// Large boxes in these answers.
+    listed_large: AtomicU64,
+    /// All other boxes in these answers.
+    listed_small: AtomicU64,
 }
 
 impl Metrics {
@@ -47,6 +55,15 @@
         }
     }
 
+    /// Counts an answer to a look-up and the boxes that it lists.
+    pub(crate) fn count_look_up(&self, selection: &Selection) {
+        let large = selection.large as u64;
+        let small = (selection.addresses.len() - selection.large) as u64;
+        self.lookup_answers.fetch_add(1, Ordering::Relaxed);
+        self.listed_large.fetch_add(large, Ordering::Relaxed);
+        self.listed_small.fetch_add(small, Ordering::Relaxed);
+    }
+
     /// Records the latency of an answered request.
     pub(crate) fn record_latency(&self, service: &Service, kind: RouteKind, took: Duration) {
         let class = match kind {
@@ -74,6 +91,15 @@
             let labels = format!("service=\"{service}\",outcome=\"{outcome}\"");
             line(text, "limit_requests_total", &labels, *count as f64);
         }
+        let answers = self.lookup_answers.load(Ordering::Relaxed) as f64;
+        line(text, "lookup_answers_total", "", answers);
+        for (size, count) in [("large", &self.listed_large), ("small", &self.listed_small)] {
+            let labels = format!("size=\"{size}\"");
+            let count = count.load(Ordering::Relaxed) as f64;
+            line(text, "lookup_listed_total", &labels, count);
+        }
+        let utilization = f64::from(self.utilization.load(Ordering::Relaxed));
+        line(text, "box_utilization", "", utilization);
         for summary in self.latency.summary() {
             let quantiles = [
                 ("0.5", summary.p50_us),
--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -4,6 +4,7 @@
 //! response, so that requests that have reached the machine are answered. It then accepts the
 //! connections left in the listener's queue and closes the listener.
 
+use crate::connection_usage::CountedStream;
 use crate::context::{Context, Lifecycle};
 use crate::counted::OpenConnection;
 use crate::pipeline::{Pipeline, ReadAhead};
@@ -71,7 +72,9 @@
     let _ = stream.set_nodelay(true);
     let pipeline = Arc::new(Pipeline::new(Arc::clone(&context)));
     let idle = idle_limit(&context) + IDLE_MARGIN;
-    let io = WriteTimeout::new(ReadAhead::new(stream, Arc::clone(&pipeline)), idle);
+    let stream = ReadAhead::new(stream, Arc::clone(&pipeline));
+    let stream = CountedStream::new(stream, &context.connection_usage);
+    let io = WriteTimeout::new(stream, idle);
     let service = service_fn(|request| {
         let (context, pipeline) = (Arc::clone(&context), Arc::clone(&pipeline));
         async move {
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -72,6 +72,9 @@
 /// respond.
 pub const COORDINATOR_REPLY_TIMEOUT: Duration = Duration::from_millis(15);
 
+/// Bytes of a megabyte.
+const MEGABYTE: usize = 1_000_000;
+
 /// Settings of one box.
 #[derive(Clone, Debug)]
 pub struct EdgeSettings {
@@ -89,6 +92,10 @@
     pub memory_bytes: usize,
     /// Bandwidth of the box's link in Mbit/s; 0 if unknown.
     pub link_mbps: u32,
+    /// CPU that the process may use, in thousandths of a core; `None` if unknown.
+    pub cpu_millis: Option<u32>,
+    /// Maximum number of open connections; `None` if unknown.
+    pub max_connections: Option<u32>,
     /// Timeout for the reply of an upstream's coordinator.
     pub coordinator_reply_timeout: Duration,
     /// Bounds of the fleet.
@@ -98,6 +105,11 @@
 }
 
 impl EdgeSettings {
+    /// Returns the memory that the process may use, in MB, rounded up.
+    pub(crate) fn memory_mb(&self) -> u32 {
+        u32::try_from(self.memory_bytes.div_ceil(MEGABYTE)).unwrap_or(u32::MAX)
+    }
+
     /// Returns the box's region; empty if its zone is not in `zones`.
     pub fn region(&self) -> Region {
         let region = self.zones.get(&self.zone).cloned();
--- a/crates/edge/src/start.rs
+++ b/crates/edge/src/start.rs
@@ -173,6 +173,10 @@
         link_mbps: settings.link_mbps,
         fleet_size: 0,
         reaches_upstreams: Some(true),
+        cpu_millis: settings.cpu_millis,
+        memory_mb: Some(settings.memory_mb()),
+        max_connections: settings.max_connections,
+        utilization: None,
     }
 }
 
--- a/crates/edge/src/tunnel/carry.rs
+++ b/crates/edge/src/tunnel/carry.rs
@@ -2,6 +2,7 @@
 
 use super::stream::TunnelStream;
 use super::{TunnelReply, TunnelRequest};
+use crate::connection_usage::CountedStream;
 use crate::connections::detect_silence;
 use crate::context::{Context, Lifecycle};
 use crate::counted::BufferedBytes;
@@ -96,7 +97,9 @@
     detect_silence(socket.get_ref()).map_err(connection_error)?;
     let total = &context.carried_tunnels.total;
     total.fetch_add(1, Ordering::Relaxed);
-    copy(socket, upstream).await;
+    let usage = &context.connection_usage;
+    let socket = CountedStream::new(TunnelStream::new(socket), usage);
+    copy(socket, CountedStream::new(upstream, usage)).await;
     drop(tunnel);
     Ok(())
 }
@@ -139,8 +142,7 @@
 }
 
 /// Copies bytes both ways until both directions end, or one side fails.
-async fn copy(socket: WebSocketStream<TcpStream>, upstream: TcpStream) {
-    let mut tunnel = TunnelStream::new(socket);
+async fn copy(mut tunnel: CountedStream<TunnelStream>, upstream: CountedStream<TcpStream>) {
     let mut upstream = UpstreamSide {
         stream: upstream,
         failure: None,
@@ -154,13 +156,13 @@
     .await;
     if let (Err(_), Some(failure)) = (copied, upstream.failure) {
         // If this fails too, the other box takes the tunnel for lost.
-        let _ = tunnel.report_upstream_failure(failure).await;
+        let _ = tunnel.get_mut().report_upstream_failure(failure).await;
     }
 }
 
 /// The connection to the upstream; tells its failures from those of the tunnel.
 struct UpstreamSide {
-    stream: TcpStream,
+    stream: CountedStream<TcpStream>,
     failure: Option<io::ErrorKind>,
 }
 
--- a/crates/edge/tests/common/mod.rs
+++ b/crates/edge/tests/common/mod.rs
@@ -66,6 +66,8 @@
         seeds,
         memory_bytes: 64_000_000,
         link_mbps: 0,
+        cpu_millis: None,
+        max_connections: None,
         coordinator_reply_timeout: COORDINATOR_REPLY_TIMEOUT,
         bounds: FleetBounds::default(),
         clock: Clock::default(),
--- a/crates/lab/src/fleet_start/play.rs
+++ b/crates/lab/src/fleet_start/play.rs
@@ -280,6 +280,10 @@
         link_mbps: 20,
         fleet_size: 0,
         reaches_upstreams: Some(true),
+        cpu_millis: None,
+        memory_mb: None,
+        max_connections: None,
+        utilization: None,
     }
 }
 
--- a/crates/routing/src/swim/member.rs
+++ b/crates/routing/src/swim/member.rs
@@ -2,6 +2,7 @@
 
 use super::message::Update;
 use crate::change::{Revision, Scope};
+use crate::look_up::BoxResources;
 use brasswinch_types::{BoxId, Millis, Zone};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -60,6 +61,19 @@
     /// Whether it reaches upstreams and connects other boxes to them; `None` if its build can't.
     #[serde(rename = "u", default, skip_serializing_if = "Option::is_none")]
     pub reaches_upstreams: Option<bool>,
+    /// The CPU that it may use, in thousandths of a core; `None` if unknown.
+    #[serde(rename = "cp", default, skip_serializing_if = "Option::is_none")]
+    pub cpu_millis: Option<u32>,
+    /// The memory that it may use, in MB; `None` if unknown.
+    #[serde(rename = "mm", default, skip_serializing_if = "Option::is_none")]
+    pub memory_mb: Option<u32>,
+    /// Its maximum number of connections; `None` if unknown.
+    #[serde(rename = "mc", default, skip_serializing_if = "Option::is_none")]
+    pub max_connections: Option<u32>,
+    /// The largest utilization of its resources that it measures, in percent; `None` if it hasn't
+    /// published any.
+    #[serde(rename = "ul", default, skip_serializing_if = "Option::is_none")]
+    pub utilization: Option<u32>,
 }
 
 impl MemberRecord {
@@ -72,6 +86,16 @@
         *held = (*held).max(revision);
     }
 
+    /// Returns the sizes that the box published.
+    pub fn resources(&self) -> BoxResources {
+        BoxResources {
+            link_mbps: self.link_mbps,
+            cpu_millis: self.cpu_millis,
+            memory_mb: self.memory_mb,
+            max_connections: self.max_connections,
+        }
+    }
+
     /// Whether the box has reported that it reaches no upstream.
     pub fn is_cut_off(&self) -> bool {
         self.reaches_upstreams == Some(false)
--- a/crates/routing/src/swim/mod.rs
+++ b/crates/routing/src/swim/mod.rs
@@ -32,6 +32,9 @@
 /// something new from it announces that to as many.
 const ANNOUNCE_FANOUT: usize = 3;
 
+/// Smallest change of the utilization that is published, in percent.
+const MIN_UTILIZATION_CHANGE: u32 = 10;
+
 /// How long a dead member is kept and still probed now and then.
 const DEAD_RETENTION_MS: Millis = 60_000;
 
@@ -160,6 +163,16 @@
         self.me.incarnation += 1;
     }
 
+    /// Sets the utilization that this box publishes, in percent. Small changes aren't published,
+    /// so that records don't change with each measurement.
+    pub fn set_utilization(&mut self, percent: u32) {
+        let published = self.me.utilization.unwrap_or(0);
+        if percent.abs_diff(published) >= MIN_UTILIZATION_CHANGE {
+            self.me.utilization = Some(percent);
+            self.me.incarnation += 1;
+        }
+    }
+
     /// Raises the revision up to which this box publishes that it knows `scope`. Returns whether
     /// it was lower before.
     pub fn set_revision(&mut self, scope: Scope, revision: Revision) -> bool {
--- a/crates/routing/tests/members_sync.rs
+++ b/crates/routing/tests/members_sync.rs
@@ -34,6 +34,10 @@
         link_mbps: 0,
         fleet_size: 0,
         reaches_upstreams: Some(true),
+        cpu_millis: None,
+        memory_mb: None,
+        max_connections: None,
+        utilization: None,
     };
     Swim::new(record, vec![address(INFORMED)], SwimSettings::default())
 }
--- a/crates/routing/tests/membership.rs
+++ b/crates/routing/tests/membership.rs
@@ -33,6 +33,10 @@
         link_mbps: 0,
         fleet_size: 0,
         reaches_upstreams: Some(true),
+        cpu_millis: None,
+        memory_mb: None,
+        max_connections: None,
+        utilization: None,
     }
 }
 
@@ -334,3 +338,27 @@
         assert_eq!(network.alive(number).len(), 5, "box {number}");
     }
 }
+
+/// Guards against a record that changes with every measurement, and against one that hides load.
+#[test]
+fn utilization_is_published_only_if_it_changed_much() {
+    let mut swim = Network::swim(0, 1_000);
+    swim.set_utilization(9);
+    assert_eq!(
+        (swim.me().utilization, swim.me().incarnation),
+        (None, 1_000)
+    );
+    swim.set_utilization(75);
+    assert_eq!(swim.me().utilization, Some(75));
+    assert_eq!(swim.me().incarnation, 1_001);
+    for small_change in [66, 84, 75] {
+        swim.set_utilization(small_change);
+        assert_eq!(swim.me().utilization, Some(75));
+        assert_eq!(swim.me().incarnation, 1_001);
+    }
+    swim.set_utilization(0);
+    assert_eq!(
+        (swim.me().utilization, swim.me().incarnation),
+        (Some(0), 1_002)
+    );
+}
