daemon, observe: short bursts and slow upstreams refuse no request of a service far below its load

What callers saw: a steady workspace refused (at_capacity, not_run) beside a rival's flood on a busy machine, with no BW411 line of its service.

Cause of the missing line: BW411 was limited to 100 lines a second over all services of a box, and the rival used them up. Every producer of AtCapacity in the daemon logs BW411 (the queue is full, the wait is over, a loan ended before its use), so the line was left out, or lost on its way to the file. Each service now has its first five lines of a window; `freed_ms_ago` tells a queue that moves from one whose slots are all held.

Causes of the refusals, from the steady service's lines (waits that ended, idle=0 in all of them): 1. A burst's first request asked neighbours for one slot, and requests within 10 ms of it asked for none. The next ask was at the heartbeat, up to 250 ms later; the wait is 100 ms. In the new test: held=3 borrowed=1 waiting=6 asked_ms_ago=104, where the zone has eight slots and nobody else asked for any. Requests that wait now ask again after 10, 30, 70 ms and so on. 2. Slots were all busy and none came free for mostly 20 to 400 ms (5 ms of work each). Whether upstreams or boxes were short of processors is not told apart. The wait was 100 ms whatever others took, at a queue of 2 to 13 of 64. Requests now wait until the queue has stood for a second; after that the wait is 100 ms as before, so a standing overload is refused as it was. 3. Requests that had given up stayed in the queue (up to 16 of 29, trial with a field for it), counted against its bound of 64 and had slots borrowed for them. They are taken out.

Ruled out: the upstreams refused, were ejected or warmed up (no idle slot in any line); the rival's policies, which are evaluated on the control thread of the box asked: 7 to 33 ms each (trial with a timer). Not seen: free slots in the refusing box itself; idle=1 in the reported lines was the rival's.

Open: all slots of the zone busy for over a second at such a load.

No test covers change 3 alone.

--- a/crates/daemon/src/gate.rs
+++ b/crates/daemon/src/gate.rs
@@ -1,15 +1,18 @@
 //! Admission of requests to the slots of one service.
 //!
 //! A request that finds no slot waits a short, bounded time in a bounded queue:
-//! a loan from a neighbour takes about a round trip. Then it is told no, at once, unless slots are
-//! idle and only the warming up of upstreams withholds them: these soon take one more.
+//! a loan from a neighbour takes about a round trip. Then it is told no, unless
+//!
+//! * the queue has been empty lately: requests that run longer than usual for a moment fill a
+//!   queue that empties again, while the queue of an overloaded service stands, or
+//! * slots are idle and only the warming up of upstreams withholds them: these soon take one more.
 
 use crate::control::Command;
 use crate::service::ServiceRuntime;
 use brasswinch_decide::health::{UpstreamHealth, UpstreamReport};
 use brasswinch_decide::retry_budget::RetryBudget;
 use brasswinch_decide::slots::{HoldBack, Loan, LoanTerms, Returned, SlotCounts, SlotPool};
-use brasswinch_observe::{Event, emit};
+use brasswinch_observe::{Event, emit_about};
 use brasswinch_types::{BoxId, ErrorKind, Millis, UnitTable};
 use std::collections::{BTreeSet, VecDeque};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -18,9 +21,16 @@
 
 use crate::clock::Clock;
 
-/// Least time between two requests for loans of one service.
+/// Least time between two requests for loans of one service, and the time after which a request
+/// that still waits asks again. It doubles with each time.
 const ASK_INTERVAL_MS: Millis = 10;
 
+/// How long a queue must have been non-empty to count as overload. Until then its requests wait on.
+///
+/// Requests that ran for some 100 ms instead of 5 ms on a busy machine made a service far below its
+/// load refuse others.
+const STANDING_QUEUE_MS: Millis = 1_000;
+
 /// Borrowed slots are kept this long after the last request that needed one.
 const KEEP_BORROWED_MS: Millis = 500;
 
@@ -62,9 +72,13 @@
     eligible: Vec<usize>,
     slots_per_upstream: u32,
     waiting: VecDeque<Waiter>,
+    /// Since when the queue has not been empty.
+    queued_since: Option<Millis>,
     budget: RetryBudget,
     asked_at: Millis,
     wanted_at: Millis,
+    /// When work on a slot last ended.
+    freed_at: Millis,
     closed: bool,
 }
 
@@ -78,11 +92,14 @@
     } = state.pool.counts(now);
     let (waited_ms, waiting) = (waited.as_millis(), state.waiting.len());
     let asked_ms = now.saturating_sub(state.asked_at);
-    emit(
+    let freed_ms = now.saturating_sub(state.freed_at);
+    emit_about(
         Event::SlotMissing,
+        &service.key,
         format_args!(
             "service={} waited_ms={waited_ms} held={held} idle={idle} busy={busy} \
-             borrowed={borrowed} lent={loaned} waiting={waiting} asked_ms_ago={asked_ms}",
+             borrowed={borrowed} lent={loaned} waiting={waiting} asked_ms_ago={asked_ms} \
+             freed_ms_ago={freed_ms}",
             service.key
         ),
     );
@@ -126,9 +143,11 @@
                 eligible: (0..settings.upstreams).collect(),
                 slots_per_upstream: settings.slots_per_upstream,
                 waiting: VecDeque::new(),
+                queued_since: None,
                 budget: RetryBudget::default(),
                 asked_at: 0,
                 wanted_at: 0,
+                freed_at: 0,
                 closed: false,
             }),
             clock,
@@ -151,6 +170,7 @@
                 return Err(ErrorKind::BoxLeaving);
             }
             state.budget.earn();
+            state.remove_abandoned();
             if state.waiting.is_empty()
                 && let Some(permit) = state.admit(service, now)
             {
@@ -163,13 +183,15 @@
             }
             let (answer, receiver) = oneshot::channel();
             state.waiting.push_back(Waiter { answer });
+            state.queued_since.get_or_insert(now);
             receiver
         };
         self.wait(service, until, receiver).await
     }
 
-    /// Waits for the slot that `receiver` brings: the queue's wait, and where idle slots are withheld
-    /// only while upstreams warm up, until one of these takes more.
+    /// Waits for the slot that `receiver` brings: the queue's wait, on until the queue counts as
+    /// standing, and where idle slots are withheld only while upstreams warm up, until one of these
+    /// takes more.
     async fn wait(
         &self,
         service: &Arc<ServiceRuntime>,
@@ -181,27 +203,73 @@
         let mut is_last = false;
         loop {
             let left = Duration::from_millis(until.saturating_sub(self.clock.now()));
-            match tokio::time::timeout(wait.min(left), &mut receiver).await {
-                Ok(Ok(permit)) => return Ok(permit),
-                Ok(Err(_)) => return Err(ErrorKind::BoxLeaving),
-                Err(_) => {}
+            let received = self.receive(service, &mut receiver, wait.min(left));
+            if let Some(result) = received.await {
+                return result;
             }
             // A slot that is ready by now is known to nobody yet.
-            let warm_up_wait_ms = self.change(service, |state, now| state.warm_up_wait_ms(now));
+            let (warm_up_ms, standing_ms) = self.change(service, |state, now| {
+                (state.warm_up_wait_ms(now), state.standing_wait_ms(now))
+            });
             if let Ok(permit) = receiver.try_recv() {
                 return Ok(permit);
             }
-            match warm_up_wait_ms.filter(|_| !is_last) {
-                Some(warmer_ms) => wait = Duration::from_millis(warmer_ms),
-                None => break,
+            if is_last || self.clock.now() >= until {
+                break;
             }
-            is_last = true;
+            let wait_ms = match (standing_ms, warm_up_ms) {
+                (Some(standing_ms), Some(warmer_ms)) => standing_ms.min(warmer_ms.max(1)),
+                (Some(standing_ms), None) => standing_ms,
+                (None, Some(warmer_ms)) => {
+                    is_last = true;
+                    warmer_ms
+                }
+                (None, None) => break,
+            };
+            wait = Duration::from_millis(wait_ms);
+        }
+        // After this nobody can bring a slot any more. The receiver is dropped before the lock is
+        // taken, since dropping a permit takes it too.
+        receiver.close();
+        if let Ok(permit) = receiver.try_recv() {
+            return Ok(permit);
         }
-        let (state, now) = (self.lock(), self.clock.now());
+        drop(receiver);
+        let mut state = self.lock();
+        let now = self.clock.now();
+        state.remove_abandoned();
         report_missing_slot(service, &state, now, began.elapsed());
         Err(ErrorKind::AtCapacity)
     }
 
+    /// Waits for what `receiver` brings, at most for `wait`; `None` if it brings nothing.
+    ///
+    /// Asks for loans again meanwhile: a burst's first request asks for itself alone, and a lender
+    /// grants half of its idle slots at a time.
+    async fn receive(
+        &self,
+        service: &Arc<ServiceRuntime>,
+        receiver: &mut oneshot::Receiver<Permit>,
+        wait: Duration,
+    ) -> Option<Result<Permit, ErrorKind>> {
+        let end = Instant::now() + wait;
+        let mut ask_after = Duration::from_millis(ASK_INTERVAL_MS);
+        loop {
+            let left = end.saturating_duration_since(Instant::now());
+            match tokio::time::timeout(ask_after.min(left), &mut *receiver).await {
+                Ok(Ok(permit)) => return Some(Ok(permit)),
+                Ok(Err(_)) => return Some(Err(ErrorKind::BoxLeaving)),
+                Err(_) => {}
+            }
+            if Instant::now() >= end {
+                return None;
+            }
+            let now = self.clock.now();
+            self.want_loan(&mut self.lock(), service, now);
+            ask_after *= 2;
+        }
+    }
+
     /// Takes one retry out of the budget.
     pub(crate) fn may_retry(&self) -> bool {
         self.lock().budget.spend()
@@ -360,6 +428,7 @@
 
     fn finish(&self, service: &Arc<ServiceRuntime>, slot: u32, upstream: usize) {
         let returned = self.change(service, |state, now| {
+            state.freed_at = now;
             if let Some(health) = state.health.get_mut(upstream) {
                 health.finished();
             }
@@ -445,12 +514,29 @@
         warming.min()
     }
 
+    /// How long it takes until the queue counts as standing, in milliseconds.
+    fn standing_wait_ms(&self, now: Millis) -> Option<Millis> {
+        let since = self.queued_since?;
+        let left = (since + STANDING_QUEUE_MS).saturating_sub(now);
+        (left > 0).then_some(left)
+    }
+
+    /// Takes requests out of the queue that wait no longer. Left in, they would be counted against
+    /// the queue's bound and have slots borrowed for them.
+    fn remove_abandoned(&mut self) {
+        self.waiting.retain(|waiter| !waiter.answer.is_closed());
+        if self.waiting.is_empty() {
+            self.queued_since = None;
+        }
+    }
+
     fn serve_waiters(
         &mut self,
         service: &Arc<ServiceRuntime>,
         now: Millis,
         unclaimed: &mut Vec<Permit>,
     ) {
+        self.remove_abandoned();
         while !self.waiting.is_empty() {
             let Some(permit) = self.admit(service, now) else {
                 return;
@@ -463,5 +549,6 @@
                 unclaimed.push(permit);
             }
         }
+        self.queued_since = None;
     }
 }
--- a/crates/daemon/src/traffic/proxy.rs
+++ b/crates/daemon/src/traffic/proxy.rs
@@ -16,7 +16,7 @@
 use crate::service::ServiceRuntime;
 use brasswinch_decide::health::UpstreamReport;
 use brasswinch_decide::members::BoxState;
-use brasswinch_observe::{Event, emit};
+use brasswinch_observe::{Event, emit, emit_about};
 use brasswinch_types::{
     Class, ErrorKind, Millis, OnceProof, Ran, UpstreamRest, UpstreamSignal, only_value,
 };
@@ -292,8 +292,9 @@
         }
         if !permit.may_send(now) {
             let service = &self.service.key;
-            emit(
+            emit_about(
                 Event::SlotMissing,
+                service,
                 format_args!("service={service} borrowed slot given back before it was used"),
             );
             return Err(Failure {
--- a/crates/settings/src/loans.rs
+++ b/crates/settings/src/loans.rs
@@ -14,7 +14,8 @@
     pub margin_ms: u64,
     /// Time after a restart in which work of the earlier run may still end, in milliseconds.
     pub orphan_grace_ms: u64,
-    /// Longest wait of a request for a slot, in milliseconds.
+    /// Longest wait of a request for a slot while others have been waiting for a second, in
+    /// milliseconds.
     pub queue_wait_ms: u64,
 }
 
--- a/crates/settings/src/reference.rs
+++ b/crates/settings/src/reference.rs
@@ -78,7 +78,7 @@
     number("loans.term_ms", "ms", 50, 600_000, "Time from asking in which a borrower may start work."),
     number("loans.margin_ms", "ms", 0, 600_000, "Allowance for clocks that differ and late cancellation."),
     number("loans.orphan_grace_ms", "ms", 0, 600_000, "Time after a restart in which work of the earlier run may still end."),
-    number("loans.queue_wait_ms", "ms", 0, 10_000, "Longest wait of a request for a slot."),
+    number("loans.queue_wait_ms", "ms", 0, 10_000, "Longest wait of a request for a slot while others have been waiting for a second."),
     number("limits.requests_per_workspace", "requests", 1, 1_000_000, "Most requests of one workspace on this box at a time."),
     number("limits.waiting_per_service", "requests", 0, 100_000, "Most requests of one service that wait for a slot here."),
     number("limits.lookup_ttl_ms", "ms", 0, 600_000, "How long callers may keep a look-up's answer."),
