Look-ups: less work per decision, absurd bandwidths among equal boxes

A box with an absurd bandwidth among equal ones was in each answer of a zone with more than 64 boxes; this was so before sizes were compared, too.

Change: sizes are limited resource by resource, drawn boxes are marked, and only the first 64 of evenly sized boxes are sorted. An absurd bandwidth among equal boxes counts as the slowest valid one.

The goal of 10 µs is not reached.

--- a/crates/routing/src/look_up/capacity.rs
+++ b/crates/routing/src/look_up/capacity.rs
@@ -43,38 +43,26 @@
 impl BoxResources {
     /// Whether a published size is zero or absurd.
     pub fn has_invalid(&self) -> bool {
-        self.readings().contains(&Reading::Invalid)
+        let published = [
+            (self.link_mbps(), MAX_LINK_MBPS),
+            (self.cpu_millis, MAX_CPU_MILLIS),
+            (self.memory_mb, MAX_MEMORY_MB),
+            (self.max_connections, MAX_CONNECTIONS),
+        ];
+        let mut known = published
+            .iter()
+            .filter_map(|(value, max)| Some(((*value)?, *max)));
+        known.any(|(value, max)| !is_valid(value, max))
     }
 
-    fn readings(&self) -> [Reading; 4] {
-        let link = Some(self.link_mbps).filter(|mbps| *mbps > 0);
-        [
-            Reading::new(link, MAX_LINK_MBPS),
-            Reading::new(self.cpu_millis, MAX_CPU_MILLIS),
-            Reading::new(self.memory_mb, MAX_MEMORY_MB),
-            Reading::new(self.max_connections, MAX_CONNECTIONS),
-        ]
+    /// Returns the bandwidth of the link in Mbit/s, or `None` if it is unknown.
+    fn link_mbps(&self) -> Option<u32> {
+        Some(self.link_mbps).filter(|mbps| *mbps > 0)
     }
 }
 
-/// One size of a box.
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Reading {
-    /// Not published, for example by an older build.
-    Missing,
-    /// Published, but zero or absurd.
-    Invalid,
-    Valid(f64),
-}
-
-impl Reading {
-    fn new(published: Option<u32>, max: u32) -> Self {
-        match published {
-            None => Self::Missing,
-            Some(value) if value == 0 || value > max => Self::Invalid,
-            Some(value) => Self::Valid(f64::from(value)),
-        }
-    }
+fn is_valid(value: u32, max: u32) -> bool {
+    (1..=max).contains(&value)
 }
 
 /// The sizes of candidates: for each the minimum of (own value / largest value) over the resources
@@ -87,15 +75,14 @@
 
 impl Sizes {
     pub(super) fn of(candidates: &[&CandidateBox]) -> Self {
-        let readings: Vec<[Reading; 4]> = candidates
-            .iter()
-            .map(|candidate| candidate.resources.readings())
-            .collect();
-        let scales = std::array::from_fn(|resource| scale(&readings, resource));
-        let mut by_candidate: Vec<f64> = readings
-            .iter()
-            .map(|readings| relative_size(readings, &scales))
-            .collect();
+        let mut by_candidate = vec![f64::INFINITY; candidates.len()];
+        let sizes = &mut by_candidate;
+        limit(sizes, candidates, MAX_LINK_MBPS, BoxResources::link_mbps);
+        limit(sizes, candidates, MAX_CPU_MILLIS, |own| own.cpu_millis);
+        limit(sizes, candidates, MAX_MEMORY_MB, |own| own.memory_mb);
+        limit(sizes, candidates, MAX_CONNECTIONS, |own| {
+            own.max_connections
+        });
         // A box without any valid size counts as the smallest: it isn't overloaded if it is
         // small, and still serves if it is large.
         let smallest = by_candidate.iter().copied().fold(f64::INFINITY, f64::min);
@@ -125,8 +112,9 @@
         self.by_candidate[index] > self.largest * LARGE_PART
     }
 
-    pub(super) fn of_candidate(&self, index: usize) -> f64 {
-        self.by_candidate[index]
+    /// Returns the sizes in the order of the candidates.
+    pub(super) fn into_values(self) -> Vec<f64> {
+        self.by_candidate
     }
 
     /// Returns the weights for selection: the sizes, reduced for boxes that report to be busy.
@@ -140,28 +128,41 @@
     }
 }
 
-/// Returns the largest valid value of a resource, or `None` if the resource can't be compared.
-fn scale(readings: &[[Reading; 4]], resource: usize) -> Option<f64> {
-    let mut largest = None;
-    for readings in readings {
-        match readings[resource] {
-            Reading::Missing => return None,
-            Reading::Invalid => {}
-            Reading::Valid(value) => largest = Some(value.max(largest.unwrap_or(0.0))),
-        }
-    }
-    largest
+/// Returns the bandwidths as weights for evenly sized boxes. Boxes with unknown bandwidth count as
+/// equal; one with an absurd bandwidth counts as the slowest valid one.
+pub(super) fn link_weights(candidates: &[&CandidateBox]) -> Vec<f64> {
+    let published = candidates
+        .iter()
+        .map(|candidate| candidate.resources.link_mbps);
+    let valid = published.clone().filter(|mbps| *mbps <= MAX_LINK_MBPS);
+    let slowest = valid.min().unwrap_or(1);
+    let sane = published.map(|mbps| if mbps <= MAX_LINK_MBPS { mbps } else { slowest });
+    sane.map(|mbps| f64::from(mbps.max(1))).collect()
 }
 
-/// Returns the minimum over the valid resources; infinite if there are none.
-fn relative_size(readings: &[Reading; 4], scales: &[Option<f64>; 4]) -> f64 {
-    let mut size = f64::INFINITY;
-    for (reading, scale) in readings.iter().zip(scales) {
-        if let (Reading::Valid(value), Some(largest)) = (reading, scale) {
-            size = size.min(value / largest);
+/// Limits the candidates' sizes to their part of a resource's largest valid value, unless a
+/// candidate didn't publish the resource, as older builds don't. `max` is the largest valid value.
+fn limit(
+    sizes: &mut [f64],
+    candidates: &[&CandidateBox],
+    max: u32,
+    published: impl Fn(&BoxResources) -> Option<u32>,
+) {
+    let mut largest = 0;
+    for candidate in candidates {
+        let Some(value) = published(&candidate.resources) else {
+            return;
+        };
+        if is_valid(value, max) {
+            largest = largest.max(value);
+        }
+    }
+    for (size, candidate) in sizes.iter_mut().zip(candidates) {
+        let value = published(&candidate.resources);
+        if let Some(value) = value.filter(|value| is_valid(*value, max)) {
+            *size = size.min(f64::from(value) / f64::from(largest));
         }
     }
-    size
 }
 
 /// Raises values to the minimum relative to the largest, which is returned.
--- a/crates/routing/src/look_up/mod.rs
+++ b/crates/routing/src/look_up/mod.rs
@@ -15,7 +15,7 @@
 pub use capacity::BoxResources;
 
 use brasswinch_types::Zone;
-use capacity::Sizes;
+use capacity::{Sizes, link_weights};
 use rand::{Rng, RngExt};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -51,13 +51,6 @@
     pub is_cut_off: bool,
 }
 
-impl CandidateBox {
-    /// The weight among evenly sized boxes. Boxes with unknown bandwidth count as equal.
-    fn link_weight(&self) -> f64 {
-        f64::from(self.resources.link_mbps.max(1))
-    }
-}
-
 /// The boxes in an answer.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Selection {
@@ -76,7 +69,10 @@
     let usable = usable_boxes(region_boxes);
     let in_zone = usable.iter().filter(|candidate| &candidate.zone == zone);
     let own: Vec<&CandidateBox> = in_zone.copied().collect();
-    let stays_in_zone = own.len() >= MIN_ZONE_BOXES && !is_overloaded(&usable, zone);
+    // A zone without others has the average load.
+    let has_other_zones = own.len() < usable.len();
+    let is_overloaded = || has_other_zones && is_overloaded(&usable, zone);
+    let stays_in_zone = own.len() >= MIN_ZONE_BOXES && !is_overloaded();
     draw(if stays_in_zone { &own } else { &usable }, random)
 }
 
@@ -93,9 +89,13 @@
 /// Whether the zone's load per unit of size exceeds the region's average by the overload ratio.
 fn is_overloaded(region_boxes: &[&CandidateBox], zone: &Zone) -> bool {
     let sizes = Sizes::of(region_boxes);
-    let is_even = sizes.are_even();
+    let weights = if sizes.are_even() {
+        link_weights(region_boxes)
+    } else {
+        sizes.into_values()
+    };
     let mut loads: BTreeMap<&Zone, (f64, f64)> = BTreeMap::new();
-    for (index, candidate) in region_boxes.iter().enumerate() {
+    for (candidate, weight) in region_boxes.iter().zip(weights) {
         // The rate comes from other boxes; an invalid one counts as missing.
         let reported = candidate.requests_per_s;
         let Some(rate) = reported.filter(|rate| rate.is_finite() && *rate >= 0.0) else {
@@ -103,11 +103,7 @@
         };
         let (rates, weights) = loads.entry(&candidate.zone).or_default();
         *rates += f64::from(rate);
-        *weights += if is_even {
-            candidate.link_weight()
-        } else {
-            sizes.of_candidate(index)
-        };
+        *weights += weight;
     }
     let per_size = |(rates, weights): &(f64, f64)| rates / weights;
     let Some(own) = loads.get(zone).map(per_size) else {
@@ -141,15 +137,16 @@
     if candidates.len() <= MAX_LISTED_BOXES {
         return (0..candidates.len()).collect();
     }
-    let mut drawn: Vec<(f64, usize)> = candidates
-        .iter()
+    let mut drawn: Vec<(f64, usize)> = link_weights(candidates)
+        .into_iter()
         .enumerate()
-        .map(|(index, candidate)| {
+        .map(|(index, weight)| {
             let uniform: f64 = random.random();
-            (uniform.powf(1.0 / candidate.link_weight()), index)
+            (uniform.powf(1.0 / weight), index)
         })
         .collect();
-    drawn.sort_by(|a, b| b.0.total_cmp(&a.0));
+    drawn.select_nth_unstable_by(MAX_LISTED_BOXES, |a, b| b.0.total_cmp(&a.0));
     drawn.truncate(MAX_LISTED_BOXES);
+    drawn.sort_by(|a, b| b.0.total_cmp(&a.0));
     drawn.into_iter().map(|(_, index)| index).collect()
 }
--- a/crates/routing/src/look_up/sample.rs
+++ b/crates/routing/src/look_up/sample.rs
@@ -28,7 +28,13 @@
     if large.len() <= count / 2 {
         return drawn;
     }
-    order.retain(|index| !sizes.is_large(*index) && !others.contains(index));
+    let mut is_candidate: Vec<bool> = (0..capacities.len())
+        .map(|index| !sizes.is_large(index))
+        .collect();
+    for index in &others {
+        is_candidate[*index] = false;
+    }
+    order.retain(|index| is_candidate[*index]);
     let replaced = (large.len() - count / 2).min(order.len());
     // The drawn boxes are in random order.
     large.truncate(large.len() - replaced);
@@ -77,11 +83,14 @@
         }
     }
     // A sum that is too small by a rounding error may leave out the last box.
-    let missing = count - drawn.len();
-    let left: Vec<usize> = order.iter().rev().copied().collect();
-    let left = left.into_iter().filter(|index| !drawn.contains(index));
-    let left: Vec<usize> = left.take(missing).collect();
-    drawn.extend(left);
+    for index in order.iter().rev() {
+        if drawn.len() == count {
+            break;
+        }
+        if !drawn.contains(index) {
+            drawn.push(*index);
+        }
+    }
     drawn
 }
 
--- a/crates/routing/tests/look_up_capacity.rs
+++ b/crates/routing/tests/look_up_capacity.rs
@@ -188,21 +188,26 @@
     }
 }
 
-/// Prints the time of one decision; the goal is 10 µs in an optimized build.
+/// Prints the time of one decision; the goal is 10 µs in an optimized build. The fastest of several
+/// batches is the one that other programs disturbed least.
 #[test]
 fn time_per_decision() {
-    const DECISIONS: u32 = 200;
+    const BATCHES: u32 = 20;
+    const DECISIONS: u32 = 20;
     let mut random = random();
     for (name, boxes) in [
         ("985 uneven boxes in one zone", one_zone(985, fleet_mbps)),
         ("985 even boxes in one zone", one_zone(985, |_| 100)),
         ("a third of 985 uneven boxes, in two zones", region_of(985)),
     ] {
-        let started = Instant::now();
-        for _ in 0..DECISIONS {
-            std::hint::black_box(listed(&boxes, 0, &mut random));
-        }
-        let took = started.elapsed() / DECISIONS;
-        println!("{name}: {took:?} per decision");
+        let batches = (0..BATCHES).map(|_| {
+            let started = Instant::now();
+            for _ in 0..DECISIONS {
+                std::hint::black_box(listed(&boxes, 0, &mut random));
+            }
+            started.elapsed() / DECISIONS
+        });
+        let fastest = batches.min().unwrap();
+        println!("{name}: {fastest:?} per decision");
     }
 }
--- a/crates/routing/tests/look_up_sizes.rs
+++ b/crates/routing/tests/look_up_sizes.rs
@@ -77,6 +77,17 @@
     }
 }
 
+/// Guards against one box with an absurd bandwidth that is in each answer of a large zone of equal
+/// boxes, or in none.
+#[test]
+fn an_absurd_bandwidth_among_equal_boxes_draws_no_callers() {
+    let mut boxes = one_zone(300, |_| 100);
+    boxes[7].resources.link_mbps = u32::MAX;
+    let shares = shares(&boxes, &mut random());
+    let ratio = shares[&boxes[7].address] * 300.0;
+    assert!((0.8..1.25).contains(&ratio), "{ratio}");
+}
+
 /// Guards against busy boxes that get as many callers as idle ones, or none at all.
 #[test]
 fn utilization_reduces_the_share_of_a_box() {
