quota: withdraw a request that is refused after a repeated query

A late refusal of the first query ended the request at its box while the coordinator queued and granted the repeat, so that the grant's token was lost.

--- a/crates/edge/src/quota_admission.rs
+++ b/crates/edge/src/quota_admission.rs
@@ -7,7 +7,7 @@
 use crate::grant_replies::GrantReceiver;
 use brasswinch_routing::{
     Admission, KnownWorkspace, QueuedGrant, QuotaClass, QuotaLimit, QuotaReply, Route,
-    ToCoordinator,
+    ToCoordinator, UndecidedGrant,
 };
 use brasswinch_types::{Millis, Workspace};
 use std::net::SocketAddr;
@@ -133,7 +133,7 @@
     class: QuotaClass,
     replies: GrantReceiver<'a>,
     /// What the coordinator may have queued or granted.
-    undecided: Option<QueuedGrant>,
+    undecided: UndecidedGrant,
     has_waited: bool,
 }
 
@@ -149,7 +149,7 @@
             limit,
             class,
             replies,
-            undecided: None,
+            undecided: UndecidedGrant::default(),
             has_waited: false,
         }
     }
@@ -157,6 +157,7 @@
     /// Returns whether the request may be sent, after as many messages and as long a wait as that
     /// takes: a query, one more if no reply comes, a wait, and one query after it.
     async fn decide(mut self, first: Admission) -> Admission {
+        self.undecided.record_decision(&first);
         let mut admission = first;
         let mut is_last = false;
         loop {
@@ -174,7 +175,7 @@
                 Admission::Send(message) => {
                     // This box's own share may have admitted it. The coordinator then keeps a
                     // grant whose reply was lost, which errs towards fewer requests.
-                    self.undecided = None;
+                    self.undecided.take();
                     return Admission::Send(message);
                 }
                 refused @ Admission::Refuse { .. } => return refused,
@@ -184,7 +185,7 @@
 
     /// Sends a query and waits for the reply.
     async fn query(&mut self, query: ToCoordinator, is_last: bool) -> Admission {
-        self.undecided = Some(QueuedGrant::from(&query));
+        self.undecided.record_query(&query);
         let datagram = Datagram::QuotaCount(query.count.clone());
         self.context.send_datagram(&datagram, query.address);
         let deadline = Instant::now() + REPLY_TIMEOUT;
@@ -203,7 +204,6 @@
     /// Waits for the reply that follows the one that the request waits.
     async fn wait(&mut self, queued: QueuedGrant) -> Admission {
         self.has_waited = true;
-        self.undecided = Some(queued.clone());
         let left_ms = queued.until.saturating_sub(self.context.clock.now());
         let deadline = Instant::now() + Duration::from_millis(left_ms);
         while let Some(reply) = self.replies.next_until(deadline).await {
@@ -221,9 +221,7 @@
         let now = self.context.clock.now();
         let mut quotas = self.context.quotas.quotas();
         let admission = quotas.handle_grant_reply(reply, from, self.class, rand::random(), now);
-        if !matches!(admission, Admission::Wait(_)) {
-            self.undecided = None;
-        }
+        self.undecided.record_decision(&admission);
         admission
     }
 }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -65,7 +65,7 @@
 };
 pub use quota::{
     Admission, QueuedGrant, QueuedReply, QuotaBounds, QuotaBox, QuotaClass, QuotaClassStatus,
-    QuotaCount, QuotaLoan, QuotaReply, QuotaStatus, Quotas, ToCoordinator,
+    QuotaCount, QuotaLoan, QuotaReply, QuotaStatus, Quotas, ToCoordinator, UndecidedGrant,
 };
 pub use region_plan::{RegionCapacity, RegionPlan};
 pub use rendezvous::{object_hash, weighted_score};
--- a/crates/routing/src/quota/class.rs
+++ b/crates/routing/src/quota/class.rs
@@ -1,7 +1,7 @@
 //! The classes of requests that compete for a workspace's quota.
 
-use super::ToCoordinator;
 use super::message::QuotaCount;
+use super::{Admission, ToCoordinator};
 use crate::rendezvous::object_hash;
 use brasswinch_types::{Millis, Workspace};
 use std::net::SocketAddr;
@@ -85,3 +85,41 @@
         }
     }
 }
+
+/// What a coordinator may still have queued or granted for one request, to be withdrawn if the
+/// request ends without being sent.
+#[derive(Debug, Default)]
+pub struct UndecidedGrant {
+    queued: Option<QueuedGrant>,
+    /// Queries sent to the coordinator that `queued` names.
+    queries: u32,
+}
+
+impl UndecidedGrant {
+    /// Records that `query` is sent.
+    pub fn record_query(&mut self, query: &ToCoordinator) {
+        let is_repeat = self
+            .queued
+            .as_ref()
+            .is_some_and(|queued| queued.address == query.address);
+        self.queries = if is_repeat { self.queries + 1 } else { 1 };
+        self.queued = Some(QueuedGrant::from(query));
+    }
+
+    /// Records the decision that a coordinator's reply led to. A refusal may answer an earlier
+    /// query than the last one, which the coordinator may queue or grant, so it is final only if
+    /// one query was sent.
+    pub fn record_decision(&mut self, admission: &Admission) {
+        match admission {
+            Admission::Wait(queued) => self.queued = Some(queued.clone()),
+            Admission::Refuse { .. } if self.queries > 1 => {}
+            Admission::Send(_) | Admission::Refuse { .. } => self.queued = None,
+            Admission::Ask(_) => {}
+        }
+    }
+
+    /// Takes what is to be withdrawn.
+    pub fn take(&mut self) -> Option<QueuedGrant> {
+        self.queued.take()
+    }
+}
--- a/crates/routing/src/quota/mod.rs
+++ b/crates/routing/src/quota/mod.rs
@@ -48,7 +48,7 @@
 pub use bounds::QuotaBounds;
 use brasswinch_types::{BoxId, Millis, Workspace};
 use class::MAX_WAIT_MS;
-pub use class::{QueuedGrant, QuotaClass};
+pub use class::{QueuedGrant, QuotaClass, UndecidedGrant};
 use coordinator::QuotaCoordinator;
 pub use fleet::QuotaBox;
 pub use loan::QuotaLoan;
--- a/crates/routing/tests/quota_waiting.rs
+++ b/crates/routing/tests/quota_waiting.rs
@@ -4,7 +4,7 @@
 
 use brasswinch_routing::{
     Admission, KnownSize, QueuedGrant, QueuedReply, QuotaBounds, QuotaBox, QuotaClass, QuotaCount,
-    QuotaLimit, QuotaLoan, QuotaReply, Quotas, ToCoordinator,
+    QuotaLimit, QuotaLoan, QuotaReply, Quotas, ToCoordinator, UndecidedGrant,
 };
 use brasswinch_types::{BoxId, Workspace};
 use std::net::SocketAddr;
@@ -405,3 +405,43 @@
     println!("{per_decision:?} per decision with {MAX_WAITING} waiting requests");
     assert!(!quotas.take_grants(START_MS + 100).is_empty());
 }
+
+/// Guards against a token that is lost after a repeated query: the coordinator refuses the first
+/// query and queues the repeat, and the box, which reads the late refusal, withdraws nothing.
+#[test]
+fn a_refused_request_leaves_its_repeat_in_the_queue() {
+    let mut coordinator = empty_coordinator();
+    let mut quotas = Quotas::new(quota_box(1).id, BOUNDS);
+    quotas.set_fleet_size(KnownSize::Reported(2));
+    quotas.set_boxes(vec![quota_box(0)], 2, 1);
+    let class = class(7, 300);
+    let admission = quotas.admit(&workspace(), LIMIT, class, 1, 0.5, START_MS);
+    let Admission::Ask(query) = admission else {
+        panic!("a query");
+    };
+    let mut undecided = UndecidedGrant::default();
+    undecided.record_query(&query);
+    // Shares the rate, so that the request would wait for too long.
+    ask(&mut coordinator, count(9, 9, 500), START_MS);
+    let refusal = ask(&mut coordinator, query.count.clone(), START_MS);
+    assert_eq!((refusal.is_granted, refusal.wait_ms), (false, None));
+    coordinator.handle_count(&withdrawal(9), address(1), LIMIT, START_MS + 50);
+    undecided.record_query(&query);
+    let repeat = ask(&mut coordinator, query.count, START_MS + 60);
+    assert!(repeat.wait_ms.is_some());
+    let admission = quotas.handle_grant_reply(&refusal, address(0), class, 0.5, START_MS + 65);
+    assert!(matches!(admission, Admission::Refuse { .. }));
+    undecided.record_decision(&admission);
+    let queued = undecided.take().expect("an undecided request");
+    let withdrawal = quotas.withdraw(&queued, START_MS + 65).expect("a message");
+    coordinator.handle_count(&withdrawal.count, address(1), LIMIT, START_MS + 70);
+    assert_eq!(decided(&mut coordinator, START_MS + 600), (vec![], vec![]));
+
+    // After a single query, the refusal is final.
+    undecided.record_query(&ToCoordinator {
+        address: address(0),
+        count: count(2, 7, 200),
+    });
+    undecided.record_decision(&admission);
+    assert_eq!(undecided.take(), None);
+}
