quota: a former coordinator's refusals start no local refusals

A box that stops being the coordinator refuses all requests that wait, which started local refusals at all their boxes. A request that may wait now asks the current coordinator once instead.

--- a/crates/edge/src/quota_admission.rs
+++ b/crates/edge/src/quota_admission.rs
@@ -212,6 +212,8 @@
             }
             return self.handle_reply(&reply, queued.address);
         }
+        // The query that follows is the last one.
+        self.class.max_wait_ms = 0;
         let now = self.context.clock.now();
         let mut quotas = self.context.quotas.quotas();
         quotas.handle_wait_end(queued, self.limit, rand::random(), now)
--- a/crates/routing/src/quota/mod.rs
+++ b/crates/routing/src/quota/mod.rs
@@ -217,7 +217,9 @@
 
     /// Handles the reply of the coordinator at `from` to a request of `class` that needs a grant.
     /// Returns whether the request may be sent, waits for a second reply, or when the client
-    /// should retry.
+    /// should retry. If a former coordinator refused a request that may wait, its wait ends at
+    /// once, so that [`Quotas::handle_wait_end`] asks the current one. After that query the caller
+    /// passes a `class` whose requests may not wait, so that there is only one.
     pub fn handle_grant_reply(
         &mut self,
         reply: &QuotaReply,
@@ -229,7 +231,8 @@
         let workspace = &reply.workspace;
         let me = self.me.clone();
         let coordinator = self.coordinator(workspace);
-        let is_own = coordinator.is_some_and(|it| it.id == me && it.address == from);
+        let is_current = coordinator.is_some_and(|it| it.address == from);
+        let is_own = is_current && coordinator.is_some_and(|it| it.id == me);
         let local = self.local_quotas.entry(workspace.clone()).or_default();
         local.handle_reply(reply, from, now);
         let local_class = local.class(class.class);
@@ -244,14 +247,25 @@
                 until: now + class.max_wait_ms.min(MAX_WAIT_MS) + grace_ms,
             });
         }
+        if !is_current && !reply.is_granted && class.max_wait_ms > 0 {
+            // The end of the wait asks the current coordinator.
+            return Admission::Wait(QueuedGrant {
+                id: reply.id,
+                address: from,
+                workspace: workspace.clone(),
+                class,
+                until: now,
+            });
+        }
         local_class.stop_waiting(reply.id, reply.is_granted);
         if reply.is_granted {
             local_class.count_granted();
             return Admission::Send(None);
         }
         local_class.count_refused();
-        // A box asks itself at no cost.
-        if !is_own {
+        // A box asks itself at no cost. A former coordinator, which refuses all that wait, doesn't
+        // know what the current one would grant.
+        if is_current && !is_own {
             local_class.start_local_refusal(reply.retry_after_ms, random, now);
         }
         Admission::Refuse {
--- a/crates/routing/tests/quota_waiting.rs
+++ b/crates/routing/tests/quota_waiting.rs
@@ -445,3 +445,53 @@
     undecided.record_decision(&admission);
     assert_eq!(undecided.take(), None);
 }
+
+/// Guards against a former coordinator whose refusals keep boxes from asking the current one, and
+/// against requests that ask again and again while the coordinator changes.
+#[test]
+fn a_former_coordinator_s_refusal_starts_local_refusals() {
+    let mut quotas = Quotas::new(quota_box(0).id, BOUNDS);
+    quotas.set_fleet_size(KnownSize::Reported(3));
+    quotas.set_boxes(vec![quota_box(1)], 3, 1);
+    let patient = class(7, 200);
+    let admission = quotas.admit(&workspace(), LIMIT, patient, 1, 0.5, START_MS);
+    assert!(matches!(admission, Admission::Ask(query) if query.address == address(1)));
+    quotas.set_boxes(vec![quota_box(2)], 3, START_MS + 1);
+    let refusal = QuotaReply {
+        id: 1,
+        workspace: workspace(),
+        is_granted: false,
+        is_near_limit: true,
+        retry_after_ms: 900,
+        stamp: 1,
+        wait_ms: None,
+    };
+    let now = START_MS + 2;
+    let ended = quotas.handle_grant_reply(&refusal, address(1), patient, 0.5, now);
+    let Admission::Wait(queued) = ended else {
+        panic!("{ended:?}");
+    };
+    assert_eq!((queued.id, queued.until), (1, now));
+    let asked = quotas.handle_wait_end(queued, LIMIT, 0.5, now);
+    let Admission::Ask(query) = asked else {
+        panic!("{asked:?}");
+    };
+    assert_eq!((query.address, query.count.id), (address(2), 1));
+    assert_eq!(query.count.max_wait_ms, 0);
+    let mut asks_first = |id, now| {
+        let admission = quotas.admit(&workspace(), LIMIT, patient, id, 0.5, now);
+        matches!(admission, Admission::Ask(_))
+    };
+    assert!(asks_first(2, now), "no local refusal");
+    quotas.set_boxes(vec![quota_box(3)], 3, now + 1);
+    let refused = quotas.handle_grant_reply(&refusal, address(2), class(7, 0), 0.5, now + 2);
+    assert!(matches!(refused, Admission::Refuse { .. }), "{refused:?}");
+    let admission = quotas.admit(&workspace(), LIMIT, patient, 3, 0.5, now + 3);
+    assert!(matches!(admission, Admission::Ask(_)), "{admission:?}");
+    quotas.handle_grant_reply(&refusal, address(3), patient, 0.5, now + 4);
+    let admission = quotas.admit(&workspace(), LIMIT, patient, 4, 0.5, now + 5);
+    assert!(
+        matches!(admission, Admission::Refuse { .. }),
+        "{admission:?}"
+    );
+}
