--- a/crates/routing/src/quota/class.rs
+++ b/crates/routing/src/quota/class.rs
@@ -23,6 +23,8 @@
     pub priority: u32,
     /// Longest time that the request may wait for a grant, in milliseconds; 0 if it may not wait.
     pub max_wait_ms: Millis,
+    /// Whether the request's deadline allows less than its class's full wait.
+    pub is_wait_shortened: bool,
 }
 
 impl QuotaClass {
@@ -33,6 +35,7 @@
             class: object_hash("quota-class", name.as_bytes()).max(1),
             priority,
             max_wait_ms: 0,
+            is_wait_shortened: false,
         }
     }
 
@@ -40,9 +43,11 @@
     /// both in milliseconds.
     #[must_use]
     pub fn waiting_within(self, latency_goal_ms: Millis, left_ms: Millis) -> Self {
-        let max_wait_ms = latency_goal_ms.min(left_ms) / WAIT_DIVISOR;
+        let full_wait_ms = (latency_goal_ms / WAIT_DIVISOR).min(MAX_WAIT_MS);
+        let max_wait_ms = full_wait_ms.min(left_ms / WAIT_DIVISOR);
         Self {
-            max_wait_ms: max_wait_ms.min(MAX_WAIT_MS),
+            max_wait_ms,
+            is_wait_shortened: max_wait_ms < full_wait_ms,
             ..self
         }
     }
@@ -53,6 +58,7 @@
             class: count.class,
             priority: count.priority,
             max_wait_ms: count.max_wait_ms.min(MAX_WAIT_MS),
+            is_wait_shortened: false,
         }
     }
 }
--- a/crates/routing/src/quota/local_class.rs
+++ b/crates/routing/src/quota/local_class.rs
@@ -49,6 +49,11 @@
         self.refuse_until = now + with_jitter(LOCAL_REFUSAL_MS, random);
     }
 
+    /// Ends such a period: requests of the class are granted or may wait again.
+    pub(super) fn end_local_refusal(&mut self) {
+        self.refuse_until = 0;
+    }
+
     pub(super) fn take_refused_locally(&mut self) -> u32 {
         std::mem::take(&mut self.refused_locally)
     }
--- a/crates/routing/src/quota/mod.rs
+++ b/crates/routing/src/quota/mod.rs
@@ -238,6 +238,7 @@
         let local_class = local.class(class.class);
         if reply.wait_ms.is_some() && !reply.is_granted && class.max_wait_ms > 0 {
             local_class.wait(reply.id);
+            local_class.end_local_refusal();
             let grace_ms = if is_own { 0 } else { QUEUED_REPLY_GRACE_MS };
             return Admission::Wait(QueuedGrant {
                 id: reply.id,
@@ -260,12 +261,14 @@
         local_class.stop_waiting(reply.id, reply.is_granted);
         if reply.is_granted {
             local_class.count_granted();
+            local_class.end_local_refusal();
             return Admission::Send(None);
         }
         local_class.count_refused();
         // A box asks itself at no cost. A former coordinator, which refuses all that wait, doesn't
-        // know what the current one would grant.
-        if is_current && !is_own {
+        // know what the current one would grant. A request with a shorter wait than others of its
+        // class may be refused where they would wait.
+        if is_current && !is_own && !class.is_wait_shortened {
             local_class.start_local_refusal(reply.retry_after_ms, random, now);
         }
         Admission::Refuse {
--- a/crates/routing/tests/quota_waiting.rs
+++ b/crates/routing/tests/quota_waiting.rs
@@ -67,6 +67,7 @@
         class,
         priority: 0,
         max_wait_ms,
+        is_wait_shortened: false,
     }
 }
 
@@ -495,3 +496,41 @@
         "{admission:?}"
     );
 }
+
+/// Guards against a request with a short deadline whose refusal keeps the box from asking for
+/// others of its class, and against local refusals that last while the coordinator grants requests
+/// of the class or lets them wait.
+#[test]
+fn a_short_deadline_blocks_a_class() {
+    let mut quotas = Quotas::new(quota_box(0).id, BOUNDS);
+    quotas.set_fleet_size(KnownSize::Reported(2));
+    quotas.set_boxes(vec![quota_box(1)], 2, 1);
+    let route = QuotaClass::of_route("look-ups", 0);
+    let (full, short) = (
+        route.waiting_within(800, 6_000),
+        route.waiting_within(800, 4),
+    );
+    assert_eq!(short.max_wait_ms, 1);
+    let mut is_asked = |class, is_granted, wait_ms, id, now| {
+        let admission = quotas.admit(&workspace(), LIMIT, class, id, 0.5, now);
+        let reply = QuotaReply {
+            id,
+            workspace: workspace(),
+            is_granted,
+            is_near_limit: true,
+            retry_after_ms: 900,
+            stamp: 1,
+            wait_ms,
+        };
+        quotas.handle_grant_reply(&reply, address(1), class, 0.5, now);
+        matches!(admission, Admission::Ask(_))
+    };
+    assert!(is_asked(short, false, None, 1, START_MS));
+    assert!(is_asked(full, false, None, 2, START_MS + 1));
+    // The refusal of a request with the full wait starts local refusals; a grant, or a reply that
+    // a request waits, ends them.
+    for (is_granted, wait_ms) in [(true, None), (false, Some(50))] {
+        assert!(!is_asked(full, is_granted, wait_ms, 3, START_MS + 2));
+        assert!(is_asked(full, false, None, 4, START_MS + 3));
+    }
+}
