quota: predict waits by the bucket's debt and the joined weights

The predicted wait ignored a negative bucket level, and weighed a class that is more urgent than all that wait against weights relative to those.

--- a/crates/routing/src/fair_queue.rs
+++ b/crates/routing/src/fair_queue.rs
@@ -201,12 +201,13 @@
     }
 
     /// Predicts how long an item that is pushed now waits, in milliseconds, where `rate_per_s`
-    /// items are popped per second: by the backlog of its class and the share of the rate that
-    /// `weight` gives it among the classes that have items.
-    pub fn wait_ms(&self, class: u64, weight: f64, rate_per_s: f64) -> Millis {
-        let weight = valid_weight(weight);
-        let others = self.classes.iter().filter(|(other, _)| **other != class);
-        let other_weights: f64 = others.map(|(_, held)| held.weight).sum();
+    /// items are popped per second: by the backlog of its class and the share of the rate that it
+    /// has among the classes that have items. `weight_of` returns the weights that the classes have
+    /// once the item is pushed.
+    pub fn wait_ms(&self, class: u64, weight_of: impl Fn(u64) -> f64, rate_per_s: f64) -> Millis {
+        let weight = valid_weight(weight_of(class));
+        let others = self.classes.keys().filter(|other| **other != class);
+        let other_weights: f64 = others.map(|other| valid_weight(weight_of(*other))).sum();
         let share_per_s = rate_per_s.max(0.0) * weight / (weight + other_weights);
         let ahead = self.len_of(class) as f64 + 1.0;
         // The conversion saturates where the rate is 0.
--- a/crates/routing/src/quota/counter.rs
+++ b/crates/routing/src/quota/counter.rs
@@ -150,7 +150,9 @@
         }
         if self.waiting.contains(key) {
             if class.max_wait_ms > 0 {
-                return Decision::Waits(self.waiting.wait_ms(class, rate_per_s, now));
+                let level = self.bucket.level();
+                let wait_ms = self.waiting.wait_ms(class, level, rate_per_s, now);
+                return Decision::Waits(wait_ms);
             }
             // The last query about a request that waits: it is decided now.
             self.waiting.remove(key);
@@ -165,7 +167,8 @@
             }
             return Decision::Granted;
         }
-        let wait_ms = self.waiting.wait_ms(class, rate_per_s, now);
+        let level = self.bucket.level();
+        let wait_ms = self.waiting.wait_ms(class, level, rate_per_s, now);
         let is_known = key.id != 0 && self.is_coordinator;
         if may_queue && is_known && wait_ms <= class.max_wait_ms {
             self.waiting.push(key, class, now);
--- a/crates/routing/src/quota/waiting.rs
+++ b/crates/routing/src/quota/waiting.rs
@@ -103,11 +103,27 @@
     }
 
     /// Predicts how long a request of `class` waits, in milliseconds, where `rate_per_s` requests
-    /// are granted per second.
-    pub(super) fn wait_ms(&mut self, class: QuotaClass, rate_per_s: f64, now: Millis) -> Millis {
+    /// are granted per second and the bucket's level is `level`. A negative level has to be filled
+    /// before anything is granted.
+    pub(super) fn wait_ms(
+        &mut self,
+        class: QuotaClass,
+        level: f64,
+        rate_per_s: f64,
+        now: Millis,
+    ) -> Millis {
         let class = self.accounted(class, now);
-        let weight = class_weight(class.priority, self.most_urgent(class));
-        self.queue.wait_ms(class.class, weight, rate_per_s)
+        let most_urgent = self.most_urgent(class);
+        let weight_of = |other: u64| {
+            let load = self.classes.get(&other);
+            let priority = load.map_or(u32::MAX, |load| load.priority);
+            let is_same = other == class.class;
+            class_weight(if is_same { class.priority } else { priority }, most_urgent)
+        };
+        let wait_ms = self.queue.wait_ms(class.class, weight_of, rate_per_s);
+        // The conversion saturates where the rate is 0.
+        let debt_ms = (-level).max(0.0) / rate_per_s.max(f64::MIN_POSITIVE) * 1_000.0;
+        wait_ms.saturating_add(debt_ms as Millis)
     }
 
     /// Queues a request until `class.max_wait_ms` have passed.
--- a/crates/routing/tests/fair_queue.rs
+++ b/crates/routing/tests/fair_queue.rs
@@ -84,14 +84,19 @@
 #[test]
 fn the_predicted_wait_ignores_the_backlog_or_other_classes() {
     let mut queue = FairQueue::default();
-    assert_eq!(queue.wait_ms(1, 1.0, 100.0), 10);
+    let weight_of = |class| if class == 2 { 0.25 } else { 1.0 };
+    assert_eq!(queue.wait_ms(1, weight_of, 100.0), 10);
     (0..9).for_each(|_| queue.push(1, 1.0, NEVER, ()));
-    assert_eq!(queue.wait_ms(1, 1.0, 100.0), 100);
-    assert_eq!(queue.wait_ms(2, 0.25, 100.0), 50);
+    assert_eq!(queue.wait_ms(1, weight_of, 100.0), 100);
+    assert_eq!(queue.wait_ms(2, weight_of, 100.0), 50);
     queue.push(2, 0.25, NEVER, ());
-    assert_eq!(queue.wait_ms(1, 1.0, 100.0), 125);
+    assert_eq!(queue.wait_ms(1, weight_of, 100.0), 125);
     for rate_per_s in [0.0, -1.0, f64::NAN] {
-        assert_eq!(queue.wait_ms(1, 1.0, rate_per_s), u64::MAX, "{rate_per_s}");
+        assert_eq!(
+            queue.wait_ms(1, weight_of, rate_per_s),
+            u64::MAX,
+            "{rate_per_s}"
+        );
     }
 }
 
--- a/crates/routing/tests/quota_waiting.rs
+++ b/crates/routing/tests/quota_waiting.rs
@@ -534,3 +534,38 @@
         assert!(is_asked(full, false, None, 4, START_MS + 3));
     }
 }
+
+/// Guards against requests that wait although the tokens which the bucket owes come first, and so
+/// are refused at the end of their wait.
+#[test]
+fn a_predicted_wait_ignores_the_bucket_s_debt() {
+    let mut quotas = empty_coordinator();
+    let sent = QuotaCount {
+        needs_grant: false,
+        ..count(0, 0, 0)
+    };
+    quotas.handle_count(&sent, address(1), LIMIT, START_MS);
+    // The token that is owed and the one for the request.
+    assert_eq!(
+        ask(&mut quotas, count(1, 7, 500), START_MS).wait_ms,
+        Some(500)
+    );
+    assert_eq!(ask(&mut quotas, count(2, 8, 499), START_MS).wait_ms, None);
+}
+
+/// Guards against a request that is refused since it is more urgent than all that wait: their
+/// weights are relative to the most urgent class.
+#[test]
+fn a_more_urgent_class_is_predicted_an_even_share() {
+    let mut quotas = empty_coordinator();
+    for id in [1, 2] {
+        let less_urgent = QuotaCount {
+            priority: 3,
+            ..count(id, id, 500)
+        };
+        assert!(ask(&mut quotas, less_urgent, START_MS).wait_ms.is_some());
+    }
+    // 1 of 1.25 of 4 per second.
+    let urgent = ask(&mut quotas, count(3, 9, 400), START_MS);
+    assert_eq!(urgent.wait_ms, Some(312));
+}
