Boxes publish their utilization as a moving average

Cause: the published utilization was a single measurement over 2 s. Callers that follow within one step made the load of a small box at 85% swing between 84 and 45 without decay.

Change: MovingAverage in the routing crate, with the weight of 0.3 that the request rate has, is used for both. The metric box_utilization is still the last measurement.

--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -6,7 +6,7 @@
 use crate::peer_traffic::Direction;
 use crate::utilization::UtilizationMeter;
 use brasswinch_observe::{Event, emit};
-use brasswinch_routing::{Liveness, SwimMessage};
+use brasswinch_routing::{Liveness, MovingAverage, SwimMessage};
 use brasswinch_types::{BoxId, Millis};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -33,9 +33,6 @@
 /// grow with the number of boxes.
 const MAX_LOGGED_BOXES: usize = 4;
 
-/// Weight of the newest load measurement in the moving average.
-const LOAD_WEIGHT: f64 = 0.3;
-
 /// Runs the membership protocol for as long as the process runs.
 pub(crate) async fn run_membership(context: Arc<Context>, socket: Arc<UdpSocket>) {
     let mut ticks = interval(TICK_INTERVAL);
@@ -203,8 +200,9 @@
 struct OwnLoad {
     measured_at: Millis,
     requests: u64,
-    per_s: f64,
+    per_s: MovingAverage,
     utilization: UtilizationMeter,
+    average_utilization: MovingAverage,
 }
 
 impl OwnLoad {
@@ -216,17 +214,17 @@
         }
         let requests = context.requests.load(Ordering::Relaxed);
         let newest = (requests - self.requests) as f64 * 1_000.0 / elapsed as f64;
-        let weight = if self.requests == 0 { 1.0 } else { LOAD_WEIGHT };
-        self.per_s += weight * (newest - self.per_s);
         self.measured_at = now;
         self.requests = requests;
         if requests > 0 {
-            context.swim().set_requests_per_s(self.per_s as f32);
+            let per_s = self.per_s.add(newest);
+            context.swim().set_requests_per_s(per_s as f32);
         }
         let utilization = self.utilization.measure(context, elapsed);
         let measured = &context.metrics.utilization;
         measured.store(utilization, Ordering::Relaxed);
-        context.swim().set_utilization(utilization);
+        let average = self.average_utilization.add(f64::from(utilization));
+        context.swim().set_utilization(average.round() as u32);
         context.publish_members();
     }
 }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -15,6 +15,7 @@
 mod fleet_state;
 mod health_probers;
 mod look_up;
+mod moving_average;
 mod peer_selector;
 mod placement;
 mod quarantine;
@@ -51,6 +52,7 @@
 pub use fleet_state::{CatchUp, FleetState, LostEntry, PatchMismatch, Watermark};
 pub use health_probers::{HealthProber, HealthProbers};
 pub use look_up::{BoxResources, CandidateBox, MAX_LISTED_BOXES, Selection, select_boxes};
+pub use moving_average::MovingAverage;
 pub use peer_selector::{Candidate, Distance, PeerSelector};
 pub use placement::{
     Advice, AdviceQuery, AdvisedHome, Basis, Choice, CompletionReport, Home, HomeState, Placement,
