Look-ups: two alternatives to the large boxes and to each zone

Cause: at most half of an answer could be large boxes. Region-wide answers of 4 were wholly in one zone in 13.5% of the cases, and so failed with it.

Change: at least 2 addresses are of boxes that aren't large, and at least 2 are outside each single zone, as far as there are any. Answers of 4 have the same number of large boxes as before.

--- a/crates/routing/src/look_up/mod.rs
+++ b/crates/routing/src/look_up/mod.rs
@@ -119,7 +119,7 @@
     let listed = if sizes.are_even() {
         draw_by_link(candidates, random)
     } else {
-        sample::draw_by_capacity(&sizes, &sizes.capacities(candidates), random)
+        sample::draw_by_capacity(candidates, &sizes, random)
     };
     let large = listed.iter().filter(|index| sizes.is_large(**index));
     Selection {
--- a/crates/routing/src/look_up/sample.rs
+++ b/crates/routing/src/look_up/sample.rs
@@ -1,7 +1,8 @@
 //! Draws the boxes of an answer from unevenly sized boxes.
 
-use super::MAX_LISTED_BOXES;
 use super::capacity::Sizes;
+use super::{CandidateBox, MAX_LISTED_BOXES};
+use brasswinch_types::Zone;
 use rand::seq::SliceRandom;
 use rand::{Rng, RngExt};
 
@@ -12,37 +13,75 @@
 /// Tolerance for rounding errors in sums of capacities.
 const ROUNDING: f64 = 1e-9;
 
-/// Returns the indices of the listed boxes, in random order. At most half of them are large, as
-/// far as there are others: if all large boxes fail together, half of the answer still serves.
+/// Fewest addresses in an answer that serve after all large boxes, or a zone, fail together, as far
+/// as there are any. Callers skip addresses that failed, so that the number of alternatives
+/// counts, not their part of the answer.
+const MIN_ALTERNATIVES: usize = 2;
+
+/// Returns the indices of the listed boxes, in random order, with enough alternatives to the large
+/// boxes and to each zone.
 pub(super) fn draw_by_capacity(
+    candidates: &[&CandidateBox],
     sizes: &Sizes,
-    capacities: &[f64],
     random: &mut impl Rng,
 ) -> Vec<usize> {
-    let count = listed_count(capacities);
+    let capacities = sizes.capacities(candidates);
+    let count = listed_count(&capacities);
     let mut order: Vec<usize> = (0..capacities.len()).collect();
     order.shuffle(random);
-    let drawn = systematic_sample(&order, capacities, count, random);
-    let (mut large, others): (Vec<usize>, Vec<usize>) =
-        drawn.iter().partition(|index| sizes.is_large(**index));
-    if large.len() <= count / 2 {
-        return drawn;
+    let listed = systematic_sample(&order, &capacities, count, random);
+    let mut draw = Draw {
+        sizes,
+        capacities,
+        order,
+        listed,
+    };
+    draw.add_alternatives(|index| sizes.is_large(index), random);
+    // A zone without enough alternatives has at least one of the first two addresses.
+    let first = draw.listed.iter().take(MIN_ALTERNATIVES);
+    let zones: Vec<&Zone> = first.map(|index| &candidates[*index].zone).collect();
+    for zone in zones {
+        draw.add_alternatives(|index| &candidates[index].zone == zone, random);
     }
-    let mut is_candidate: Vec<bool> = (0..capacities.len())
-        .map(|index| !sizes.is_large(index))
-        .collect();
-    for index in &others {
-        is_candidate[*index] = false;
+    draw.listed
+}
+
+/// The listed boxes and those that may replace them.
+struct Draw<'a> {
+    sizes: &'a Sizes,
+    capacities: Vec<f64>,
+    order: Vec<usize>,
+    listed: Vec<usize>,
+}
+
+impl Draw<'_> {
+    /// Replaces boxes that fail together by others, until enough of the others are listed.
+    fn add_alternatives(&mut self, fails: impl Fn(usize) -> bool, random: &mut impl Rng) {
+        let others = self.listed.iter().filter(|index| !fails(**index)).count();
+        if others >= MIN_ALTERNATIVES {
+            return;
+        }
+        let mut is_free: Vec<bool> = (0..self.capacities.len()).map(|at| !fails(at)).collect();
+        for index in &self.listed {
+            is_free[*index] = false;
+        }
+        let order = self.order.iter().copied();
+        let free: Vec<usize> = order.filter(|index| is_free[*index]).collect();
+        let missing = (MIN_ALTERNATIVES - others).min(free.len());
+        for added in systematic_sample(&free, &self.capacities, missing, random) {
+            // A large box replaces a large one if there is one, which keeps the alternatives to
+            // the large boxes.
+            let is_like = |at: usize| !self.sizes.is_large(added) || self.sizes.is_large(at);
+            let mut listed = self.listed.iter();
+            let position = listed
+                .position(|index| fails(*index) && is_like(*index))
+                .or_else(|| self.listed.iter().position(|index| fails(*index)));
+            if let Some(position) = position {
+                self.listed[position] = added;
+            }
+        }
+        self.listed.shuffle(random);
     }
-    order.retain(|index| is_candidate[*index]);
-    let replaced = (large.len() - count / 2).min(order.len());
-    // The drawn boxes are in random order.
-    large.truncate(large.len() - replaced);
-    let mut listed = others;
-    listed.extend(systematic_sample(&order, capacities, replaced, random));
-    listed.extend(large);
-    listed.shuffle(random);
-    listed
 }
 
 /// Returns the number of boxes to list: as many as needed for the largest box to be in each answer
