Look-ups: a zone is compared with the rest of its region if boxes are uneven

Cause: a zone's load per size was compared with twice the mean of all zones including itself, which neither of two zones can exceed.

Change: for unevenly sized boxes, it is compared with twice the load per size of the region's other zones together. Evenly sized regions keep the former rule.

Tests: callers_leave_a_zone_that_lost_its_large_boxes.

--- a/crates/routing/src/look_up/mod.rs
+++ b/crates/routing/src/look_up/mod.rs
@@ -27,7 +27,8 @@
 /// one is noticeable and a caller that skips it has hardly any alternative.
 const MIN_ZONE_BOXES: usize = 8;
 
-/// Ratio of a zone's load to the average of its region's zones above which the zone is overloaded.
+/// Ratio of a zone's load to that of its region above which the zone is overloaded: to the average
+/// of all zones if boxes are evenly sized, else to the rest of the region.
 const OVERLOAD_RATIO: f64 = 2.0;
 
 /// Part of a region's boxes that has to reach upstreams for the others to be left out. The callers
@@ -86,10 +87,11 @@
     region_boxes.iter().collect()
 }
 
-/// Whether the zone's load per unit of size exceeds the region's average by the overload ratio.
+/// Whether the zone's load per unit of size exceeds that of its region by the overload ratio.
 fn is_overloaded(region_boxes: &[&CandidateBox], zone: &Zone) -> bool {
     let sizes = Sizes::of(region_boxes);
-    let weights = if sizes.are_even() {
+    let are_even = sizes.are_even();
+    let weights = if are_even {
         link_weights(region_boxes)
     } else {
         sizes.into_values()
@@ -109,6 +111,14 @@
     let Some(own) = loads.get(zone).map(per_size) else {
         return false;
     };
+    if !are_even {
+        // With an average that includes the own zone, neither of two zones could be overloaded.
+        let others = loads.iter().filter(|(other, _)| **other != zone);
+        let rest = others.fold((0.0, 0.0), |sum, (_, load)| {
+            (sum.0 + load.0, sum.1 + load.1)
+        });
+        return rest.1 > 0.0 && own > per_size(&rest) * OVERLOAD_RATIO;
+    }
     let all: f64 = loads.values().map(per_size).sum();
     own > all / loads.len() as f64 * OVERLOAD_RATIO
 }
--- a/crates/routing/tests/look_up.rs
+++ b/crates/routing/tests/look_up.rs
@@ -190,6 +190,29 @@
     assert!((0.6..0.73).contains(&part), "{part} in other zones");
 }
 
+/// Guards against callers that stay in a zone whose large boxes are lost, in a region of two zones.
+#[test]
+fn callers_leave_a_zone_that_lost_its_large_boxes() {
+    let mut region_boxes = uneven_region(2, 40);
+    region_boxes.retain(|b| b.zone != zone(0) || b.resources.link_mbps == 20);
+    for (load, leaves) in [(18.0, true), (10.0, false)] {
+        for candidate in &mut region_boxes {
+            let mbps = candidate.resources.link_mbps as f32;
+            let per_20_mbps = if candidate.zone == zone(0) { load } else { 8.0 };
+            candidate.requests_per_s = Some(mbps / 20.0 * per_20_mbps);
+        }
+        let own = region_boxes.iter().filter(|b| b.zone == zone(0));
+        let own: BTreeSet<SocketAddr> = own.map(|b| b.address).collect();
+        let mut random = random();
+        let mut listed = (0..20).flat_map(|_| select_boxes(&region_boxes, &zone(0), &mut random));
+        assert_eq!(listed.any(|at| !own.contains(&at)), leaves, "{load}");
+        for _ in 0..20 {
+            let listed = select_boxes(&region_boxes, &zone(1), &mut random);
+            assert!(listed.iter().all(|at| !own.contains(at)));
+        }
+    }
+}
+
 /// One zone gets two thirds of its region's load.
 #[test]
 fn a_burst_in_one_zone_spreads_over_its_region() {
