--- a/crates/edge/src/quotas.rs
+++ b/crates/edge/src/quotas.rs
@@ -2,156 +2,72 @@
 
 use crate::context::Context;
 use crate::datagram::Datagram;
-use crate::failure::Failure;
-use crate::pending_replies::PendingReplies;
+use crate::grant_replies::GrantReplies;
 use brasswinch_observe::{Event, emit};
 use brasswinch_routing::{
-    Admission, KnownWorkspace, MemberRecord, QuotaBounds, QuotaBox, QuotaCount, QuotaLimit,
+    MemberRecord, QueuedGrant, QueuedReply, QuotaBounds, QuotaBox, QuotaCount, QuotaLimit,
     QuotaReply, QuotaStatus, Quotas, SteeringConfig, ToCoordinator,
 };
 use brasswinch_types::{BoxId, Millis, Workspace};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::sleep;
 
-/// Timeout for a coordinator's reply. A round trip to another region takes 25 ms; the rest
-/// allows for a busy processor.
-const REPLY_TIMEOUT: Duration = Duration::from_millis(60);
+/// Interval at which requests that wait for a grant are granted or expire, while any wait here.
+const QUEUE_TICK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Minimum interval between two events that the queue is full, which each refused request finds.
+const QUEUE_FULL_EVENT_INTERVAL_MS: Millis = 1_000;
 
 /// This box's state of the quotas, and the requests that wait for a coordinator.
 #[derive(Debug)]
 pub(crate) struct QuotaTasks {
     quotas: Mutex<Quotas>,
-    pending_replies: PendingReplies<QuotaReply>,
+    pub(crate) grant_replies: GrantReplies,
+    /// Wakes the queue's timer when a request begins to wait at this box.
+    pub(crate) queue_wake: Notify,
+    /// When an event last reported that the queue is full; 0 if never.
+    queue_full_reported_at: AtomicU64,
 }
 
 impl QuotaTasks {
     pub(crate) fn new(me: BoxId, bounds: QuotaBounds) -> Self {
         Self {
             quotas: Mutex::new(Quotas::new(me, bounds)),
-            pending_replies: PendingReplies::default(),
+            grant_replies: GrantReplies::default(),
+            queue_wake: Notify::new(),
+            queue_full_reported_at: AtomicU64::new(0),
         }
     }
 
-    fn quotas(&self) -> MutexGuard<'_, Quotas> {
+    pub(crate) fn quotas(&self) -> MutexGuard<'_, Quotas> {
         self.quotas.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
-/// A request that is counted in its workspace's quota.
-pub(crate) struct Permit {
-    context: Arc<Context>,
-    workspace: Workspace,
-    limit: QuotaLimit,
-    /// Number of upstreams that may have run the request.
-    runs: u32,
-}
-
-impl Permit {
-    /// Records that an upstream may run the request.
-    pub(crate) fn runs(&mut self) {
-        self.runs += 1;
-        if self.runs > 1 {
-            self.context.correct_quota(&self.workspace, self.limit, 1);
-        }
-    }
-
-    /// Records that the upstream it was sent to did not run the request.
-    pub(crate) fn did_not_run(&mut self) {
-        if self.runs > 1 {
-            self.context.correct_quota(&self.workspace, self.limit, -1);
-        }
-        self.runs = self.runs.saturating_sub(1);
-    }
-}
-
-impl Drop for Permit {
-    fn drop(&mut self) {
-        if self.runs == 0 {
-            self.context.correct_quota(&self.workspace, self.limit, -1);
-        }
-    }
-}
-
 impl Context {
-    /// Counts a request of `workspace`, if it has a quota with capacity left.
-    pub(crate) async fn admit(
-        self: &Arc<Self>,
-        workspace: &KnownWorkspace,
-    ) -> Result<Option<Permit>, Failure> {
-        let Some(limit) = workspace.config.quota else {
-            return Ok(None);
-        };
-        let id = rand::random();
-        let now = self.clock.now();
-        let admission = self
-            .quotas
-            .quotas()
-            .admit(&workspace.name, limit, id, rand::random(), now);
-        let admission = match admission {
-            Admission::Ask(query) => self.query_quota(query, limit).await,
-            decided => decided,
-        };
-        self.broadcast_at_quota();
-        match admission {
-            Admission::Send(message) => {
-                self.send_to_coordinator(message);
-                Ok(Some(Permit {
-                    context: Arc::clone(self),
-                    workspace: workspace.name.clone(),
-                    limit,
-                    runs: 0,
-                }))
-            }
-            // A timeout of the last query yields a decision, never another query.
-            Admission::Ask(_) => Err(Failure::OverQuota {
-                workspace: workspace.name.clone(),
-                retry_after_ms: REPLY_TIMEOUT.as_millis() as Millis,
-            }),
-            Admission::Refuse { retry_after_ms } => Err(Failure::OverQuota {
-                workspace: workspace.name.clone(),
-                retry_after_ms,
-            }),
-        }
-    }
-
-    /// Queries a quota's coordinator, and once more if the reply doesn't come.
-    async fn query_quota(&self, query: ToCoordinator, limit: QuotaLimit) -> Admission {
-        match self.query_quota_once(query, limit, false).await {
-            Admission::Ask(again) => self.query_quota_once(again, limit, true).await,
-            decided => decided,
-        }
-    }
-
-    async fn query_quota_once(
-        &self,
-        query: ToCoordinator,
-        limit: QuotaLimit,
-        is_last: bool,
-    ) -> Admission {
-        let waiting = self.quotas.pending_replies.wait(query.count.id);
-        let datagram = Datagram::QuotaCount(query.count.clone());
-        self.send_datagram(&datagram, query.address);
-        let reply = waiting.within(REPLY_TIMEOUT).await;
-        let now = self.clock.now();
-        let mut quotas = self.quotas.quotas();
-        match reply {
-            Some(reply) => quotas.handle_grant_reply(&reply, query.address, rand::random(), now),
-            None => quotas.handle_timeout(query, limit, is_last, now),
-        }
-    }
-
-    fn send_to_coordinator(&self, message: Option<ToCoordinator>) {
+    pub(crate) fn send_to_coordinator(&self, message: Option<ToCoordinator>) {
         if let Some(ToCoordinator { address, count }) = message {
             self.send_datagram(&Datagram::QuotaCount(count), address);
         }
     }
 
-    fn correct_quota(&self, workspace: &Workspace, limit: QuotaLimit, runs: i32) {
+    pub(crate) fn correct_quota(&self, workspace: &Workspace, limit: QuotaLimit, runs: i32) {
         let now = self.clock.now();
         let message = self.quotas.quotas().correct(workspace, limit, runs, now);
         self.send_to_coordinator(message);
-        self.broadcast_at_quota();
+        self.send_quota_messages();
+    }
+
+    /// Withdraws a request whose client has disconnected, or which no longer waits for its grant.
+    pub(crate) fn withdraw_from_quota(&self, queued: &QueuedGrant) {
+        let now = self.clock.now();
+        let message = self.quotas.quotas().withdraw(queued, now);
+        self.send_to_coordinator(message);
+        self.send_quota_messages();
     }
 
     /// Replies to another box's count.
@@ -163,16 +79,19 @@
         };
         let now = self.clock.now();
         let reply = self.quotas.quotas().handle_count(count, from, limit, now);
-        // A correction needs no reply.
-        if let Some(reply) = reply.filter(|_| count.id != 0) {
+        // Corrections and withdrawals need no reply.
+        if let Some(reply) = reply.filter(|_| count.id != 0 && !count.withdraw) {
+            if reply.wait_ms.is_some() {
+                self.quotas.queue_wake.notify_one();
+            }
             self.send_datagram(&Datagram::QuotaReply(reply), from);
         }
-        self.broadcast_at_quota();
+        self.send_quota_messages();
     }
 
     /// Handles a coordinator's reply or broadcast.
     pub(crate) fn handle_quota_reply(&self, reply: QuotaReply, from: SocketAddr) {
-        let Some(reply) = self.quotas.pending_replies.answered(reply.id, reply) else {
+        let Some(reply) = self.quotas.grant_replies.deliver(reply) else {
             return;
         };
         let Some(limit) = self.quota_limit(&reply.workspace) else {
@@ -189,15 +108,22 @@
         config.workspaces.get(workspace)?.quota
     }
 
-    /// Broadcasts which workspaces have reached their quota, where that is due.
-    fn broadcast_at_quota(&self) {
+    /// Sends the grants of requests that waited, the refusals of those that waited too long, and
+    /// broadcasts which workspaces have reached their quota, where that is due.
+    pub(crate) fn send_quota_messages(&self) {
+        let now = self.clock.now();
         let mut quotas = self.quotas.quotas();
+        let replies = quotas.take_grants(now);
         let broadcasts = quotas.take_broadcasts();
-        if broadcasts.is_empty() {
-            return;
-        }
-        let others: Vec<SocketAddr> = quotas.others().collect();
+        let others: Vec<SocketAddr> = if broadcasts.is_empty() {
+            Vec::new()
+        } else {
+            quotas.others().collect()
+        };
         drop(quotas);
+        replies
+            .into_iter()
+            .for_each(|reply| self.send_queued_reply(reply));
         for broadcast in broadcasts {
             let workspace = &broadcast.workspace;
             emit(
@@ -211,10 +137,36 @@
         }
     }
 
+    fn send_queued_reply(&self, queued: QueuedReply) {
+        let QueuedReply { address, reply } = queued;
+        if address == self.settings.addresses.peers {
+            // A request that is gone has been withdrawn.
+            let _ = self.quotas.grant_replies.deliver(reply);
+            return;
+        }
+        self.send_datagram(&Datagram::QuotaReply(reply), address);
+    }
+
     /// Runs the timers of the quotas.
     pub(crate) fn tick_quotas(&self) {
-        self.quotas.quotas().tick(self.clock.now());
-        self.broadcast_at_quota();
+        let now = self.clock.now();
+        let mut quotas = self.quotas.quotas();
+        quotas.tick(now);
+        let is_full = quotas.take_queue_full();
+        drop(quotas);
+        if is_full {
+            self.report_queue_full(now);
+        }
+        self.send_quota_messages();
+    }
+
+    fn report_queue_full(&self, now: Millis) {
+        let reported_at = &self.quotas.queue_full_reported_at;
+        let last = reported_at.load(Ordering::Relaxed);
+        if last == 0 || now.saturating_sub(last) >= QUEUE_FULL_EVENT_INTERVAL_MS {
+            reported_at.store(now, Ordering::Relaxed);
+            emit(Event::QuotaQueueFull, format_args!("{}", self.settings.id));
+        }
     }
 
     /// Sets the serving boxes and the number of live ones.
@@ -227,6 +179,9 @@
         let mut quotas = self.quotas.quotas();
         quotas.set_fleet_size(self.known_fleet_size());
         quotas.set_boxes(boxes, count, now);
+        drop(quotas);
+        // Requests that wait here for a quota that another box now coordinates are refused.
+        self.send_quota_messages();
     }
 
     /// Drops quotas that `config` no longer contains.
@@ -249,6 +204,18 @@
     }
 }
 
+/// Grants requests that wait at this box as tokens accrue, for as long as the process runs. Sleeps
+/// while none waits.
+pub(crate) async fn run_queue_timer(context: Arc<Context>) {
+    loop {
+        context.quotas.queue_wake.notified().await;
+        while context.quotas.quotas().has_waiting() {
+            sleep(QUEUE_TICK_INTERVAL).await;
+            context.tick_quotas();
+        }
+    }
+}
+
 fn quota_box(record: &MemberRecord) -> QuotaBox {
     QuotaBox {
         id: record.id.clone(),
