--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -53,9 +53,9 @@
 pub use look_up::{CandidateBox, MAX_LISTED_BOXES, select_boxes};
 pub use peer_selector::{Candidate, Distance, PeerSelector};
 pub use placement::{
-    Advice, AdviceQuery, AdvisedHome, Basis, Choice, CompletionReport, Home, HomeState, Placement,
-    PlacementSettings, PlacementUpdate, Refusal, RetainedUpstream, ServiceStatus, UpstreamOutcome,
-    UpstreamRequest,
+    Advice, AdviceQuery, AdvisedHome, Basis, Choice, CompletionReport, CountedShare, FairShares,
+    Home, HomeState, MAX_COUNTED_WORKSPACES, Placement, PlacementSettings, PlacementUpdate,
+    Refusal, RetainedUpstream, ServiceStatus, UpstreamOutcome, UpstreamRequest,
 };
 pub use quarantine::{
     CrashReport, Quarantine, QuarantineBox, QuarantineChange, QuarantineEvent, QuarantineStatus,
