--- a/crates/edge/src/upstream_signals.rs
+++ b/crates/edge/src/upstream_signals.rs
@@ -5,7 +5,9 @@
 use crate::dialect::Dialect;
 use crate::upstream_limits::Grant;
 use brasswinch_observe::{Event, emit};
-use brasswinch_routing::{Choice, LoadReport, UpstreamIncarnation, UpstreamLimit};
+use brasswinch_routing::{
+    Choice, LoadReport, ParsedLoadReport, UpstreamIncarnation, UpstreamLimit,
+};
 use brasswinch_types::{
     ColdTime, UpstreamId, UpstreamRest, UpstreamSignal, UpstreamSignalError, only_value,
 };
@@ -72,7 +74,13 @@
         if is_misdirected {
             return signals;
         }
-        signals.load = signals.value_or_record(UpstreamSignal::Load, load(headers, &dialect.load));
+        let load = load(headers, &dialect.load);
+        if let Some(parsed) = signals.value_or_record(UpstreamSignal::Load, load) {
+            signals.load = Some(parsed.report);
+            if parsed.has_invalid_duration {
+                signals.record_invalid(UpstreamSignal::Load, UpstreamSignalError::OutOfRange);
+            }
+        }
         signals.limit = signals.limit(response, &dialect.limit);
         let leaving = leaving(headers, &dialect.leaving);
         signals.is_leaving = signals
@@ -111,10 +119,14 @@
         read: Result<Option<T>, UpstreamSignalError>,
     ) -> Option<T> {
         read.unwrap_or_else(|error| {
-            self.invalid.push(InvalidSignal { signal, error });
+            self.record_invalid(signal, error);
             None
         })
     }
+
+    fn record_invalid(&mut self, signal: UpstreamSignal, error: UpstreamSignalError) {
+        self.invalid.push(InvalidSignal { signal, error });
+    }
 }
 
 impl Context {
@@ -203,21 +215,15 @@
     }
 }
 
-fn load(headers: &HeaderMap, name: &HeaderName) -> Result<Option<LoadReport>, UpstreamSignalError> {
+fn load(
+    headers: &HeaderMap,
+    name: &HeaderName,
+) -> Result<Option<ParsedLoadReport>, UpstreamSignalError> {
     let Some(text) = header_value(headers, name)? else {
         return Ok(None);
     };
-    let report = load_report(text).ok_or(UpstreamSignalError::NoNumber)?;
-    Ok(Some(report))
-}
-
-fn load_report(text: &str) -> Option<LoadReport> {
-    let mut numbers = text.split(',').map(|number| number.trim().parse().ok());
-    Some(LoadReport {
-        running: numbers.next()??,
-        waiting: numbers.next()??,
-        slots: numbers.next()??,
-    })
+    let parsed = LoadReport::parse(text).ok_or(UpstreamSignalError::NoNumber)?;
+    Ok(Some(parsed))
 }
 
 fn idle_limit_s(headers: &HeaderMap) -> Option<u64> {
--- a/crates/lab/src/replay/upstream.rs
+++ b/crates/lab/src/replay/upstream.rs
@@ -80,6 +80,7 @@
             running: self.running,
             waiting: u32::try_from(self.waiting.len()).unwrap_or(u32::MAX),
             slots: SLOTS,
+            duration_percent: None,
         }
     }
 
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -82,7 +82,7 @@
     LimitAdmission, LimitBox, LimitChange, LimitQuery, LimitRefusal, LimitReply, LimitStatus,
     LimitUpdate, ObservedLimit, ToLimitCoordinator, UpstreamLimit, UpstreamLimits,
 };
-pub use upstream_load::{LoadReport, UpstreamLoad};
+pub use upstream_load::{LoadReport, ParsedLoadReport, UpstreamLoad};
 pub use upstream_reach::{
     CHECK_INTERVAL_MS, CheckCandidate, UpstreamPath, UpstreamReach, draw_sample,
 };
--- a/crates/routing/src/upstream_load.rs
+++ b/crates/routing/src/upstream_load.rs
@@ -19,6 +19,9 @@
 /// Consecutive unanswered requests that eject an upstream.
 const FAILURES_TO_EJECT: u32 = 2;
 
+/// Largest accepted duration of work, in percent of the usual one.
+const MAX_DURATION_PERCENT: u32 = 10_000;
+
 /// Load report in an upstream's answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadReport {
@@ -28,6 +31,41 @@
     pub waiting: u32,
     /// Requests that it can run at the same time.
     pub slots: u32,
+    /// Current duration of its work, in percent of the usual one; `None` if it wasn't reported.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub duration_percent: Option<u32>,
+}
+
+/// A parsed load report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ParsedLoadReport {
+    /// The report, without its duration if that is invalid.
+    pub report: LoadReport,
+    /// Whether the duration is present and is not a number from 1 to 10,000.
+    pub has_invalid_duration: bool,
+}
+
+impl LoadReport {
+    /// Parses `running,waiting,slots` or `running,waiting,slots,duration`; further values are
+    /// ignored. Returns `None` if one of the first three is not a number of 32 bits.
+    pub fn parse(text: &str) -> Option<ParsedLoadReport> {
+        let mut values = text.split(',').map(str::trim);
+        let mut number = || values.next()?.parse().ok();
+        let (running, waiting, slots) = (number()?, number()?, number()?);
+        let duration = values.next();
+        let duration_percent = duration
+            .and_then(|duration| duration.parse().ok())
+            .filter(|percent| (1..=MAX_DURATION_PERCENT).contains(percent));
+        Some(ParsedLoadReport {
+            report: Self {
+                running,
+                waiting,
+                slots,
+                duration_percent,
+            },
+            has_invalid_duration: duration.is_some() && duration_percent.is_none(),
+        })
+    }
 }
 
 /// Load and health of one upstream, as one box sees them.
--- a/crates/routing/tests/keeping.rs
+++ b/crates/routing/tests/keeping.rs
@@ -235,6 +235,7 @@
         running: u32::MAX,
         waiting: u32::MAX,
         slots: 0,
+        duration_percent: None,
     });
     boxes.end(&coordinator, &completion, 3);
     let (_, _, advice) = boxes.ask(0, "7", 60_000);
--- a/crates/routing/tests/lives.rs
+++ b/crates/routing/tests/lives.rs
@@ -53,6 +53,7 @@
         running: 4,
         waiting: 30,
         slots: 4,
+        duration_percent: None,
     };
     test.placement.reported(&first, report, 30);
     test.placement.ended(&first, UpstreamOutcome::Answered, 30);
--- a/crates/routing/tests/placement.rs
+++ b/crates/routing/tests/placement.rs
@@ -312,6 +312,7 @@
         running: SLOTS,
         waiting: SLOTS * 3,
         slots: SLOTS,
+        duration_percent: None,
     };
     test.placement.reported(&home, full, 10);
     let home_region = zones()[&test.zone_of(&home.upstream)].clone();
@@ -493,6 +494,7 @@
         running: SLOTS,
         waiting: SLOTS * 3,
         slots: SLOTS,
+        duration_percent: None,
     };
     test.placement.reported(&home, full, 10);
     let refusal = (0..100).find_map(|_| test.try_choose("1", &[], 60).err());
@@ -559,6 +561,7 @@
         running: 2,
         waiting: 0,
         slots: SLOTS,
+        duration_percent: None,
     };
     test.placement.reported(&first, report, 1_002);
     let reported = seen(&test.choose("1", 1_002));
