--- a/crates/cli/src/commands/lab.rs
+++ b/crates/cli/src/commands/lab.rs
@@ -141,7 +141,8 @@
 #[derive(FromArgs)]
 #[argh(subcommand, name = "replay")]
 struct LabReplay {
-    /// replay only loads whose name starts so: calm, full, burst, callers-move, cold-zone
+    /// replay only loads whose name starts so: calm, full, burst, callers-move, cold-zone,
+    /// speed-changes
     #[argh(positional, default = "String::new()")]
     only: String,
 
--- a/crates/lab/src/replay/mod.rs
+++ b/crates/lab/src/replay/mod.rs
@@ -16,7 +16,7 @@
 mod upstream;
 
 pub use outcome::{Outcome, WindowOutcome, WorkspaceOutcome};
-pub use pattern::{Disturbance, LoadPattern, REGIONS, WorkspaceLoads, patterns};
+pub use pattern::{Disturbance, LoadPattern, REGIONS, SpeedChanges, WorkspaceLoads, patterns};
 pub use play::{Knowledge, play};
 
 /// Replays each load whose name begins with `only` on fleets of `sizes` boxes, by each way
--- a/crates/lab/src/replay/pattern.rs
+++ b/crates/lab/src/replay/pattern.rs
@@ -103,6 +103,31 @@
     }
 }
 
+/// Machines whose speed changes, each shared by several upstreams.
+#[derive(Clone, Copy, Debug)]
+pub struct SpeedChanges {
+    /// Upstreams on each machine.
+    pub per_machine: usize,
+    /// Duration of work on a slow machine, in percent of the usual one.
+    pub slow_percent: u32,
+    /// Fraction of the time in which a machine is slow.
+    pub slow_fraction: f64,
+    /// Mean length of a slow period, in milliseconds.
+    pub slow_ms: f64,
+    /// Whether upstreams report the duration of their work.
+    pub are_reported: bool,
+}
+
+impl SpeedChanges {
+    /// Returns the mean length of a period, in milliseconds.
+    pub(super) fn mean_ms(&self, is_slow: bool) -> f64 {
+        if is_slow {
+            return self.slow_ms;
+        }
+        self.slow_ms * (1.0 - self.slow_fraction) / self.slow_fraction
+    }
+}
+
 /// A load and the fleet that it falls on.
 #[derive(Clone, Debug)]
 pub struct LoadPattern {
@@ -122,6 +147,8 @@
     pub disturbances: Vec<Disturbance>,
     /// The workspaces that requests belong to; `None` for requests without workspaces.
     pub workspaces: Option<WorkspaceLoads>,
+    /// How the speed of upstreams changes; `None` if it doesn't.
+    pub speeds: Option<SpeedChanges>,
 }
 
 impl LoadPattern {
@@ -146,6 +173,7 @@
         length_s: 20.0,
         disturbances: Vec::new(),
         workspaces: None,
+        speeds: None,
     };
     let with = |name, per_upstream, disturbances| LoadPattern {
         name,
@@ -174,6 +202,18 @@
         for_s: 8.0,
         part: 1.0,
     };
+    let speed_changes = LoadPattern {
+        name: "speed-changes",
+        per_upstream: 4.8,
+        speeds: Some(SpeedChanges {
+            per_machine: 4,
+            slow_percent: 250,
+            slow_fraction: 0.15,
+            slow_ms: 600.0,
+            are_reported: true,
+        }),
+        ..calm.clone()
+    };
     vec![
         calm.clone(),
         with("full", 4.8, vec![]),
@@ -182,5 +222,6 @@
         with("callers-move", 4.0, vec![callers_move]),
         with("cold-zone", 4.0, vec![cold_zone]),
         with("restarts", 4.0, vec![restart]),
+        speed_changes,
     ]
 }
--- a/crates/lab/src/replay/play.rs
+++ b/crates/lab/src/replay/play.rs
@@ -63,6 +63,8 @@
     Demand,
     /// A box starts again.
     Restart { number: usize },
+    /// The speed of a machine changes.
+    Speed { machine: usize, is_slow: bool },
     /// One of the pattern's disturbances begins.
     Disturb { index: usize },
 }
@@ -173,6 +175,11 @@
             self.after(0.0, Event::Arrival { region });
         }
         self.after(DEMAND_MS, Event::Demand);
+        if let Some(speeds) = self.pattern.speeds {
+            for machine in 0..self.upstreams.len().div_ceil(speeds.per_machine) {
+                self.change_speed(machine, false);
+            }
+        }
         for index in 0..self.pattern.disturbances.len() {
             match self.pattern.disturbances[index] {
                 Disturbance::ColdZone { at_s, .. } => {
@@ -229,10 +236,27 @@
             }
             Event::Demand => {}
             Event::Restart { number } => self.fleet.restart(number, self.now()),
+            Event::Speed { .. } if self.is_over() => {}
+            Event::Speed { machine, is_slow } => self.change_speed(machine, is_slow),
             Event::Disturb { index } => self.disturb(index),
         }
     }
 
+    fn change_speed(&mut self, machine: usize, is_slow: bool) {
+        let Some(speeds) = self.pattern.speeds else {
+            return;
+        };
+        let percent = if is_slow { speeds.slow_percent } else { 100 };
+        let upstreams = self.upstreams.iter_mut();
+        let of_machine = upstreams.skip(machine * speeds.per_machine);
+        for upstream in of_machine.take(speeds.per_machine) {
+            upstream.set_duration(percent, speeds.are_reported);
+        }
+        let wait_ms = pause_ms(1_000.0 / speeds.mean_ms(is_slow), &mut self.random);
+        let is_slow = !is_slow;
+        self.after(wait_ms, Event::Speed { machine, is_slow });
+    }
+
     fn plan_restarts(&mut self, at_s: f64, for_s: f64, part: f64) {
         let count = (self.fleet.boxes.len() as f64 * part) as usize;
         for number in 0..count {
--- a/crates/lab/src/replay/upstream.rs
+++ b/crates/lab/src/replay/upstream.rs
@@ -41,6 +41,9 @@
     running: u32,
     waiting: VecDeque<Job>,
     known: VecDeque<u64>,
+    /// Current duration of its work, in percent of the usual one; `None` if it doesn't change.
+    duration_percent: Option<u32>,
+    reports_duration: bool,
 }
 
 impl Upstream {
@@ -63,6 +66,12 @@
         Some(self.begin(next, random))
     }
 
+    /// Sets the current duration of its work, in percent of the usual one.
+    pub(super) fn set_duration(&mut self, percent: u32, is_reported: bool) {
+        self.duration_percent = Some(percent);
+        self.reports_duration = is_reported;
+    }
+
     /// Forgets all objects.
     pub(super) fn forget(&mut self) {
         self.known.clear();
@@ -80,7 +89,7 @@
             running: self.running,
             waiting: u32::try_from(self.waiting.len()).unwrap_or(u32::MAX),
             slots: SLOTS,
-            duration_percent: None,
+            duration_percent: self.duration_percent.filter(|_| self.reports_duration),
         }
     }
 
@@ -101,10 +110,11 @@
         self.running += 1;
         let is_known = self.learn(job.object);
         let part = if is_known { KNOWN_PART } else { 1.0 };
+        let slowness = f64::from(self.duration_percent.unwrap_or(100)) / 100.0;
         let spread = 1.0 + WORK_SPREAD * (2.0 * random - 1.0);
         Begun {
             job,
-            work_ms: FIRST_WORK_MS * part * spread,
+            work_ms: FIRST_WORK_MS * part * spread * slowness,
             is_known,
         }
     }
--- a/crates/lab/tests/fair_share.rs
+++ b/crates/lab/tests/fair_share.rs
@@ -40,6 +40,7 @@
             first_factor,
             are_known,
         }),
+        speeds: None,
     };
     let plays = (0..SEEDS).map(|seed| play(&pattern, knowledge, seed));
     let (mut first, mut others) = (Vec::new(), Vec::new());
--- a/crates/lab/tests/replay.rs
+++ b/crates/lab/tests/replay.rs
@@ -1,7 +1,7 @@
 //! Loads at their worst, replayed on the decisions of whole fleets.
 #![allow(clippy::unwrap_used, clippy::expect_used)]
 
-use brasswinch_lab::replay::{Knowledge, LoadPattern, Outcome, patterns, play};
+use brasswinch_lab::replay::{Knowledge, LoadPattern, Outcome, SpeedChanges, patterns, play};
 
 const SEED: u64 = 3;
 
@@ -108,3 +108,31 @@
     assert!(keeper.total().worth() > own.total().worth() - 0.005);
     assert!(keeper.worst() >= own.worst());
 }
+
+/// Guards against decisions that depend on the reported duration of work, which showed no gain
+/// (docs/design/steering.md), and against a replay in which slow machines have no effect.
+#[test]
+fn slow_machines_cost_worth_and_reported_durations_change_no_decision() {
+    let reported = LoadPattern {
+        length_s: 5.0,
+        ..pattern("speed-changes", 12)
+    };
+    let unreported = LoadPattern {
+        speeds: reported.speeds.map(|speeds| SpeedChanges {
+            are_reported: false,
+            ..speeds
+        }),
+        ..reported.clone()
+    };
+    let steady = LoadPattern {
+        speeds: None,
+        ..reported.clone()
+    };
+    for knowledge in [Knowledge::Own, Knowledge::Keeper] {
+        let with_reports = play(&reported, knowledge, SEED);
+        let without = play(&unreported, knowledge, SEED);
+        assert_eq!(with_reports.to_string(), without.to_string());
+        let steady = play(&steady, knowledge, SEED);
+        assert!(with_reports.total().worth() < steady.total().worth());
+    }
+}
