--- a/crates/routing/src/placement/fair_share.rs
+++ b/crates/routing/src/placement/fair_share.rs
@@ -65,8 +65,8 @@
     ///
     /// If the maximum number of workspaces is reached, a new one replaces the one with the fewest
     /// requests and continues its counts (Metwally, Agrawal and El Abbadi, 2005). So a workspace
-    /// with many requests is always counted. The counts that are continued are at most a
-    /// 256th of all requests, and therefore don't exceed a fair share.
+    /// with many requests is always counted. The continued counts are at most a 256th of all
+    /// requests, and the new workspace begins over its share only if the replaced one was.
     pub fn count(&mut self, workspace: &Workspace, is_admitted: bool, now: Millis) {
         self.roll(now);
         if !self.workspaces.contains_key(workspace) {
