--- a/crates/edge/src/look_up.rs
+++ b/crates/edge/src/look_up.rs
@@ -42,8 +42,11 @@
         if near.is_empty() {
             near = all.iter().map(|record| candidate_box(record)).collect();
         }
+        drop(swim);
+        let selection = select_boxes(&near, zone, &mut rand::rng());
+        self.metrics.count_look_up(&selection);
         DirectoryAnswer {
-            addresses: select_boxes(&near, zone, &mut rand::rng()),
+            addresses: selection.addresses,
             ttl_s: LOOKUP_TTL_S.min(self.settings.bounds.max_lookup_ttl_s),
         }
     }
@@ -53,8 +56,8 @@
     CandidateBox {
         address: record.caller_address,
         zone: record.zone.clone(),
-        // The link's bandwidth stands for the box's size: boxes with more CPU have more bandwidth.
-        size: record.link_mbps,
+        resources: record.resources(),
+        utilization: record.utilization,
         requests_per_s: record.requests_per_s,
         is_cut_off: record.is_cut_off(),
     }
