--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -57,9 +57,9 @@
 pub use moving_average::MovingAverage;
 pub use peer_selector::{Candidate, Distance, PeerSelector};
 pub use placement::{
-    Advice, AdviceQuery, AdvisedHome, Basis, Choice, CompletionReport, Home, HomeState, Placement,
-    PlacementSettings, PlacementUpdate, Refusal, RetainedUpstream, ServiceStatus, UpstreamOutcome,
-    UpstreamRequest,
+    Advice, AdviceQuery, AdvisedHome, Basis, Choice, CompletionReport, CountedShare, FairShares,
+    Home, HomeState, MAX_COUNTED_WORKSPACES, Placement, PlacementSettings, PlacementUpdate,
+    Refusal, RetainedUpstream, ServiceStatus, UpstreamOutcome, UpstreamRequest,
 };
 pub use quarantine::{
     CrashReport, Quarantine, QuarantineBox, QuarantineChange, QuarantineEvent, QuarantineStatus,
@@ -86,7 +86,7 @@
     LimitAdmission, LimitBox, LimitChange, LimitQuery, LimitRefusal, LimitReply, LimitStatus,
     LimitUpdate, ObservedLimit, ToLimitCoordinator, UpstreamLimit, UpstreamLimits,
 };
-pub use upstream_load::{LoadReport, UpstreamLoad};
+pub use upstream_load::{LoadReport, ParsedLoadReport, UpstreamLoad};
 pub use upstream_reach::{
     CHECK_INTERVAL_MS, CheckCandidate, UpstreamPath, UpstreamReach, draw_sample,
 };
--- a/crates/routing/src/placement/mod.rs
+++ b/crates/routing/src/placement/mod.rs
@@ -16,6 +16,7 @@
 mod basis;
 mod coordinators;
 mod entry;
+mod fair_share;
 mod homes;
 mod lost_entries;
 mod reach;
@@ -35,9 +36,10 @@
 use crate::{FleetState, SteeringConfig};
 pub use advice::{Advice, AdviceQuery, CompletionReport};
 pub use basis::{AdvisedHome, Basis, Home, HomeState};
-use brasswinch_types::{BoxId, Millis, Region, Service, UpstreamId, Zone};
+use brasswinch_types::{BoxId, Millis, Region, Service, UpstreamId, Workspace, Zone};
 use coordinators::Coordinators;
 use entry::Entry;
+pub use fair_share::{CountedShare, FairShares, MAX_COUNTED_WORKSPACES};
 use lost_entries::LostEntries;
 use serde::{Deserialize, Serialize};
 use service_upstreams::ServiceUpstreams;
@@ -82,6 +84,8 @@
     pub service: &'a Service,
     /// The object of the request, if it names one.
     pub object: Option<&'a [u8]>,
+    /// The workspace of the request, if it has one.
+    pub workspace: Option<&'a Workspace>,
     /// The priority of the request.
     pub rank: Rank,
     /// The regions allowed.
