--- a/crates/lab/src/replay/pattern.rs
+++ b/crates/lab/src/replay/pattern.rs
@@ -72,6 +72,62 @@
     },
 }
 
+/// Workspaces that send equally many requests, except the first.
+#[derive(Clone, Copy, Debug)]
+pub struct WorkspaceLoads {
+    /// Number of workspaces.
+    pub count: usize,
+    /// Requests of the first one, as a multiple of those of each other.
+    pub first_factor: f64,
+    /// Whether boxes know the workspace of a request.
+    pub are_known: bool,
+}
+
+impl WorkspaceLoads {
+    /// Returns all requests as a multiple of those with `first_factor` 1.
+    pub(super) fn load_factor(&self) -> f64 {
+        self.weight() / self.count as f64
+    }
+
+    /// Returns the workspace of a request; `random` is drawn from 0 to 1.
+    pub(super) fn draw(&self, random: f64) -> usize {
+        let drawn = random * self.weight() - self.first_factor;
+        if drawn < 0.0 {
+            return 0;
+        }
+        (1 + drawn as usize).min(self.count - 1)
+    }
+
+    fn weight(&self) -> f64 {
+        self.first_factor + self.count as f64 - 1.0
+    }
+}
+
+/// Machines whose speed changes, each shared by several upstreams.
+#[derive(Clone, Copy, Debug)]
+pub struct SpeedChanges {
+    /// Upstreams on each machine.
+    pub per_machine: usize,
+    /// Duration of work on a slow machine, in percent of the usual one.
+    pub slow_percent: u32,
+    /// Fraction of the time in which a machine is slow.
+    pub slow_fraction: f64,
+    /// Mean length of a slow period, in milliseconds.
+    pub slow_ms: f64,
+    /// Whether upstreams report the duration of their work.
+    pub are_reported: bool,
+}
+
+impl SpeedChanges {
+    /// Returns the mean length of a period, in milliseconds.
+    pub(super) fn mean_ms(&self, is_slow: bool) -> f64 {
+        if is_slow {
+            return self.slow_ms;
+        }
+        self.slow_ms * (1.0 - self.slow_fraction) / self.slow_fraction
+    }
+}
+
 /// A load and the fleet that it falls on.
 #[derive(Clone, Debug)]
 pub struct LoadPattern {
@@ -89,6 +145,10 @@
     pub length_s: f64,
     /// What befalls the fleet.
     pub disturbances: Vec<Disturbance>,
+    /// The workspaces that requests belong to; `None` for requests without workspaces.
+    pub workspaces: Option<WorkspaceLoads>,
+    /// How the speed of upstreams changes; `None` if it doesn't.
+    pub speeds: Option<SpeedChanges>,
 }
 
 impl LoadPattern {
@@ -112,6 +172,8 @@
         objects_per_upstream: 10.0,
         length_s: 20.0,
         disturbances: Vec::new(),
+        workspaces: None,
+        speeds: None,
     };
     let with = |name, per_upstream, disturbances| LoadPattern {
         name,
@@ -140,6 +202,18 @@
         for_s: 8.0,
         part: 1.0,
     };
+    let speed_changes = LoadPattern {
+        name: "speed-changes",
+        per_upstream: 4.8,
+        speeds: Some(SpeedChanges {
+            per_machine: 4,
+            slow_percent: 250,
+            slow_fraction: 0.15,
+            slow_ms: 600.0,
+            are_reported: true,
+        }),
+        ..calm.clone()
+    };
     vec![
         calm.clone(),
         with("full", 4.8, vec![]),
@@ -148,5 +222,6 @@
         with("callers-move", 4.0, vec![callers_move]),
         with("cold-zone", 4.0, vec![cold_zone]),
         with("restarts", 4.0, vec![restart]),
+        speed_changes,
     ]
 }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -16,6 +16,7 @@
 mod fleet_state;
 mod health_probers;
 mod look_up;
+mod moving_average;
 mod peer_selector;
 mod placement;
 mod quarantine;
@@ -53,11 +54,12 @@
 pub use fleet_state::{CatchUp, FleetState, LostEntry, PatchMismatch, Watermark};
 pub use health_probers::{HealthProber, HealthProbers};
 pub use look_up::{BoxResources, CandidateBox, MAX_LISTED_BOXES, Selection, select_boxes};
+pub use moving_average::MovingAverage;
 pub use peer_selector::{Candidate, Distance, PeerSelector};
 pub use placement::{
-    Advice, AdviceQuery, AdvisedHome, Basis, Choice, CompletionReport, Home, HomeState, Placement,
-    PlacementSettings, PlacementUpdate, Refusal, RetainedUpstream, ServiceStatus, UpstreamOutcome,
-    UpstreamRequest,
+    Advice, AdviceQuery, AdvisedHome, Basis, Choice, CompletionReport, CountedShare, FairShares,
+    Home, HomeState, MAX_COUNTED_WORKSPACES, Placement, PlacementSettings, PlacementUpdate,
+    Refusal, RetainedUpstream, ServiceStatus, UpstreamOutcome, UpstreamRequest,
 };
 pub use quarantine::{
     CrashReport, Quarantine, QuarantineBox, QuarantineChange, QuarantineEvent, QuarantineStatus,
@@ -84,7 +86,7 @@
     LimitAdmission, LimitBox, LimitChange, LimitQuery, LimitRefusal, LimitReply, LimitStatus,
     LimitUpdate, ObservedLimit, ToLimitCoordinator, UpstreamLimit, UpstreamLimits,
 };
-pub use upstream_load::{LoadReport, UpstreamLoad};
+pub use upstream_load::{LoadReport, ParsedLoadReport, UpstreamLoad};
 pub use upstream_reach::{
     CHECK_INTERVAL_MS, CheckCandidate, UpstreamPath, UpstreamReach, draw_sample,
 };
