Look-ups: sizes in a mistaken unit count as invalid

Cause: a box that published 200,000 Mbit/s among boxes of 10 and 200 was the largest by far, so that a quarter of the callers used it.

Change: a value over 1,000 times the median of the candidates' valid values of that resource is invalid, also among evenly sized boxes. BW302 isn't logged for it, as it depends on the candidates.

Tests: a_size_in_a_mistaken_unit_draws_no_callers.

--- a/crates/routing/src/look_up/capacity.rs
+++ b/crates/routing/src/look_up/capacity.rs
@@ -8,6 +8,9 @@
 const MAX_MEMORY_MB: u32 = 64_000_000;
 const MAX_CONNECTIONS: u32 = 100_000_000;
 
+/// Ratio to the median of the candidates above which a size is taken for a mistake.
+const MAX_MEDIAN_RATIO: u32 = 1_000;
+
 /// Smallest capacity relative to the largest: every box still gets callers, so that faults in it
 /// are noticed before it is needed.
 const MIN_RELATIVE_CAPACITY: f64 = 1.0 / 32.0;
@@ -134,9 +137,10 @@
     let published = candidates
         .iter()
         .map(|candidate| candidate.resources.link_mbps);
-    let valid = published.clone().filter(|mbps| *mbps <= MAX_LINK_MBPS);
-    let slowest = valid.min().unwrap_or(1);
-    let sane = published.map(|mbps| if mbps <= MAX_LINK_MBPS { mbps } else { slowest });
+    let max = max_plausible(&mut published.clone().collect(), MAX_LINK_MBPS);
+    let slowest = published.clone().filter(|mbps| *mbps <= max).min();
+    let slowest = slowest.unwrap_or(1);
+    let sane = published.map(|mbps| if mbps <= max { mbps } else { slowest });
     sane.map(|mbps| f64::from(mbps.max(1))).collect()
 }
 
@@ -148,15 +152,16 @@
     max: u32,
     published: impl Fn(&BoxResources) -> Option<u32>,
 ) {
-    let mut largest = 0;
+    let mut values = Vec::with_capacity(candidates.len());
     for candidate in candidates {
         let Some(value) = published(&candidate.resources) else {
             return;
         };
-        if is_valid(value, max) {
-            largest = largest.max(value);
-        }
+        values.push(value);
     }
+    let max = max_plausible(&mut values, max);
+    let valid = values.iter().filter(|value| is_valid(**value, max));
+    let largest = valid.max().copied().unwrap_or(1);
     for (size, candidate) in sizes.iter_mut().zip(candidates) {
         let value = published(&candidate.resources);
         if let Some(value) = value.filter(|value| is_valid(*value, max)) {
@@ -165,6 +170,18 @@
     }
 }
 
+/// Returns the largest valid value, which is at most `max`: with a larger one in a mistaken unit, one
+/// box would get most of the callers. The values are reordered.
+fn max_plausible(values: &mut Vec<u32>, max: u32) -> u32 {
+    values.retain(|value| is_valid(*value, max));
+    if values.is_empty() {
+        return max;
+    }
+    let middle = (values.len() - 1) / 2;
+    let (_, median, _) = values.select_nth_unstable(middle);
+    median.saturating_mul(MAX_MEDIAN_RATIO).min(max)
+}
+
 /// Raises values to the minimum relative to the largest, which is returned.
 fn raise_to_minimum(values: &mut [f64]) -> f64 {
     let largest = values.iter().copied().fold(0.0, f64::max);
--- a/crates/routing/tests/look_up_sizes.rs
+++ b/crates/routing/tests/look_up_sizes.rs
@@ -4,7 +4,10 @@
 mod common;
 
 use brasswinch_routing::{BoxResources, CandidateBox, MAX_LISTED_BOXES, select_boxes};
-use common::look_up::{candidate, link, listed, mean_share, one_zone, random, shares, zone};
+use common::look_up::{
+    LARGE_MBPS, SMALL_MBPS, candidate, fleet_mbps, link, listed, mean_share, one_zone, random,
+    shares, zone,
+};
 use proptest::prelude::*;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -88,6 +91,19 @@
     assert!((0.8..1.25).contains(&ratio), "{ratio}");
 }
 
+/// Guards against one box with a size in a mistaken unit that draws a quarter of the callers.
+#[test]
+fn a_size_in_a_mistaken_unit_draws_no_callers() {
+    let mut boxes = one_zone(75, fleet_mbps);
+    boxes[1].resources.link_mbps = 200_000;
+    let shares = shares(&boxes, &mut random());
+    let small = mean_share(&shares, &boxes, |b| b.resources.link_mbps == SMALL_MBPS);
+    let large = mean_share(&shares, &boxes, |b| b.resources.link_mbps == LARGE_MBPS);
+    let wrong = shares[&boxes[1].address];
+    assert!((0.6..1.5).contains(&(wrong / small)), "{}", wrong / small);
+    assert!(large / small > 10.0, "{}", large / small);
+}
+
 /// Guards against busy boxes that get as many callers as idle ones, or none at all.
 #[test]
 fn utilization_reduces_the_share_of_a_box() {
