Tests of look-ups: properties of even boxes for uneven ones too

Cause: each box is listed at 3,900 boxes, invalid loads and boxes that reach no upstream were tested with evenly sized boxes only.

Change: the same with unevenly sized boxes, as unions of 100 answers.

Tests: those of look_up.rs.

--- a/crates/routing/tests/look_up.rs
+++ b/crates/routing/tests/look_up.rs
@@ -289,3 +289,58 @@
     let listed = select_boxes(&with_cut_off(11), &zone(0), &mut random());
     assert_eq!(listed.len(), 12);
 }
+
+/// Returns the addresses of all boxes in 100 answers.
+fn union_of_answers(boxes: &[CandidateBox], zone: &Zone) -> BTreeSet<SocketAddr> {
+    let mut random = random();
+    let answers = (0..100).map(|_| select_boxes(boxes, zone, &mut random));
+    answers.flatten().collect()
+}
+
+/// Guards against boxes of a large fleet that are never listed because boxes are uneven.
+#[test]
+fn each_of_3900_uneven_boxes_is_listed_in_its_zone() {
+    // 24 regions with 4 zones each.
+    for first in 0..24_u16 {
+        let mut region_boxes = uneven_region(4, 3_900 / 96);
+        for candidate in &mut region_boxes {
+            candidate.address.set_port(1_000 + first);
+        }
+        for number in 0..4 {
+            let own = region_boxes.iter().filter(|b| b.zone == zone(number));
+            let own: BTreeSet<SocketAddr> = own.map(|b| b.address).collect();
+            assert_eq!(union_of_answers(&region_boxes, &zone(number)), own);
+        }
+    }
+}
+
+/// Guards against uneven zones that callers leave because of invalid or missing loads.
+#[test]
+fn invalid_or_missing_loads_overload_no_uneven_zone() {
+    let mut region_boxes = uneven_region(3, 32);
+    for (number, candidate) in region_boxes.iter_mut().enumerate() {
+        let loads = [Some(f32::NAN), None, Some(-1.0), Some(f32::INFINITY)];
+        candidate.requests_per_s = loads[number % loads.len()];
+    }
+    for number in 0..3 {
+        let own = region_boxes.iter().filter(|b| b.zone == zone(number));
+        let own: BTreeSet<SocketAddr> = own.map(|b| b.address).collect();
+        assert_eq!(union_of_answers(&region_boxes, &zone(number)), own);
+    }
+}
+
+/// Guards against uneven boxes without links to upstreams that are listed while enough others are
+/// left, or against few others that get all callers.
+#[test]
+fn uneven_boxes_that_reach_no_upstream_are_listed_only_if_most_are_cut_off() {
+    for (cut_off, expected) in [(6, 6), (11, 12)] {
+        let mut boxes = uneven_region(2, 6);
+        for candidate in &mut boxes[..cut_off] {
+            candidate.is_cut_off = true;
+        }
+        let listed = union_of_answers(&boxes, &zone(0));
+        assert_eq!(listed.len(), expected);
+        let reaching = boxes.iter().filter(|b| !b.is_cut_off);
+        assert!(reaching.map(|b| b.address).all(|at| listed.contains(&at)));
+    }
+}
