Fair shares: refusals only for a workspace's share have no further effect

A request of a workspace over its share that its ordinary queue limits would have admitted prolonged the overload and started the reservation for urgent requests against all others. Both are now skipped. The queue is searched without counting a spill so that the decision can be repeated.

--- a/crates/routing/src/placement/service_upstreams.rs
+++ b/crates/routing/src/placement/service_upstreams.rs
@@ -90,14 +90,21 @@
         let homes = self.home_snapshots(object, &regions, request, advice, now);
         let mut basis = self.basis(object, &regions, request, now);
         basis.advised = advice.map(AdvisedHome::from);
-        let queue_fraction = self.queue_fraction(request, now);
+        let ordinary_fraction = self.ordinary_queue_fraction(request, now);
+        let queue_fraction = self.queue_fraction(request, ordinary_fraction, now);
         let chosen = self
             .never_used(request, warming, now)
             .or_else(|| at_home(&homes, queue_fraction))
             .or_else(|| self.free_elsewhere(&homes))
-            .or_else(|| self.in_queue(&homes, queue_fraction, now))
+            .or_else(|| self.start_in_queue(&homes, queue_fraction, now))
             .or_else(|| self.cold(request, warming, now));
-        if chosen.is_none() && request.rank <= self.most_urgent {
+        // A refusal only because of the workspace's share shows no lack of capacity for others.
+        let is_refused_for_share = chosen.is_none()
+            && queue_fraction < ordinary_fraction
+            && (at_home(&homes, ordinary_fraction).is_some()
+                || self.in_queue(&homes, ordinary_fraction, now).is_some());
+        let is_short_of_capacity = chosen.is_none() && !is_refused_for_share;
+        if is_short_of_capacity && request.rank <= self.most_urgent {
             self.urgent_reserved_until = now + URGENT_RESERVATION_MS;
         }
         if chosen.is_none() && regions.is_empty() && !self.has_candidates(request, now) {
@@ -109,7 +116,9 @@
         if let Some(index) = chosen {
             return Ok(self.start(index, basis, now));
         }
-        self.shares.record_refusal(now);
+        if is_short_of_capacity {
+            self.shares.record_refusal(now);
+        }
         Err(Refusal::Busy {
             retry_after_ms: with_added_jitter(self.available_in_ms(request, now), warming.random),
             basis,
@@ -221,13 +230,22 @@
     }
 
     /// Returns the first home whose queue is short enough, within the spill window; otherwise the
-    /// first of all, up to a higher queue limit.
-    fn in_queue(
+    /// first of all, up to a higher queue limit. Counts a spill if it is in another region.
+    fn start_in_queue(
         &mut self,
         homes: &[HomeSnapshot],
         queue_fraction: f64,
         now: Millis,
     ) -> Option<usize> {
+        let index = self.in_queue(homes, queue_fraction, now)?;
+        if homes.first().is_some_and(|first| first.index != index) {
+            self.spills.count_spill();
+        }
+        Some(index)
+    }
+
+    /// Returns the same home without counting a spill.
+    fn in_queue(&self, homes: &[HomeSnapshot], queue_fraction: f64, now: Millis) -> Option<usize> {
         let may_leave = self.is_disturbed(now) || self.spills.may_queue_elsewhere();
         let first = homes.first()?;
         let has_queue_space = |home: &&HomeSnapshot| {
@@ -240,9 +258,6 @@
         };
         let reachable = if may_leave { homes.len() } else { 1 };
         let found = homes[..reachable].iter().find(has_queue_space);
-        if found.is_some_and(|home| home.index != first.index) {
-            self.spills.count_spill();
-        }
         let last_resort = queue_limit(MAX_QUEUE_LAST_RESORT, queue_fraction);
         found
             .or_else(|| (first.fullness < last_resort).then_some(first))
@@ -251,12 +266,23 @@
 
     /// Returns the fraction of each queue limit that the request may use. If both limits apply,
     /// the lower one counts: they leave the same room to others.
-    fn queue_fraction(&mut self, request: &UpstreamRequest<'_>, now: Millis) -> f64 {
+    fn queue_fraction(
+        &mut self,
+        request: &UpstreamRequest<'_>,
+        ordinary_fraction: f64,
+        now: Millis,
+    ) -> f64 {
         let workspace = request.workspace;
         if workspace.is_some_and(|workspace| self.shares.is_over_share(workspace, now)) {
             self.share_limited += 1;
             return OVER_SHARE_QUEUE_FRACTION;
         }
+        ordinary_fraction
+    }
+
+    /// Returns the fraction of each queue limit that a request may use whose workspace isn't over
+    /// its share.
+    fn ordinary_queue_fraction(&self, request: &UpstreamRequest<'_>, now: Millis) -> f64 {
         if request.rank > self.most_urgent && now < self.urgent_reserved_until {
             LESS_URGENT_QUEUE_FRACTION
         } else {
--- a/crates/routing/tests/service_shares.rs
+++ b/crates/routing/tests/service_shares.rs
@@ -125,6 +125,27 @@
     assert!(test.placement.status(later)[0].workspaces.is_empty());
 }
 
+/// Guards against a workspace over its share that keeps the service overloaded, and slots reserved
+/// for urgent requests, with refusals that nobody else would have received.
+#[test]
+fn a_refusal_for_its_share_alone_limits_no_other_request() {
+    let mut test = Test::overloaded();
+    // Too long for the share of `large`, short enough for all others.
+    test.end_all_but(9, START);
+    let refused = test.start("large", START + 1_500);
+    assert!(matches!(refused, Err(Refusal::Busy { .. })), "{refused:?}");
+    // The refusals of the others ended their effect.
+    let now = START + 2_000;
+    let (service, w9) = (service(), Workspace::new("w9"));
+    let mut less_urgent = wanted(&service, test.object.as_bytes(), &test.west, &[]);
+    less_urgent.workspace = Some(&w9);
+    less_urgent.rank.route += 1;
+    let chosen = test.placement.choose(&less_urgent, 0.5, now).unwrap();
+    test.placement
+        .ended(&chosen, UpstreamOutcome::Abandoned, now);
+    test.start("large", now).unwrap();
+}
+
 /// Guards against a limit that leaves out the first wait at home: a workspace over its share would
 /// wait there although a slot is free elsewhere.
 #[test]
