Fair shares: overload needs a full upstream and unrestricted regions

Every refusal counted as overload, also if all upstreams were resting, held off or already tried. Now one must be usable and full. Requests whose workspace restricts their regions compete for a part of the service only, so they are neither counted nor limited and show no overload.

--- a/crates/routing/src/placement/service_upstreams.rs
+++ b/crates/routing/src/placement/service_upstreams.rs
@@ -12,7 +12,7 @@
 use crate::region_plan::RegionPlan;
 use crate::rendezvous::{object_hash, weighted_score};
 use crate::workspace::Rank;
-use brasswinch_types::{Millis, Region};
+use brasswinch_types::{Millis, Region, Workspace};
 
 /// Queue limit: requests at an upstream, as a multiple of its slots, from which on it gets no
 /// more. With this limit, `MAX_QUEUE_LAST_RESORT` and `MAX_QUEUE_BEFORE_LEAVING` at 2.4, 2.6 and
@@ -110,13 +110,14 @@
         if chosen.is_none() && regions.is_empty() && !self.has_candidates(request, now) {
             return Err(Refusal::NoUpstream);
         }
-        if let Some(workspace) = request.workspace {
+        if let Some(workspace) = sharing_workspace(request) {
             self.shares.count(workspace, chosen.is_some(), now);
         }
         if let Some(index) = chosen {
             return Ok(self.start(index, basis, now));
         }
-        if is_short_of_capacity {
+        // Without a home, all upstreams are cold, resting, held off or tried, and none was full.
+        if is_short_of_capacity && !homes.is_empty() && !is_restricted(request) {
             self.shares.record_refusal(now);
         }
         Err(Refusal::Busy {
@@ -272,7 +273,7 @@
         ordinary_fraction: f64,
         now: Millis,
     ) -> f64 {
-        let workspace = request.workspace;
+        let workspace = sharing_workspace(request);
         if workspace.is_some_and(|workspace| self.shares.is_over_share(workspace, now)) {
             self.share_limited += 1;
             return OVER_SHARE_QUEUE_FRACTION;
@@ -333,6 +334,18 @@
     weighted_score(object, entry.hash, f64::from(entry.record.slots.max(1)))
 }
 
+/// Returns whether the workspace of a request restricts its regions. Such requests compete for a
+/// part of the capacity only, so the shares of the whole service don't apply to them.
+fn is_restricted(request: &UpstreamRequest<'_>) -> bool {
+    let regions = request.regions.workspace;
+    regions.is_some_and(|regions| !regions.is_empty())
+}
+
+/// Returns the workspace that the shares of the service apply to, if any.
+fn sharing_workspace<'a>(request: &UpstreamRequest<'a>) -> Option<&'a Workspace> {
+    request.workspace.filter(|_| !is_restricted(request))
+}
+
 fn is_allowed(entry: &Entry, request: &UpstreamRequest<'_>) -> bool {
     request.regions.allow(&entry.region)
 }
--- a/crates/routing/tests/service_shares.rs
+++ b/crates/routing/tests/service_shares.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use brasswinch_routing::{Change, Choice, FleetState, Placement, Refusal, UpstreamOutcome};
-use brasswinch_types::{Region, Workspace};
+use brasswinch_types::{Region, UpstreamId, Workspace};
 use common::{complete_as_of, config, fleet, placement_in, revised, service, upstream, wanted};
 use std::collections::{BTreeSet, VecDeque};
 
@@ -146,6 +146,45 @@
     test.start("large", now).unwrap();
 }
 
+/// Guards against an overload because upstreams can't be used by a request though none is full.
+#[test]
+fn a_refusal_without_a_full_upstream_is_no_overload() {
+    let mut test = Test::overloaded();
+    test.end_all_but(9, START);
+    let (service, w9, anywhere) = (service(), Workspace::new("w9"), BTreeSet::new());
+    let tried = ["west-a", "north-a"].map(UpstreamId::new);
+    let mut retry = wanted(&service, test.object.as_bytes(), &anywhere, &tried);
+    retry.workspace = Some(&w9);
+    let refused = test.placement.choose(&retry, 0.5, START + 1_500);
+    assert!(matches!(refused, Err(Refusal::Busy { .. })), "{refused:?}");
+    test.start("large", START + 2_000).unwrap();
+}
+
+/// Guards against shares of the whole service for a workspace that may use a part of it only, and
+/// against an overload of the service because that part is full.
+#[test]
+fn shares_leave_out_workspaces_with_restricted_regions() {
+    let mut test = Test::overloaded();
+    let (service, anywhere) = (service(), BTreeSet::new());
+    let west = test.west.clone();
+    let object = test.object.clone();
+    let restricted = |test: &mut Test, workspace: &str, now| {
+        let workspace = Workspace::new(workspace);
+        let mut wanted = wanted(&service, object.as_bytes(), &anywhere, &[]);
+        wanted.workspace = Some(&workspace);
+        wanted.regions.workspace = Some(&west);
+        test.placement.choose(&wanted, 0.5, now)
+    };
+    let refused = restricted(&mut test, "w9", START + 1_500);
+    assert!(matches!(refused, Err(Refusal::Busy { .. })), "{refused:?}");
+    test.end_all_but(9, START + 1_500);
+    assert!(test.start("large", START + 1_500).is_err());
+    let chosen = restricted(&mut test, "large", START + 1_500).unwrap();
+    test.placement
+        .ended(&chosen, UpstreamOutcome::Abandoned, START + 1_500);
+    test.start("large", START + 2_000).unwrap();
+}
+
 /// Guards against a limit that leaves out the first wait at home: a workspace over its share would
 /// wait there although a slot is free elsewhere.
 #[test]
