--- a/crates/routing/src/placement/fair_share.rs
+++ b/crates/routing/src/placement/fair_share.rs
@@ -53,7 +53,7 @@
 }
 
 /// Counts the requests of a service by workspace and detects the workspaces over their fair share.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct FairShares {
     window_started_at: Millis,
     workspaces: HashMap<Workspace, Counts>,
@@ -113,18 +113,19 @@
     /// Returns the counted workspaces of an overloaded service, those with most admitted requests
     /// first; none if the service isn't overloaded.
     pub fn shares(&self, now: Millis) -> Vec<CountedShare> {
-        let is_current = now.saturating_sub(self.window_started_at) < 2 * WINDOW_MS;
-        if !self.is_overloaded(now) || !is_current {
+        if !self.is_overloaded(now) {
             return Vec::new();
         }
-        let limit = OVER_SHARE_FACTOR * self.level();
+        let mut current = self.clone();
+        current.roll(now);
+        let limit = OVER_SHARE_FACTOR * current.level();
         let share = |(workspace, counts): (&Workspace, &Counts)| CountedShare {
             workspace: workspace.clone(),
             requested: counts.requested(),
             admitted: counts.admitted(),
             is_over_share: f64::from(counts.admitted()) > limit,
         };
-        let mut shares: Vec<CountedShare> = self.workspaces.iter().map(share).collect();
+        let mut shares: Vec<CountedShare> = current.workspaces.iter().map(share).collect();
         shares.sort_by(|a, b| {
             let by_admitted = b.admitted.cmp(&a.admitted);
             by_admitted.then_with(|| a.workspace.cmp(&b.workspace))
@@ -144,11 +145,13 @@
         if elapsed < WINDOW_MS {
             return;
         }
-        self.window_started_at = now;
         if elapsed >= 2 * WINDOW_MS {
+            self.window_started_at = now;
             self.workspaces.clear();
             return;
         }
+        // Windows start at fixed intervals; otherwise counts would last for up to 3 s.
+        self.window_started_at += WINDOW_MS;
         self.workspaces.retain(|_, counts| {
             counts.requested = [0, counts.requested[0]];
             counts.admitted = [0, counts.admitted[0]];
--- a/crates/routing/tests/fair_share.rs
+++ b/crates/routing/tests/fair_share.rs
@@ -111,6 +111,27 @@
     assert!(shares.shares(much_later + 2_000).is_empty());
 }
 
+/// Guards against windows that start late if requests are far apart: counts would last for up to
+/// 3 s.
+#[test]
+fn counts_last_for_no_more_than_2_s() {
+    for gap in [1_001, 1_999] {
+        let mut shares = FairShares::default();
+        let start = 10_000;
+        count(&mut shares, "large", 60, 20, start);
+        count(&mut shares, "small", 10, 30, start);
+        let next = start + gap;
+        count(&mut shares, "small", 1, 0, next);
+        shares.record_refusal(next);
+        assert!(shares.is_over_share(&workspace("large"), next), "{gap}");
+        let end = start + 2_000;
+        let shown = shares.shares(end);
+        assert_eq!(shown.len(), 1, "{gap}: {shown:?}");
+        assert!(!shares.is_over_share(&workspace("large"), end), "{gap}");
+        assert_eq!(shares.counted(), 1, "{gap}");
+    }
+}
+
 /// Guards against memory that grows with the number of workspaces, and against a large workspace
 /// that goes uncounted, or a small one that is limited, because the table is full.
 #[test]
