edge: body memory is reserved after the wait for a quota's grant

Requests that waited for a grant held the memory of their bodies and of streamed responses, so that waiting uploads of one workspace could use up the part of the memory that all requests share. A permit dropped unused gives its token back. Found by review; no test of its own.

--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -286,10 +286,8 @@
         length: u64,
         in_force: &ActiveConfig,
     ) -> Result<Response<AnyBody>, Failure> {
-        let reserved_bytes = reservation_bytes(length);
-        let reserved = BufferedBytes::reserve(self.context, reserved_bytes);
-        let _reserved = reserved.ok_or(ErrorKind::AtCapacity)?;
-        let stream_reservation = self.reserve_stream()?;
+        // Memory is reserved after the wait for a grant, so that waiting requests of one workspace
+        // leave it to the others. A permit that is dropped unused gives its token back.
         let mut permit = match self.workspace {
             Some(workspace) => {
                 let class = quota_class(self.route, &self.deadline);
@@ -297,6 +295,10 @@
             }
             None => None,
         };
+        let reserved_bytes = reservation_bytes(length);
+        let reserved = BufferedBytes::reserve(self.context, reserved_bytes);
+        let _reserved = reserved.ok_or(ErrorKind::AtCapacity)?;
+        let stream_reservation = self.reserve_stream()?;
         let buffered = self.read_body(body).await?;
         let response = self.send(buffered, in_force, permit.as_mut()).await?;
         Ok(match stream_reservation {
