edge: quota counts of unknown routes share a row

Classes of routes that are no longer in the configuration all have the label '-', so that two of them gave equal labels in one scrape. Found by review; no test of its own.

--- a/crates/edge/src/quota_routes.rs
+++ b/crates/edge/src/quota_routes.rs
@@ -5,7 +5,7 @@
 use brasswinch_types::Workspace;
 use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::fmt;
 
 /// Maximum routes of workspaces with counts of their own; those with most refused requests are
@@ -91,16 +91,21 @@
             return Vec::new();
         }
         let names = self.route_names();
-        let mut routes = Vec::new();
+        // Classes of unknown routes share a row: equal labels may not appear twice in a scrape.
+        let mut rows: BTreeMap<(Workspace, String), QuotaClassStatus> = BTreeMap::new();
         for quota in quotas {
             for counts in std::mem::take(&mut quota.classes) {
                 let name = names
                     .get(&counts.class)
                     .map_or(UNKNOWN_ROUTE, String::as_str);
-                let workspace = quota.workspace.clone();
-                routes.push(QuotaRouteStatus::new(workspace, name.to_owned(), counts));
+                let row = (quota.workspace.clone(), name.to_owned());
+                rows.entry(row).or_default().add(&counts);
             }
         }
+        let mut routes: Vec<QuotaRouteStatus> = rows
+            .into_iter()
+            .map(|((workspace, route), counts)| QuotaRouteStatus::new(workspace, route, counts))
+            .collect();
         routes.sort_by_key(|route| Reverse((route.all_refused(), route.granted)));
         routes.truncate(MAX_QUOTA_ROUTES);
         routes
--- a/crates/routing/src/quota/status.rs
+++ b/crates/routing/src/quota/status.rs
@@ -45,6 +45,18 @@
     pub expired: u64,
 }
 
+impl QuotaClassStatus {
+    /// Adds the counts of another class.
+    pub fn add(&mut self, other: &Self) {
+        self.asked += other.asked;
+        self.granted += other.granted;
+        self.waited += other.waited;
+        self.refused += other.refused;
+        self.refused_locally += other.refused_locally;
+        self.expired += other.expired;
+    }
+}
+
 impl fmt::Display for QuotaStatus {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Self {
