edge: retry budgets tell what they count, grant and deny

Of the hypotheses on retries over their budget the logs could not tell apart state lost at a restart from requests counted twice: lines of requests are thinned under load, and no figure shows a budget's use.

--- a/crates/edge/src/budgets.rs
+++ b/crates/edge/src/budgets.rs
@@ -1,56 +1,144 @@
 //! Retry budgets, one per service, shared by all boxes.
 
 use crate::context::Context;
+use crate::metrics::line;
 use crate::status::RetriesLeft;
-use brasswinch_routing::{RetryBudget, RetryBudgetSettings};
+use brasswinch_observe::{Event, emit_about};
+use brasswinch_routing::{RetryBudget, RetryBudgetSettings, RetryCounts};
 use brasswinch_types::{Millis, Service};
 use std::collections::HashMap;
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+/// Minimum interval between log lines about one budget, in milliseconds. A budget's window holds
+/// many of them, so that windows can be added up over all boxes from the logs.
+const LOG_INTERVAL_MS: Millis = 500;
 
 /// This box's share of the budgets.
 #[derive(Default)]
 pub(crate) struct Budgets {
-    by_service: Mutex<HashMap<Service, RetryBudget>>,
+    by_service: Mutex<HashMap<Service, ServiceBudget>>,
+}
+
+struct ServiceBudget {
+    budget: RetryBudget,
+    logged_at: Option<Millis>,
+}
+
+impl ServiceBudget {
+    /// Returns whether a log line is due, and counts it as written.
+    fn take_log_turn(&mut self, now: Millis) -> bool {
+        let is_due = self
+            .logged_at
+            .is_none_or(|logged_at| now >= logged_at + LOG_INTERVAL_MS);
+        if is_due {
+            self.logged_at = Some(now);
+        }
+        is_due
+    }
+}
+
+/// This box's use of one budget.
+struct Usage {
+    service: Service,
+    counts: RetryCounts,
+    /// Retries that this box may send now.
+    left: f64,
 }
 
 impl Context {
     /// Counts a request for `service` towards its retry budget.
     pub(crate) fn count_request(&self, service: &Service) {
         let now = self.clock.now();
-        self.with_budget(service, |budget| budget.count_request(now));
+        self.with_budget(service, |service| service.budget.count_request(now));
     }
 
     /// Spends one retry of `service`'s budget. Returns whether the budget allowed it.
     pub(crate) fn spend_retry(&self, service: &Service) -> bool {
         let (boxes, now) = (self.sharing_boxes(), self.clock.now());
-        self.with_budget(service, |budget| budget.spend(boxes, now))
+        let (is_granted, to_log) = self.with_budget(service, |service| {
+            let is_granted = service.budget.spend(boxes, now);
+            let left = service.budget.left(boxes, now);
+            let is_due = service.take_log_turn(now);
+            (is_granted, is_due.then(|| (service.budget.counts(), left)))
+        });
+        if let Some((counts, left)) = to_log {
+            let RetryCounts {
+                requests,
+                granted,
+                denied,
+            } = counts;
+            emit_about(
+                Event::RetryBudgetUsed,
+                service,
+                format_args!(
+                    "service={service} requests={requests} granted={granted} denied={denied} \
+                     left={left:.1} boxes={boxes}"
+                ),
+            );
+        }
+        is_granted
     }
 
     /// Returns this box's remaining retries of each service, sorted by service.
     pub(crate) fn retries_left(&self) -> Vec<RetriesLeft> {
+        let usage = self.retry_usage().into_iter();
+        usage
+            .map(|usage| RetriesLeft {
+                service: usage.service,
+                left: usage.left.max(0.0),
+            })
+            .collect()
+    }
+
+    /// Writes the counts of each budget.
+    pub(crate) fn write_retries(&self, text: &mut String) {
+        for usage in self.retry_usage() {
+            let (service, counts) = (&usage.service, usage.counts);
+            let labels = format!("service=\"{service}\"");
+            let requests = counts.requests as f64;
+            line(text, "retry_budget_requests_total", &labels, requests);
+            line(text, "retry_budget_left", &labels, usage.left);
+            for (outcome, count) in [("granted", counts.granted), ("denied", counts.denied)] {
+                let labels = format!("service=\"{service}\",outcome=\"{outcome}\"");
+                line(text, "retries_total", &labels, count as f64);
+            }
+        }
+    }
+
+    /// Returns this box's use of each budget, sorted by service.
+    fn retry_usage(&self) -> Vec<Usage> {
         let (boxes, now) = (self.sharing_boxes(), self.clock.now());
-        let budgets = self.budgets.by_service.lock();
-        let budgets = budgets.unwrap_or_else(PoisonError::into_inner);
-        let left = |(service, budget): (&Service, &RetryBudget)| RetriesLeft {
+        let services = self.budgets.lock();
+        let usage = |(service, entry): (&Service, &ServiceBudget)| Usage {
             service: service.clone(),
-            left: budget.left(boxes, now).max(0.0),
+            counts: entry.budget.counts(),
+            left: entry.budget.left(boxes, now),
         };
-        let mut all: Vec<RetriesLeft> = budgets.iter().map(left).collect();
+        let mut all: Vec<Usage> = services.iter().map(usage).collect();
         all.sort_by(|a, b| a.service.cmp(&b.service));
         all
     }
 
-    fn with_budget<T>(&self, service: &Service, change: impl FnOnce(&mut RetryBudget) -> T) -> T {
+    fn with_budget<T>(&self, service: &Service, change: impl FnOnce(&mut ServiceBudget) -> T) -> T {
         let bounds = &self.settings.bounds;
-        let budgets = self.budgets.by_service.lock();
-        let mut budgets = budgets.unwrap_or_else(PoisonError::into_inner);
-        let budget = budgets.entry(service.clone()).or_insert_with(|| {
-            RetryBudget::new(RetryBudgetSettings {
-                ratio: bounds.retry_ratio,
-                extra: bounds.retry_extra,
-                window_ms: (bounds.retry_window_s * 1_000.0) as Millis,
-            })
-        });
-        change(budget)
+        let mut services = self.budgets.lock();
+        let entry = services
+            .entry(service.clone())
+            .or_insert_with(|| ServiceBudget {
+                budget: RetryBudget::new(RetryBudgetSettings {
+                    ratio: bounds.retry_ratio,
+                    extra: bounds.retry_extra,
+                    window_ms: (bounds.retry_window_s * 1_000.0) as Millis,
+                }),
+                logged_at: None,
+            });
+        change(entry)
+    }
+}
+
+impl Budgets {
+    fn lock(&self) -> MutexGuard<'_, HashMap<Service, ServiceBudget>> {
+        let services = self.by_service.lock();
+        services.unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -189,6 +189,7 @@
         let limited = self.limit_status().len() as f64;
         line(&mut text, "upstreams_limited", "", limited);
         self.write_upstreams(&mut text);
+        self.write_retries(&mut text);
         self.write_quotas(&mut text);
         self.write_quarantine(&mut text);
         for (labels, count) in self.store_calls.by_label() {
@@ -282,7 +283,7 @@
     escaped.replace('\n', "\\n")
 }
 
-fn line(text: &mut String, name: &str, labels: &str, value: f64) {
+pub(crate) fn line(text: &mut String, name: &str, labels: &str, value: f64) {
     let labels = if labels.is_empty() {
         String::new()
     } else {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -72,7 +72,7 @@
 pub use region_plan::{RegionCapacity, RegionPlan};
 pub use rendezvous::{object_hash, weighted_score};
 pub use request_digest::{RequestDigest, RequestIdentity, RequestShape};
-pub use retry_budget::{RetryBudget, RetryBudgetSettings};
+pub use retry_budget::{RetryBudget, RetryBudgetSettings, RetryCounts};
 pub use route_table::RouteTable;
 pub use split::WeightedSplit;
 pub use swim::{
--- a/crates/routing/src/retry_budget.rs
+++ b/crates/routing/src/retry_budget.rs
@@ -27,11 +27,23 @@
     retries: u32,
 }
 
+/// What one box has counted since it started.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RetryCounts {
+    /// First attempts of requests.
+    pub requests: u64,
+    /// Retries that the budget allowed.
+    pub granted: u64,
+    /// Retries that the budget denied.
+    pub denied: u64,
+}
+
 /// One box's share of the budget for one service.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
     settings: RetryBudgetSettings,
     buckets: Vec<Bucket>,
+    counts: RetryCounts,
 }
 
 impl RetryBudget {
@@ -41,11 +53,13 @@
         Self {
             settings,
             buckets: vec![Bucket::default(); buckets],
+            counts: RetryCounts::default(),
         }
     }
 
     /// Counts the first attempt of a request.
     pub fn count_request(&mut self, now: Millis) {
+        self.counts.requests += 1;
         self.bucket(now).requests += 1;
     }
 
@@ -53,12 +67,19 @@
     /// spending at the same time.
     pub fn spend(&mut self, boxes: usize, now: Millis) -> bool {
         if self.left(boxes, now) < 1.0 {
+            self.counts.denied += 1;
             return false;
         }
+        self.counts.granted += 1;
         self.bucket(now).retries += 1;
         true
     }
 
+    /// Returns what was counted since the budget was created.
+    pub fn counts(&self) -> RetryCounts {
+        self.counts
+    }
+
     /// Returns the available retries; below 0 if the window's requests have decreased.
     pub fn left(&self, boxes: usize, now: Millis) -> f64 {
         let newest = now / BUCKET_MS;
