--- /dev/null
+++ b/crates/routing/tests/retry_budget.rs
@@ -0,0 +1,161 @@
+//! The retries that boxes send together stay within the fleet's budget while boxes restart.
+#![allow(clippy::unwrap_used, clippy::expect_used)]
+
+use brasswinch_routing::{RetryBudget, RetryBudgetSettings};
+use proptest::prelude::*;
+
+const SETTINGS: RetryBudgetSettings = RetryBudgetSettings {
+    ratio: 0.2,
+    extra: 64.0,
+    window_ms: 10_000,
+};
+
+const DURATION_MS: u64 = 32_000;
+
+/// Time in which a killed box starts again, in milliseconds.
+const START_MS: u64 = 200;
+
+/// When boxes are killed, and which fraction of them.
+type Kill = (u64, f64);
+
+struct Day {
+    boxes: usize,
+    requests_per_s: u64,
+    /// From when on requests are refused, and with which probability.
+    refused: (u64, f64),
+    kills: Vec<Kill>,
+    max_attempts: u32,
+    seed: u64,
+}
+
+struct Sent {
+    requests: Vec<u64>,
+    retries: Vec<u64>,
+}
+
+/// Pseudorandom numbers from 0 to 1, the same for the same seed.
+fn dice(seed: u64) -> impl FnMut() -> f64 {
+    let mut state = seed | 1;
+    move || {
+        state ^= state << 13;
+        state ^= state >> 7;
+        state ^= state << 17;
+        (state >> 11) as f64 / (1_u64 << 53) as f64
+    }
+}
+
+impl Day {
+    /// Sends a steady load to random boxes, which retry whatever their budgets allow.
+    fn play(&self) -> Sent {
+        let mut dice = dice(self.seed.wrapping_mul(0x9E37_79B9_7F4A_7C15));
+        let mut budgets: Vec<Option<RetryBudget>> = vec![None; self.boxes];
+        let mut down_until = vec![0; self.boxes];
+        let mut kills = self.kills.clone();
+        kills.sort_by_key(|(at, _)| *at);
+        let mut sent = Sent {
+            requests: Vec::new(),
+            retries: Vec::new(),
+        };
+        for at in
+            (0..DURATION_MS * self.requests_per_s / 1_000).map(|n| n * 1_000 / self.requests_per_s)
+        {
+            while kills.first().is_some_and(|(kill_at, _)| *kill_at <= at) {
+                let (_, fraction) = kills.remove(0);
+                let killed = (fraction * self.boxes as f64).ceil() as usize;
+                for index in 0..killed {
+                    budgets[index] = None;
+                    down_until[index] = at + START_MS;
+                }
+            }
+            let index = (dice() * self.boxes as f64) as usize;
+            if at < down_until[index] {
+                continue;
+            }
+            let budget = budgets[index].get_or_insert_with(|| RetryBudget::new(SETTINGS));
+            budget.count_request(at);
+            sent.requests.push(at);
+            let (from, probability) = self.refused;
+            for _ in 1..self.max_attempts {
+                if at < from || dice() >= probability || !budget.spend(self.boxes, at) {
+                    break;
+                }
+                sent.retries.push(at);
+            }
+        }
+        sent
+    }
+}
+
+impl Sent {
+    fn count(times: &[u64], from: u64) -> f64 {
+        let until = from + SETTINGS.window_ms;
+        let (first, end) = (
+            times.partition_point(|at| *at < from),
+            times.partition_point(|at| *at < until),
+        );
+        (end - first) as f64
+    }
+
+    /// Returns the retries of the worst window and what it allows. The requests are those of this
+    /// window, of the one before or of the one half a window before, whichever are most.
+    fn worst_window(&self) -> (f64, f64) {
+        let windows = (0..DURATION_MS).step_by(100).map(|from| {
+            let window_ms = SETTINGS.window_ms;
+            let starts = [
+                from,
+                from.saturating_sub(window_ms),
+                from.saturating_sub(window_ms / 2),
+            ];
+            let requests = starts
+                .map(|start| Self::count(&self.requests, start))
+                .into_iter()
+                .fold(0.0, f64::max);
+            (
+                Self::count(&self.retries, from),
+                SETTINGS.ratio * requests + SETTINGS.extra,
+            )
+        });
+        windows
+            .max_by(|a, b| (a.0 / a.1).total_cmp(&(b.0 / b.1)))
+            .unwrap()
+    }
+}
+
+/// Guards against boxes that forget at a restart what they have spent of the budget.
+#[test]
+fn boxes_that_are_all_killed_spend_the_retry_budget_twice() {
+    for boxes in [12, 75, 300] {
+        let day = Day {
+            boxes,
+            requests_per_s: 480,
+            refused: (11_000, 0.6),
+            kills: vec![(13_500, 1.0)],
+            max_attempts: 3,
+            seed: 1,
+        };
+        let (retries, allowed) = day.play().worst_window();
+        assert!(
+            retries <= allowed,
+            "{boxes} boxes: {retries} retries of {allowed}"
+        );
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(48))]
+
+    /// Guards against restarts one after another that each begin with a whole budget.
+    #[test]
+    fn boxes_that_restart_again_and_again_exceed_the_retry_budget(
+        boxes in proptest::sample::select(vec![1_usize, 12, 75, 300]),
+        requests_per_s in 10_u64..800,
+        refused in (0_u64..14_000, 0.1_f64..1.0),
+        kills in proptest::collection::vec((5_000_u64..28_000, 0.2_f64..=1.0), 0..12),
+        max_attempts in 2_u32..5,
+        seed in any::<u64>(),
+    ) {
+        let day = Day { boxes, requests_per_s, refused, kills, max_attempts, seed };
+        let (retries, allowed) = day.play().worst_window();
+        prop_assert!(retries <= allowed, "{retries} retries of {allowed}");
+    }
+}
