Retry budgets are saved up: a box that starts has nothing to spend

Cause: a box's window of requests and retries is in memory. A box that starts again has its whole share of the fixed allowance, and counts none of the retries that it sent before, while the 0.7 of the limit that is used was meant for boxes that live for a whole window. The same holds for a box that takes over the clients of one that is gone: each spends for its own last 10 s. So 10 s of calm, then refusals, then a kill of all boxes give up to twice 0.7. Class: a limit that all boxes share, kept by each one's memory.

Change: a box earns 0.7 of the ratio by each request and 0.35 of its share of the fixed allowance in each window, from its first request on, and may have saved what its requests of the last 2 s have earned and 0.35 of that share. In a window all boxes together spend at most what the requests of the window and of the 2 s before it have earned, whoever restarts: 0.84 of the limit under a steady load, the rest for retries that arrive late. A box with few requests could never retry before (less than one in the window); now it retries with the probability that it has saved.

--- a/crates/edge/src/budgets.rs
+++ b/crates/edge/src/budgets.rs
@@ -56,7 +56,7 @@
     pub(crate) fn spend_retry(&self, service: &Service) -> bool {
         let (boxes, now) = (self.sharing_boxes(), self.clock.now());
         let (is_granted, to_log) = self.with_budget(service, |service| {
-            let is_granted = service.budget.spend(boxes, now);
+            let is_granted = service.budget.spend(boxes, rand::random(), now);
             let left = service.budget.left(boxes, now);
             let is_due = service.take_log_turn(now);
             (is_granted, is_due.then(|| (service.budget.counts(), left)))
--- a/crates/routing/src/retry_budget.rs
+++ b/crates/routing/src/retry_budget.rs
@@ -1,13 +1,30 @@
-//! Keeps the retries that all boxes send to a service below a shared limit without messages: each
-//! box spends a ratio of its own requests and its share of the fixed allowance.
+//! Keeps the retries that all boxes send to a service below a shared limit without messages.
+//!
+//! Each box saves up a part of the limit: a ratio of its own requests, and its share of the fixed
+//! allowance as time passes. It can't save more than its latest requests have earned, and it starts
+//! with nothing. So in any window all boxes together spend at most what the requests of that window
+//! and of [`SAVED_MS`] before it have earned, however often boxes restart and wherever clients go
+//! when a box is gone.
 
 use brasswinch_types::Millis;
 
-/// Length of a bucket of the sliding window.
+/// Length of a bucket of recent requests, in milliseconds.
 const BUCKET_MS: Millis = 500;
 
-/// Fraction of the limit that is used; the rest covers counts that lag.
-const USED_FRACTION: f64 = 0.7;
+/// Time whose requests count for what a box may have saved, in milliseconds.
+const SAVED_MS: Millis = 2_000;
+
+const SAVED_BUCKETS: usize = (SAVED_MS / BUCKET_MS) as usize;
+
+/// Fraction of the ratio that is used. The rest covers the savings from before a window, and
+/// retries that arrive later than they were sent.
+const RATIO_FRACTION: f64 = 0.7;
+
+/// Fraction of the fixed allowance that is earned in a window.
+const EXTRA_EARNED_FRACTION: f64 = 0.35;
+
+/// Fraction of the fixed allowance that may be saved.
+const EXTRA_SAVED_FRACTION: f64 = 0.35;
 
 /// The limit for all boxes together.
 #[derive(Clone, Copy, Debug)]
@@ -24,7 +41,6 @@
 struct Bucket {
     index: u64,
     requests: u32,
-    retries: u32,
 }
 
 /// What one box has counted since it started.
@@ -42,17 +58,22 @@
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
     settings: RetryBudgetSettings,
-    buckets: Vec<Bucket>,
+    /// Retries saved up, as of `earned_until` for the fixed allowance.
+    saved: f64,
+    /// Until when the fixed allowance has been earned; `None` before the first request.
+    earned_until: Option<Millis>,
+    recent: [Bucket; SAVED_BUCKETS],
     counts: RetryCounts,
 }
 
 impl RetryBudget {
-    /// Creates an unused budget.
+    /// Creates a budget with nothing saved.
     pub fn new(settings: RetryBudgetSettings) -> Self {
-        let buckets = (settings.window_ms / BUCKET_MS + 1).max(2) as usize;
         Self {
             settings,
-            buckets: vec![Bucket::default(); buckets],
+            saved: 0.0,
+            earned_until: None,
+            recent: [Bucket::default(); SAVED_BUCKETS],
             counts: RetryCounts::default(),
         }
     }
@@ -60,19 +81,34 @@
     /// Counts the first attempt of a request.
     pub fn count_request(&mut self, now: Millis) {
         self.counts.requests += 1;
-        self.bucket(now).requests += 1;
+        self.earned_until.get_or_insert(now);
+        self.saved += self.settings.ratio * RATIO_FRACTION;
+        let index = now / BUCKET_MS;
+        let bucket = &mut self.recent[index as usize % SAVED_BUCKETS];
+        if bucket.index != index {
+            *bucket = Bucket { index, requests: 0 };
+        }
+        bucket.requests += 1;
     }
 
     /// Spends one retry if one is available. `boxes` is the largest number of boxes that may be
-    /// spending at the same time.
-    pub fn spend(&mut self, boxes: usize, now: Millis) -> bool {
-        if self.left(boxes, now) < 1.0 {
+    /// spending at the same time, and `random` is from 0 to 1.
+    // A box with few requests never saves a whole retry. It spends the fraction that it can save,
+    // and retries with that probability: on average all boxes send no more than they have saved.
+    pub fn spend(&mut self, boxes: usize, random: f64, now: Millis) -> bool {
+        self.saved = self.left(boxes, now);
+        self.earned_until = Some(now);
+        let cost = self.max_saved(boxes, now).min(1.0);
+        let is_granted = self.saved >= cost && random < cost;
+        if self.saved >= cost {
+            self.saved -= cost;
+        }
+        if is_granted {
+            self.counts.granted += 1;
+        } else {
             self.counts.denied += 1;
-            return false;
         }
-        self.counts.granted += 1;
-        self.bucket(now).retries += 1;
-        true
+        is_granted
     }
 
     /// Returns what was counted since the budget was created.
@@ -80,29 +116,23 @@
         self.counts
     }
 
-    /// Returns the available retries; below 0 if the window's requests have decreased.
+    /// Returns the available retries.
     pub fn left(&self, boxes: usize, now: Millis) -> f64 {
-        let newest = now / BUCKET_MS;
-        let oldest = newest.saturating_sub(self.buckets.len() as u64 - 1);
-        let in_window = self.buckets.iter().filter(|bucket| bucket.index >= oldest);
-        let (requests, retries) = in_window.fold((0, 0), |(requests, retries), bucket| {
-            (requests + bucket.requests, retries + bucket.retries)
-        });
-        let extra = self.settings.extra / boxes.max(1) as f64;
-        let allowed = (self.settings.ratio * f64::from(requests) + extra) * USED_FRACTION;
-        allowed - f64::from(retries)
+        let earned_for = now.saturating_sub(self.earned_until.unwrap_or(now));
+        let windows = earned_for as f64 / self.settings.window_ms.max(1) as f64;
+        let extra = self.extra_share(boxes) * EXTRA_EARNED_FRACTION * windows;
+        (self.saved + extra).min(self.max_saved(boxes, now))
     }
 
-    fn bucket(&mut self, now: Millis) -> &mut Bucket {
-        let index = now / BUCKET_MS;
-        let slot = (index % self.buckets.len() as u64) as usize;
-        let bucket = &mut self.buckets[slot];
-        if bucket.index != index {
-            *bucket = Bucket {
-                index,
-                ..Bucket::default()
-            };
-        }
-        bucket
+    fn max_saved(&self, boxes: usize, now: Millis) -> f64 {
+        let oldest = (now / BUCKET_MS).saturating_sub(SAVED_BUCKETS as u64 - 1);
+        let recent = self.recent.iter().filter(|bucket| bucket.index >= oldest);
+        let requests: u32 = recent.map(|bucket| bucket.requests).sum();
+        self.settings.ratio * RATIO_FRACTION * f64::from(requests)
+            + self.extra_share(boxes) * EXTRA_SAVED_FRACTION
+    }
+
+    fn extra_share(&self, boxes: usize) -> f64 {
+        self.settings.extra / boxes.max(1) as f64
     }
 }
--- a/crates/routing/tests/retry_budget.rs
+++ b/crates/routing/tests/retry_budget.rs
@@ -12,11 +12,21 @@
 
 const DURATION_MS: u64 = 32_000;
 
+/// Longest time by which retries arrive late, in milliseconds: boxes give up connections whose
+/// bytes stay unacknowledged for longer.
+const MAX_STALL_MS: u64 = 700;
+
 /// Time in which a killed box starts again, in milliseconds.
 const START_MS: u64 = 200;
 
-/// When boxes are killed, and which fraction of them.
-type Kill = (u64, f64);
+#[derive(Clone, Copy, Debug)]
+struct Kill {
+    at: u64,
+    /// The fraction of the boxes that is killed.
+    fraction: f64,
+    /// How long they are down, in milliseconds.
+    down_ms: u64,
+}
 
 struct Day {
     boxes: usize,
@@ -24,6 +34,8 @@
     /// From when on requests are refused, and with which probability.
     refused: (u64, f64),
     kills: Vec<Kill>,
+    /// From when on retries don't arrive, and for how long.
+    stall: (u64, u64),
     max_attempts: u32,
     seed: u64,
 }
@@ -44,46 +56,68 @@
     }
 }
 
+/// One box of the model.
+#[derive(Clone, Default)]
+struct Place {
+    budget: Option<RetryBudget>,
+    down_until: u64,
+}
+
 impl Day {
     /// Sends a steady load to random boxes, which retry whatever their budgets allow.
     fn play(&self) -> Sent {
         let mut dice = dice(self.seed.wrapping_mul(0x9E37_79B9_7F4A_7C15));
-        let mut budgets: Vec<Option<RetryBudget>> = vec![None; self.boxes];
-        let mut down_until = vec![0; self.boxes];
+        let mut places = vec![Place::default(); self.boxes];
         let mut kills = self.kills.clone();
-        kills.sort_by_key(|(at, _)| *at);
+        kills.sort_by_key(|kill| kill.at);
+        let mut kills = kills.into_iter().peekable();
         let mut sent = Sent {
             requests: Vec::new(),
             retries: Vec::new(),
         };
-        for at in
-            (0..DURATION_MS * self.requests_per_s / 1_000).map(|n| n * 1_000 / self.requests_per_s)
-        {
-            while kills.first().is_some_and(|(kill_at, _)| *kill_at <= at) {
-                let (_, fraction) = kills.remove(0);
-                let killed = (fraction * self.boxes as f64).ceil() as usize;
-                for index in 0..killed {
-                    budgets[index] = None;
-                    down_until[index] = at + START_MS;
+        for request in 0..DURATION_MS * self.requests_per_s / 1_000 {
+            let at = request * 1_000 / self.requests_per_s;
+            while let Some(kill) = kills.next_if(|kill| kill.at <= at) {
+                for place in &mut places {
+                    if dice() < kill.fraction {
+                        place.budget = None;
+                        place.down_until = place.down_until.max(kill.at + kill.down_ms);
+                    }
                 }
             }
-            let index = (dice() * self.boxes as f64) as usize;
-            if at < down_until[index] {
+            let mut up: Vec<&mut Place> = places
+                .iter_mut()
+                .filter(|place| place.down_until <= at)
+                .collect();
+            if up.is_empty() {
                 continue;
             }
-            let budget = budgets[index].get_or_insert_with(|| RetryBudget::new(SETTINGS));
+            let index = (dice() * up.len() as f64) as usize;
+            let budget = up[index]
+                .budget
+                .get_or_insert_with(|| RetryBudget::new(SETTINGS));
             budget.count_request(at);
             sent.requests.push(at);
             let (from, probability) = self.refused;
             for _ in 1..self.max_attempts {
-                if at < from || dice() >= probability || !budget.spend(self.boxes, at) {
+                if at < from || dice() >= probability || !budget.spend(self.boxes, dice(), at) {
                     break;
                 }
-                sent.retries.push(at);
+                sent.retries.push(self.arrival(at));
             }
         }
+        sent.retries.sort_unstable();
         sent
     }
+
+    fn arrival(&self, sent_at: u64) -> u64 {
+        let (from, for_ms) = self.stall;
+        if sent_at >= from {
+            sent_at.max(from + for_ms)
+        } else {
+            sent_at
+        }
+    }
 }
 
 impl Sent {
@@ -125,11 +159,17 @@
 #[test]
 fn boxes_that_are_all_killed_spend_the_retry_budget_twice() {
     for boxes in [12, 75, 300] {
+        let kill = Kill {
+            at: 13_500,
+            fraction: 1.0,
+            down_ms: START_MS,
+        };
         let day = Day {
             boxes,
             requests_per_s: 480,
             refused: (11_000, 0.6),
-            kills: vec![(13_500, 1.0)],
+            kills: vec![kill],
+            stall: (0, 0),
             max_attempts: 3,
             seed: 1,
         };
@@ -141,6 +181,15 @@
     }
 }
 
+fn kill(down_ms: impl Strategy<Value = u64>) -> impl Strategy<Value = Kill> {
+    let any = (5_000_u64..28_000, 0.2_f64..=1.0, down_ms);
+    any.prop_map(|(at, fraction, down_ms)| Kill {
+        at,
+        fraction,
+        down_ms,
+    })
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(48))]
 
@@ -150,11 +199,28 @@
         boxes in proptest::sample::select(vec![1_usize, 12, 75, 300]),
         requests_per_s in 10_u64..800,
         refused in (0_u64..14_000, 0.1_f64..1.0),
-        kills in proptest::collection::vec((5_000_u64..28_000, 0.2_f64..=1.0), 0..12),
+        kills in proptest::collection::vec(kill(Just(START_MS)), 0..12),
+        max_attempts in 2_u32..5,
+        seed in any::<u64>(),
+    ) {
+        let day = Day { boxes, requests_per_s, refused, kills, stall: (0, 0), max_attempts, seed };
+        let (retries, allowed) = day.play().worst_window();
+        prop_assert!(retries <= allowed, "{retries} retries of {allowed}");
+    }
+
+    /// Guards against boxes that spend what others, which are gone, have spent before them, and
+    /// against retries that arrive together after a stall.
+    #[test]
+    fn boxes_that_take_over_from_others_exceed_the_retry_budget(
+        boxes in proptest::sample::select(vec![2_usize, 12, 75, 300]),
+        requests_per_s in 10_u64..800,
+        refused in (0_u64..14_000, 0.1_f64..1.0),
+        kills in proptest::collection::vec(kill(500_u64..15_000), 0..6),
+        stall in (8_000_u64..24_000, 0_u64..=MAX_STALL_MS),
         max_attempts in 2_u32..5,
         seed in any::<u64>(),
     ) {
-        let day = Day { boxes, requests_per_s, refused, kills, max_attempts, seed };
+        let day = Day { boxes, requests_per_s, refused, kills, stall, max_attempts, seed };
         let (retries, allowed) = day.play().worst_window();
         prop_assert!(retries <= allowed, "{retries} retries of {allowed}");
     }
