Retry budgets: boxes that know no fleet size use no fixed allowance

The same class elsewhere: a box that neither the store nor others have told how many boxes there are takes two a zone, or those that it hears, for all, and its share of the fixed allowance is that of a small fleet.

--- a/crates/edge/src/budgets.rs
+++ b/crates/edge/src/budgets.rs
@@ -4,7 +4,7 @@
 use crate::metrics::line;
 use crate::status::RetriesLeft;
 use brasswinch_observe::{Event, emit_about};
-use brasswinch_routing::{RetryBudget, RetryBudgetSettings, RetryCounts};
+use brasswinch_routing::{KnownSize, RetryBudget, RetryBudgetSettings, RetryCounts};
 use brasswinch_types::{Millis, Service};
 use std::collections::HashMap;
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -54,7 +54,7 @@
 
     /// Spends one retry of `service`'s budget. Returns whether the budget allowed it.
     pub(crate) fn spend_retry(&self, service: &Service) -> bool {
-        let (boxes, now) = (self.sharing_boxes(), self.clock.now());
+        let (boxes, now) = (self.budget_boxes(), self.clock.now());
         let (is_granted, to_log) = self.with_budget(service, |service| {
             let is_granted = service.budget.spend(boxes, rand::random(), now);
             let left = service.budget.left(boxes, now);
@@ -62,6 +62,7 @@
             (is_granted, is_due.then(|| (service.budget.counts(), left)))
         });
         if let Some((counts, left)) = to_log {
+            let boxes = boxes.map_or_else(|| "-".to_owned(), |boxes| boxes.to_string());
             let RetryCounts {
                 requests,
                 granted,
@@ -107,7 +108,7 @@
 
     /// Returns this box's use of each budget, sorted by service.
     fn retry_usage(&self) -> Vec<Usage> {
-        let (boxes, now) = (self.sharing_boxes(), self.clock.now());
+        let (boxes, now) = (self.budget_boxes(), self.clock.now());
         let services = self.budgets.lock();
         let usage = |(service, entry): (&Service, &ServiceBudget)| Usage {
             service: service.clone(),
@@ -119,6 +120,15 @@
         all
     }
 
+    /// Returns the number of boxes that share the budgets; `None` if the store and other boxes
+    /// have not reported it.
+    fn budget_boxes(&self) -> Option<usize> {
+        match self.known_fleet_size() {
+            KnownSize::Reported(_) => Some(self.sharing_boxes()),
+            KnownSize::Observed | KnownSize::Pending => None,
+        }
+    }
+
     fn with_budget<T>(&self, service: &Service, change: impl FnOnce(&mut ServiceBudget) -> T) -> T {
         let bounds = &self.settings.bounds;
         let mut services = self.budgets.lock();
--- a/crates/edge/tests/fleet_size.rs
+++ b/crates/edge/tests/fleet_size.rs
@@ -3,12 +3,13 @@
 
 mod common;
 
-use brasswinch_edge::{Dialect, EdgeHandle, start};
+use brasswinch_edge::{Dialect, EdgeHandle, EdgeSettings, start};
 use brasswinch_lab::memory_store::{MemoryStore, StoreFault};
 use brasswinch_routing::Change;
 use common::{call, config, eventually, request, settings};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 const BOXES: usize = 3;
 
@@ -19,7 +20,11 @@
 }
 
 async fn start_serving(id: &str, seeds: Vec<SocketAddr>, access: MemoryStore) -> EdgeHandle {
-    let edge = start(settings(id, seeds), Dialect::default(), access);
+    start_with(settings(id, seeds), access).await
+}
+
+async fn start_with(settings: EdgeSettings, access: MemoryStore) -> EdgeHandle {
+    let edge = start(settings, Dialect::default(), access);
     let edge = edge.await.unwrap();
     let context = Arc::clone(edge.context());
     eventually("the box is ready", || context.is_ready()).await;
@@ -60,11 +65,14 @@
     const FLEET: u32 = 100;
     let store = store();
     store.keep_fleet_size(FLEET);
-    let cut_off = start_serving("box-0", Vec::new(), store.handle()).await;
+    let settings = settings("box-0", Vec::new());
+    let clock = settings.clock.clone();
+    let cut_off = start_with(settings.clone(), store.handle()).await;
     // The service has no upstream, but the request still counts.
     let address = cut_off.addresses().clients;
     call(address, request("GET", "/safe/1", "")).await.unwrap();
-    let settings = settings("box-0", Vec::new());
+    // Afterwards the box has saved as much as it may.
+    clock.skip(Duration::from_secs_f64(settings.bounds.retry_window_s));
     let own_share = settings.bounds.retry_extra / f64::from(FLEET) + settings.bounds.retry_ratio;
     let status = cut_off.context().status();
     let left: f64 = status.retries_left.iter().map(|budget| budget.left).sum();
--- a/crates/routing/src/retry_budget.rs
+++ b/crates/routing/src/retry_budget.rs
@@ -92,10 +92,11 @@
     }
 
     /// Spends one retry if one is available. `boxes` is the largest number of boxes that may be
-    /// spending at the same time, and `random` is from 0 to 1.
+    /// spending at the same time; if it is unknown, the fixed allowance is not used. `random` is
+    /// from 0 to 1.
     // A box with few requests never saves a whole retry. It spends the fraction that it can save,
     // and retries with that probability: on average all boxes send no more than they have saved.
-    pub fn spend(&mut self, boxes: usize, random: f64, now: Millis) -> bool {
+    pub fn spend(&mut self, boxes: Option<usize>, random: f64, now: Millis) -> bool {
         self.saved = self.left(boxes, now);
         self.earned_until = Some(now);
         let cost = self.max_saved(boxes, now).min(1.0);
@@ -117,14 +118,14 @@
     }
 
     /// Returns the available retries.
-    pub fn left(&self, boxes: usize, now: Millis) -> f64 {
+    pub fn left(&self, boxes: Option<usize>, now: Millis) -> f64 {
         let earned_for = now.saturating_sub(self.earned_until.unwrap_or(now));
         let windows = earned_for as f64 / self.settings.window_ms.max(1) as f64;
         let extra = self.extra_share(boxes) * EXTRA_EARNED_FRACTION * windows;
         (self.saved + extra).min(self.max_saved(boxes, now))
     }
 
-    fn max_saved(&self, boxes: usize, now: Millis) -> f64 {
+    fn max_saved(&self, boxes: Option<usize>, now: Millis) -> f64 {
         let oldest = (now / BUCKET_MS).saturating_sub(SAVED_BUCKETS as u64 - 1);
         let recent = self.recent.iter().filter(|bucket| bucket.index >= oldest);
         let requests: u32 = recent.map(|bucket| bucket.requests).sum();
@@ -132,7 +133,7 @@
             + self.extra_share(boxes) * EXTRA_SAVED_FRACTION
     }
 
-    fn extra_share(&self, boxes: usize) -> f64 {
-        self.settings.extra / boxes.max(1) as f64
+    fn extra_share(&self, boxes: Option<usize>) -> f64 {
+        boxes.map_or(0.0, |boxes| self.settings.extra / boxes.max(1) as f64)
     }
 }
--- a/crates/routing/tests/retry_budget.rs
+++ b/crates/routing/tests/retry_budget.rs
@@ -30,6 +30,8 @@
 
 struct Day {
     boxes: usize,
+    /// The fleet size that boxes know.
+    known_boxes: Option<usize>,
     requests_per_s: u64,
     /// From when on requests are refused, and with which probability.
     refused: (u64, f64),
@@ -100,7 +102,8 @@
             sent.requests.push(at);
             let (from, probability) = self.refused;
             for _ in 1..self.max_attempts {
-                if at < from || dice() >= probability || !budget.spend(self.boxes, dice(), at) {
+                if at < from || dice() >= probability || !budget.spend(self.known_boxes, dice(), at)
+                {
                     break;
                 }
                 sent.retries.push(self.arrival(at));
@@ -166,6 +169,7 @@
         };
         let day = Day {
             boxes,
+            known_boxes: Some(boxes),
             requests_per_s: 480,
             refused: (11_000, 0.6),
             kills: vec![kill],
@@ -181,6 +185,25 @@
     }
 }
 
+/// Guards against boxes that know no fleet size and each take the share of a small fleet.
+#[test]
+fn boxes_without_a_fleet_size_exceed_the_retry_budget() {
+    let day = Day {
+        boxes: 300,
+        known_boxes: None,
+        requests_per_s: 100,
+        refused: (1_000, 0.9),
+        kills: Vec::new(),
+        stall: (0, 0),
+        max_attempts: 4,
+        seed: 1,
+    };
+    let sent = day.play();
+    let (retries, allowed) = sent.worst_window();
+    assert!(retries <= allowed, "{retries} retries of {allowed}");
+    assert!(!sent.retries.is_empty(), "requests earn retries");
+}
+
 fn kill(down_ms: impl Strategy<Value = u64>) -> impl Strategy<Value = Kill> {
     let any = (5_000_u64..28_000, 0.2_f64..=1.0, down_ms);
     any.prop_map(|(at, fraction, down_ms)| Kill {
@@ -203,7 +226,7 @@
         max_attempts in 2_u32..5,
         seed in any::<u64>(),
     ) {
-        let day = Day { boxes, requests_per_s, refused, kills, stall: (0, 0), max_attempts, seed };
+        let day = Day { boxes, known_boxes: Some(boxes), requests_per_s, refused, kills, stall: (0, 0), max_attempts, seed };
         let (retries, allowed) = day.play().worst_window();
         prop_assert!(retries <= allowed, "{retries} retries of {allowed}");
     }
@@ -220,7 +243,7 @@
         max_attempts in 2_u32..5,
         seed in any::<u64>(),
     ) {
-        let day = Day { boxes, requests_per_s, refused, kills, stall, max_attempts, seed };
+        let day = Day { boxes, known_boxes: Some(boxes), requests_per_s, refused, kills, stall, max_attempts, seed };
         let (retries, allowed) = day.play().worst_window();
         prop_assert!(retries <= allowed, "{retries} retries of {allowed}");
     }
--- a/crates/routing/tests/shared_bounds.rs
+++ b/crates/routing/tests/shared_bounds.rs
@@ -33,7 +33,7 @@
                 sent.push(at);
             }
             for _ in 0..3 {
-                if budget.spend(boxes, 0.0, at) {
+                if budget.spend(Some(boxes), 0.0, at) {
                     retried.push(at);
                 }
             }
