--- a/crates/edge/tests/left_behind.rs
+++ b/crates/edge/tests/left_behind.rs
@@ -254,3 +254,51 @@
         "waited for {pieces} pieces of a slow reply"
     );
 }
+
+/// Guards against boxes that leave the store to followers that it refuses, while it would answer
+/// them: only one box in twelve is answered, and the others learn from it.
+#[tokio::test]
+async fn a_store_that_refuses_its_followers_is_asked_by_nobody_else() {
+    const BOXES: usize = 12;
+    /// The box that would be the last of them to follow the store.
+    const ANSWERED: usize = 8;
+    /// Twice the bound on a change, so that a busy machine gives the same verdict.
+    const MAX_STALENESS: Duration = Duration::from_secs(4);
+    let store = MemoryStore::default();
+    store.write(Change::Config(Arc::new(config(1))));
+    let mut boxes: Vec<(EdgeHandle, MemoryStore)> = Vec::new();
+    for number in 0..BOXES {
+        let seeds = boxes.first().map(|(first, _)| first.addresses().peers);
+        let access = store.handle();
+        let id = format!("box-{number}");
+        boxes.push((
+            edge(&id, seeds.into_iter().collect(), access.clone()).await,
+            access,
+        ));
+    }
+    for (edge, _) in &boxes {
+        let context = Arc::clone(edge.context());
+        eventually("all members are known", || members(&context) == BOXES).await;
+    }
+    store.write(with_route(2));
+    for (edge, _) in &boxes {
+        has_route(edge, 2).await;
+    }
+    for (number, (_, access)) in boxes.iter().enumerate() {
+        if number != ANSWERED {
+            access.set_fault(StoreFault::TurnedAway);
+        }
+    }
+    for version in 3..5 {
+        store.write(with_route(version));
+        let written_at = Instant::now();
+        for (edge, _) in &boxes {
+            has_route(edge, version).await;
+        }
+        let staleness = written_at.elapsed();
+        assert!(
+            staleness <= MAX_STALENESS,
+            "version {version}: {staleness:?}"
+        );
+    }
+}
