--- a/crates/routing/tests/shared_bounds.rs
+++ b/crates/routing/tests/shared_bounds.rs
@@ -107,6 +107,42 @@
         prop_assert!(!arrivals.is_empty());
     }
 
+    /// Boxes that restart forget when they last sent to a cold upstream. Together they stay below
+    /// one and a half times what it can handle, plus a small constant.
+    #[test]
+    fn boxes_that_restart_press_a_cold_upstream(
+        boxes in 1_usize..40,
+        cold_per_s in 4.0_f64..30.0,
+        restarts in proptest::collection::vec((0_usize..4, 1_u64..4_000), 0..16),
+        random in proptest::collection::vec(0.0_f64..1.0, 32),
+    ) {
+        /// Time in which a killed box starts again, in milliseconds.
+        const START_MS: u64 = 200;
+        let mut dice = random.into_iter().cycle();
+        let mut arrivals: Vec<u64> = Vec::new();
+        for warmer in 0..ColdPacing::warmers(boxes) {
+            let mut kills: Vec<u64> = restarts.iter().filter(|(place, _)| *place == warmer).map(|(_, at)| *at).collect();
+            kills.sort_unstable();
+            kills.dedup_by(|later, earlier| *later < *earlier + START_MS);
+            let mut pacing = ColdPacing::default();
+            let mut random = dice.next().unwrap();
+            for now in 1..6_000 {
+                if kills.contains(&now) {
+                    (pacing, random) = (ColdPacing::default(), dice.next().unwrap());
+                }
+                let is_up = !kills.iter().any(|at| (*at..at + START_MS).contains(&now));
+                if is_up && pacing.admit(cold_per_s, boxes, random, now) {
+                    arrivals.push(now);
+                }
+            }
+        }
+        let max_allowed = cold_per_s * 1.5 + 5.0;
+        for from in 0..5_000 {
+            let count = arrivals.iter().filter(|at| **at >= from && **at < from + 1_000).count();
+            prop_assert!(count as f64 <= max_allowed, "{count} requests, of {max_allowed} allowed");
+        }
+    }
+
     /// The fractions of a region's requests always sum to one. The change from one window of 2 s
     /// to the next stays within the bound, whatever capacity and demand do, as long as no region
     /// loses all of its capacity.
