Retry budgets: savings follow the window's length

Found by reading the diff: a box may save what its requests of 2 s have earned whatever the window. Nothing changes at 10 s, the window of all deployments known here.

--- a/crates/routing/src/retry_budget.rs
+++ b/crates/routing/src/retry_budget.rs
@@ -3,18 +3,16 @@
 //! Each box saves up a part of the limit: a ratio of its own requests, and its share of the fixed
 //! allowance as time passes. It can't save more than its latest requests have earned, and it starts
 //! with nothing. So in any window all boxes together spend at most what the requests of that window
-//! and of [`SAVED_MS`] before it have earned, however often boxes restart and wherever clients go
+//! and of a fifth of a window before it have earned, however often boxes restart and wherever clients go
 //! when a box is gone.
 
 use brasswinch_types::Millis;
 
-/// Length of a bucket of recent requests, in milliseconds.
-const BUCKET_MS: Millis = 500;
+/// Buckets of requests in a window.
+const BUCKETS_PER_WINDOW: Millis = 20;
 
-/// Time whose requests count for what a box may have saved, in milliseconds.
-const SAVED_MS: Millis = 2_000;
-
-const SAVED_BUCKETS: usize = (SAVED_MS / BUCKET_MS) as usize;
+/// Latest buckets whose requests count for what a box may have saved.
+const SAVED_BUCKETS: usize = 4;
 
 /// Fraction of the ratio that is used. The rest covers the savings from before a window, and
 /// retries that arrive later than they were sent.
@@ -83,7 +81,7 @@
         self.counts.requests += 1;
         self.earned_until.get_or_insert(now);
         self.saved += self.settings.ratio * RATIO_FRACTION;
-        let index = now / BUCKET_MS;
+        let index = self.bucket_index(now);
         let bucket = &mut self.recent[index as usize % SAVED_BUCKETS];
         if bucket.index != index {
             *bucket = Bucket { index, requests: 0 };
@@ -125,14 +123,21 @@
         (self.saved + extra).min(self.max_saved(boxes, now))
     }
 
+    /// Returns the most that the box may have saved now.
     fn max_saved(&self, boxes: Option<usize>, now: Millis) -> f64 {
-        let oldest = (now / BUCKET_MS).saturating_sub(SAVED_BUCKETS as u64 - 1);
+        let oldest = self
+            .bucket_index(now)
+            .saturating_sub(SAVED_BUCKETS as u64 - 1);
         let recent = self.recent.iter().filter(|bucket| bucket.index >= oldest);
         let requests: u32 = recent.map(|bucket| bucket.requests).sum();
         self.settings.ratio * RATIO_FRACTION * f64::from(requests)
             + self.extra_share(boxes) * EXTRA_SAVED_FRACTION
     }
 
+    fn bucket_index(&self, now: Millis) -> u64 {
+        now / (self.settings.window_ms / BUCKETS_PER_WINDOW).max(1)
+    }
+
     fn extra_share(&self, boxes: Option<usize>) -> f64 {
         boxes.map_or(0.0, |boxes| self.settings.extra / boxes.max(1) as f64)
     }
--- a/crates/routing/tests/retry_budget.rs
+++ b/crates/routing/tests/retry_budget.rs
@@ -4,11 +4,9 @@
 use brasswinch_routing::{RetryBudget, RetryBudgetSettings};
 use proptest::prelude::*;
 
-const SETTINGS: RetryBudgetSettings = RetryBudgetSettings {
-    ratio: 0.2,
-    extra: 64.0,
-    window_ms: 10_000,
-};
+const RATIO: f64 = 0.2;
+const EXTRA: f64 = 64.0;
+const WINDOW_MS: u64 = 10_000;
 
 const DURATION_MS: u64 = 32_000;
 
@@ -29,6 +27,7 @@
 }
 
 struct Day {
+    window_ms: u64,
     boxes: usize,
     /// The fleet size that boxes know.
     known_boxes: Option<usize>,
@@ -43,6 +42,7 @@
 }
 
 struct Sent {
+    window_ms: u64,
     requests: Vec<u64>,
     retries: Vec<u64>,
 }
@@ -73,7 +73,13 @@
         let mut kills = self.kills.clone();
         kills.sort_by_key(|kill| kill.at);
         let mut kills = kills.into_iter().peekable();
+        let settings = RetryBudgetSettings {
+            ratio: RATIO,
+            extra: EXTRA,
+            window_ms: self.window_ms,
+        };
         let mut sent = Sent {
+            window_ms: self.window_ms,
             requests: Vec::new(),
             retries: Vec::new(),
         };
@@ -97,7 +103,7 @@
             let index = (dice() * up.len() as f64) as usize;
             let budget = up[index]
                 .budget
-                .get_or_insert_with(|| RetryBudget::new(SETTINGS));
+                .get_or_insert_with(|| RetryBudget::new(settings));
             budget.count_request(at);
             sent.requests.push(at);
             let (from, probability) = self.refused;
@@ -124,8 +130,8 @@
 }
 
 impl Sent {
-    fn count(times: &[u64], from: u64) -> f64 {
-        let until = from + SETTINGS.window_ms;
+    fn count(&self, times: &[u64], from: u64) -> f64 {
+        let until = from + self.window_ms;
         let (first, end) = (
             times.partition_point(|at| *at < from),
             times.partition_point(|at| *at < until),
@@ -137,20 +143,17 @@
     /// window, of the one before or of the one half a window before, whichever are most.
     fn worst_window(&self) -> (f64, f64) {
         let windows = (0..DURATION_MS).step_by(100).map(|from| {
-            let window_ms = SETTINGS.window_ms;
+            let window_ms = self.window_ms;
             let starts = [
                 from,
                 from.saturating_sub(window_ms),
                 from.saturating_sub(window_ms / 2),
             ];
             let requests = starts
-                .map(|start| Self::count(&self.requests, start))
+                .map(|start| self.count(&self.requests, start))
                 .into_iter()
                 .fold(0.0, f64::max);
-            (
-                Self::count(&self.retries, from),
-                SETTINGS.ratio * requests + SETTINGS.extra,
-            )
+            (self.count(&self.retries, from), RATIO * requests + EXTRA)
         });
         windows
             .max_by(|a, b| (a.0 / a.1).total_cmp(&(b.0 / b.1)))
@@ -168,6 +171,7 @@
             down_ms: START_MS,
         };
         let day = Day {
+            window_ms: WINDOW_MS,
             boxes,
             known_boxes: Some(boxes),
             requests_per_s: 480,
@@ -189,6 +193,7 @@
 #[test]
 fn boxes_without_a_fleet_size_exceed_the_retry_budget() {
     let day = Day {
+        window_ms: WINDOW_MS,
         boxes: 300,
         known_boxes: None,
         requests_per_s: 100,
@@ -219,6 +224,7 @@
     /// Guards against restarts one after another that each begin with a whole budget.
     #[test]
     fn boxes_that_restart_again_and_again_exceed_the_retry_budget(
+        window_ms in proptest::sample::select(vec![3_000_u64, WINDOW_MS]),
         boxes in proptest::sample::select(vec![1_usize, 12, 75, 300]),
         requests_per_s in 10_u64..800,
         refused in (0_u64..14_000, 0.1_f64..1.0),
@@ -226,7 +232,7 @@
         max_attempts in 2_u32..5,
         seed in any::<u64>(),
     ) {
-        let day = Day { boxes, known_boxes: Some(boxes), requests_per_s, refused, kills, stall: (0, 0), max_attempts, seed };
+        let day = Day { window_ms, boxes, known_boxes: Some(boxes), requests_per_s, refused, kills, stall: (0, 0), max_attempts, seed };
         let (retries, allowed) = day.play().worst_window();
         prop_assert!(retries <= allowed, "{retries} retries of {allowed}");
     }
@@ -243,7 +249,7 @@
         max_attempts in 2_u32..5,
         seed in any::<u64>(),
     ) {
-        let day = Day { boxes, known_boxes: Some(boxes), requests_per_s, refused, kills, stall, max_attempts, seed };
+        let day = Day { window_ms: WINDOW_MS, boxes, known_boxes: Some(boxes), requests_per_s, refused, kills, stall, max_attempts, seed };
         let (retries, allowed) = day.play().worst_window();
         prop_assert!(retries <= allowed, "{retries} retries of {allowed}");
     }
