Retry budgets: the fixed allowance is earned from the box's start; the log of a budget apart

A box that has run for long earned nothing of the fixed allowance before a service's first request; it does now, from the start of the box. The limit holds as before, since a box earns only while it lives: the model counts from the restart, its tests pass.

Metrics of budgets are bounded like those of other services.

--- a/crates/edge/src/budgets.rs
+++ b/crates/edge/src/budgets.rs
@@ -1,7 +1,7 @@
 //! Retry budgets, one per service, shared by all boxes.
 
 use crate::context::Context;
-use crate::metrics::line;
+use crate::metrics::{MAX_SERVICES, line};
 use crate::status::RetriesLeft;
 use brasswinch_observe::{Event, emit_about};
 use brasswinch_routing::{KnownSize, RetryBudget, RetryBudgetSettings, RetryCounts};
@@ -13,6 +13,9 @@
 /// many of them, so that windows can be added up over all boxes from the logs.
 const LOG_INTERVAL_MS: Millis = 500;
 
+/// When the box started, on its own clock.
+const BOX_START: Millis = 0;
+
 /// This box's share of the budgets.
 #[derive(Default)]
 pub(crate) struct Budgets {
@@ -35,6 +38,14 @@
         }
         is_due
     }
+
+    fn usage(&self, service: &Service, boxes: Option<usize>, now: Millis) -> Usage {
+        Usage {
+            service: service.clone(),
+            counts: self.budget.counts(),
+            left: self.budget.left(boxes, now),
+        }
+    }
 }
 
 /// This box's use of one budget.
@@ -45,37 +56,47 @@
     left: f64,
 }
 
+impl Usage {
+    fn log(&self, boxes: Option<usize>) {
+        let Self {
+            service,
+            counts,
+            left,
+        } = self;
+        let RetryCounts {
+            requests,
+            granted,
+            denied,
+        } = counts;
+        let boxes = boxes.map_or_else(|| "-".to_owned(), |boxes| boxes.to_string());
+        emit_about(
+            Event::RetryBudgetUsed,
+            service,
+            format_args!(
+                "service={service} requests={requests} granted={granted} denied={denied} \
+                 left={left:.1} boxes={boxes}"
+            ),
+        );
+    }
+}
+
 impl Context {
     /// Counts a request for `service` towards its retry budget.
     pub(crate) fn count_request(&self, service: &Service) {
         let now = self.clock.now();
-        self.with_budget(service, |service| service.budget.count_request(now));
+        self.with_budget(service, |entry| entry.budget.count_request(now));
     }
 
     /// Spends one retry of `service`'s budget. Returns whether the budget allowed it.
     pub(crate) fn spend_retry(&self, service: &Service) -> bool {
         let (boxes, now) = (self.budget_boxes(), self.clock.now());
-        let (is_granted, to_log) = self.with_budget(service, |service| {
-            let is_granted = service.budget.spend(boxes, rand::random(), now);
-            let left = service.budget.left(boxes, now);
-            let is_due = service.take_log_turn(now);
-            (is_granted, is_due.then(|| (service.budget.counts(), left)))
+        let (is_granted, to_log) = self.with_budget(service, |entry| {
+            let is_granted = entry.budget.spend(boxes, rand::random(), now);
+            let is_due = entry.take_log_turn(now);
+            (is_granted, is_due.then(|| entry.usage(service, boxes, now)))
         });
-        if let Some((counts, left)) = to_log {
-            let boxes = boxes.map_or_else(|| "-".to_owned(), |boxes| boxes.to_string());
-            let RetryCounts {
-                requests,
-                granted,
-                denied,
-            } = counts;
-            emit_about(
-                Event::RetryBudgetUsed,
-                service,
-                format_args!(
-                    "service={service} requests={requests} granted={granted} denied={denied} \
-                     left={left:.1} boxes={boxes}"
-                ),
-            );
+        if let Some(usage) = to_log {
+            usage.log(boxes);
         }
         is_granted
     }
@@ -93,7 +114,7 @@
 
     /// Writes the counts of each budget.
     pub(crate) fn write_retries(&self, text: &mut String) {
-        for usage in self.retry_usage() {
+        for usage in self.retry_usage().into_iter().take(MAX_SERVICES) {
             let (service, counts) = (&usage.service, usage.counts);
             let labels = format!("service=\"{service}\"");
             let requests = counts.requests as f64;
@@ -110,11 +131,7 @@
     fn retry_usage(&self) -> Vec<Usage> {
         let (boxes, now) = (self.budget_boxes(), self.clock.now());
         let services = self.budgets.lock();
-        let usage = |(service, entry): (&Service, &ServiceBudget)| Usage {
-            service: service.clone(),
-            counts: entry.budget.counts(),
-            left: entry.budget.left(boxes, now),
-        };
+        let usage = |(service, entry): (&Service, &ServiceBudget)| entry.usage(service, boxes, now);
         let mut all: Vec<Usage> = services.iter().map(usage).collect();
         all.sort_by(|a, b| a.service.cmp(&b.service));
         all
@@ -132,16 +149,17 @@
     fn with_budget<T>(&self, service: &Service, change: impl FnOnce(&mut ServiceBudget) -> T) -> T {
         let bounds = &self.settings.bounds;
         let mut services = self.budgets.lock();
-        let entry = services
-            .entry(service.clone())
-            .or_insert_with(|| ServiceBudget {
-                budget: RetryBudget::new(RetryBudgetSettings {
-                    ratio: bounds.retry_ratio,
-                    extra: bounds.retry_extra,
-                    window_ms: (bounds.retry_window_s * 1_000.0) as Millis,
-                }),
+        let entry = services.entry(service.clone()).or_insert_with(|| {
+            let settings = RetryBudgetSettings {
+                ratio: bounds.retry_ratio,
+                extra: bounds.retry_extra,
+                window_ms: (bounds.retry_window_s * 1_000.0) as Millis,
+            };
+            ServiceBudget {
+                budget: RetryBudget::new(settings, BOX_START),
                 logged_at: None,
-            });
+            }
+        });
         change(entry)
     }
 }
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 /// Maximum entries per counter map and services per metric.
-const MAX_SERVICES: usize = 256;
+pub(crate) const MAX_SERVICES: usize = 256;
 
 /// Maximum workspaces with quota metrics of their own; those with most refused requests are kept.
 const MAX_WORKSPACES: usize = 128;
--- a/crates/routing/src/retry_budget.rs
+++ b/crates/routing/src/retry_budget.rs
@@ -58,19 +58,19 @@
     settings: RetryBudgetSettings,
     /// Retries saved up, as of `earned_until` for the fixed allowance.
     saved: f64,
-    /// Until when the fixed allowance has been earned; `None` before the first request.
-    earned_until: Option<Millis>,
+    /// Until when the fixed allowance has been earned.
+    earned_until: Millis,
     recent: [Bucket; SAVED_BUCKETS],
     counts: RetryCounts,
 }
 
 impl RetryBudget {
-    /// Creates a budget with nothing saved.
-    pub fn new(settings: RetryBudgetSettings) -> Self {
+    /// Creates a budget with nothing saved by `started_at`, when the box started.
+    pub fn new(settings: RetryBudgetSettings, started_at: Millis) -> Self {
         Self {
             settings,
             saved: 0.0,
-            earned_until: None,
+            earned_until: started_at,
             recent: [Bucket::default(); SAVED_BUCKETS],
             counts: RetryCounts::default(),
         }
@@ -79,7 +79,6 @@
     /// Counts the first attempt of a request.
     pub fn count_request(&mut self, now: Millis) {
         self.counts.requests += 1;
-        self.earned_until.get_or_insert(now);
         self.saved += self.settings.ratio * RATIO_FRACTION;
         let index = self.bucket_index(now);
         let bucket = &mut self.recent[index as usize % SAVED_BUCKETS];
@@ -96,7 +95,7 @@
     // and retries with that probability: on average all boxes send no more than they have saved.
     pub fn spend(&mut self, boxes: Option<usize>, random: f64, now: Millis) -> bool {
         self.saved = self.left(boxes, now);
-        self.earned_until = Some(now);
+        self.earned_until = now;
         let cost = self.max_saved(boxes, now).min(1.0);
         let is_granted = self.saved >= cost && random < cost;
         if self.saved >= cost {
@@ -117,7 +116,7 @@
 
     /// Returns the available retries.
     pub fn left(&self, boxes: Option<usize>, now: Millis) -> f64 {
-        let earned_for = now.saturating_sub(self.earned_until.unwrap_or(now));
+        let earned_for = now.saturating_sub(self.earned_until);
         let windows = earned_for as f64 / self.settings.window_ms.max(1) as f64;
         let extra = self.extra_share(boxes) * EXTRA_EARNED_FRACTION * windows;
         (self.saved + extra).min(self.max_saved(boxes, now))
