--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -7,6 +7,7 @@
 mod http;
 mod json;
 mod place;
+mod stop;
 mod store;
 mod target;
 mod uploads;
@@ -57,6 +58,10 @@
 ) -> std::io::Result<bool> {
     std::fs::create_dir_all(folder)?;
     match case {
+        "stop" => {
+            let place = place::Place::new(folder.clone(), record.clone(), 4)?;
+            stop::play(&place, has_trouble)
+        }
         "uploads" => {
             let place = place::Place::new(folder.clone(), record.clone(), 2)?;
             uploads::play(&place, has_trouble)
