--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -6,6 +6,7 @@
 mod client;
 mod http;
 mod json;
+mod pipeline;
 mod place;
 mod stop;
 mod store;
@@ -66,6 +67,10 @@
             let place = place::Place::new(folder.clone(), record.clone(), 2)?;
             uploads::play(&place, has_trouble)
         }
+        "pipeline" => {
+            let place = place::Place::new(folder.clone(), record.clone(), 2)?;
+            pipeline::play(&place, has_trouble)
+        }
         _ => Err(std::io::Error::other("no such case")),
     }
 }
