--- a/review/standins/place.rs
+++ b/review/standins/place.rs
@@ -196,7 +196,7 @@
         Ok(BoxProcess { child })
     }
 
-    /// Waits until all boxes are ready and look-ups name all of them.
+    /// Waits until all boxes are ready.
     pub fn wait_until_ready(&self) -> io::Result<()> {
         let until = Instant::now() + Duration::from_secs(20);
         loop {
