--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/release/brasswinchd ] || cargo build --release --locked --offline -p brasswinch-daemon || exit 2
 bash review/build.sh || exit 2
-exec target/review/standins pipeline review/3
+exec target/review/standins pipeline review/3/record.txt
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -1,7 +1,7 @@
 //! Stand-ins of the users' platform, clients and targets, and the cases that are played with them.
 //!
-//! `standins CASE FOLDER`: plays a case from the top of the repository, writes `record.txt` in
-//! FOLDER, and exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+//! `standins CASE FILE`: plays a case from the top of the repository, writes its record to
+//! FILE, and exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 
 mod client;
 mod http;
@@ -18,15 +18,15 @@
 
 fn main() -> ExitCode {
     let mut words = std::env::args().skip(1);
-    let (case, folder) = (
+    let (case, file) = (
         words.next().unwrap_or_default(),
         words.next().unwrap_or_default(),
     );
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
-    let record = match place::Record::new(&Path::new(&folder).join("record.txt")) {
+    let record = match place::Record::new(Path::new(&file)) {
         Ok(record) => record,
         Err(error) => {
-            eprintln!("{folder}: {error}");
+            eprintln!("{file}: {error}");
             return ExitCode::from(2);
         }
     };
