The last lines of a process's log are written before it ends

What operators saw: BW103 (stopped) was never in a log, though it is logged at every planned stop. A play of 14 rolling stops had 14 lines of BW102 and none of BW103.

Cause: lines go through a queue to a thread of their own, and the process ended before the thread had written the last ones. `PipeAppend::flush` did nothing, and nobody called it.

The daemon flushes as the last thing that it does.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,7 +1,7 @@
 //! The daemon of an entry box.
 
 use argh::FromArgs;
-use brasswinch_observe::{LogFormat, init_logging};
+use brasswinch_observe::{LogFormat, flush_logging, init_logging};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
@@ -39,6 +39,12 @@
 }
 
 fn main() -> ExitCode {
+    let exit_code = run();
+    flush_logging();
+    exit_code
+}
+
+fn run() -> ExitCode {
     let arguments: Arguments = argh::from_env();
     let log_format = if arguments.json_log {
         LogFormat::Json
--- a/crates/observe/src/lib.rs
+++ b/crates/observe/src/lib.rs
@@ -10,6 +10,6 @@
 pub use events::{Event, EventRow, Severity};
 pub use explain::{LogLine, explain};
 pub use histograms::{ClassLatency, LatencyTable};
-pub use logging::{LogFormat, emit, emit_about, init_logging};
+pub use logging::{LogFormat, emit, emit_about, flush_logging, init_logging};
 pub use metrics::Metrics;
 pub use pipe::{PipeAppend, dropped_lines};
--- a/crates/observe/src/logging.rs
+++ b/crates/observe/src/logging.rs
@@ -57,6 +57,12 @@
     log::set_max_level(log::LevelFilter::Info);
 }
 
+/// Waits until the lines so far have been written, for a short time at most. A process calls this
+/// before it exits.
+pub fn flush_logging() {
+    log::logger().flush();
+}
+
 struct Window {
     began: Option<Instant>,
     lines: u32,
