A close waits until the client has its response

Clients that were refused before their body was in (404, 413, 431) got an error at their second write.

Cause: the HTTP library flushes into the kernel, ends the sending side and drops the socket. Linux resets a connection that is closed with unread bytes, or that gets bytes after its close, and drops what its client has not acknowledged. "Flushed" was taken for "arrived".

Change: a `ClientStream` gives its socket back when the library drops it. The `ClosingSocket` ends the sending side and discards what arrives until the client ends its side too, or has acknowledged everything and is quiet, or acknowledges nothing for too long. An idle connection with nothing under way is closed at once and unread, as before: its client may repeat a request that crossed the close. The stop waits for closing connections within its bound, since they count as open. The embedded path had the same fault and uses the same types. What is acknowledged comes from one call to the system, the only unsafe code of the workspace; without its answer the connection waits for the client's end.

Metrics and BW602 tell how connections ended; BW103 says what was left.

--- a/crates/daemon/src/traffic/server.rs
+++ b/crates/daemon/src/traffic/server.rs
@@ -6,6 +6,9 @@
 use super::lookup::lookup;
 use super::proxy::proxy;
 use crate::context::Context;
+use brasswinch_listen::{ClientStream, ConnectionClose, ServiceEnd};
+use brasswinch_observe::{Event, emit};
+use futures_util::FutureExt;
 use http::{HeaderValue, Method, Request, Response, Version, header};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
@@ -24,6 +27,9 @@
 /// Longest time that a caller may take to send a request's head.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// How long a caller may acknowledge nothing of an answer while its connection is closed.
+const MAX_STALL: Duration = Duration::from_secs(10);
+
 /// Longest head, in bytes.
 const MAX_HEAD_BYTES: usize = 32 * 1024;
 
@@ -79,6 +85,17 @@
 
 async fn serve_connection(caller: Caller, stream: TcpStream) {
     let _ = stream.set_nodelay(true);
+    let (stream, closing) = ClientStream::new(stream);
+    let end = serve_requests(caller, stream).await;
+    if let ConnectionClose::Lingered(lingered) = closing.close(end, MAX_STALL).await
+        && lingered.may_lack_bytes()
+    {
+        emit(Event::ResponseUnacknowledged, format_args!("{lingered}"));
+    }
+}
+
+/// Serves a connection until the HTTP library ends it.
+async fn serve_requests(caller: Caller, stream: ClientStream) -> ServiceEnd {
     let mut stop = caller.stop.clone();
     let service = service_fn(move |request| {
         let caller = caller.clone();
@@ -94,14 +111,19 @@
     let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
     // A caller that breaks off needs no answer.
     tokio::select! {
-        _ = connection.as_mut() => return,
+        _ = connection.as_mut() => return ServiceEnd::AfterResponse,
         _ = stop.wait_for(|stopped| *stopped) => {}
     }
     if timeout(LAST_REQUESTS, connection.as_mut()).await.is_ok() {
-        return;
+        return ServiceEnd::AfterResponse;
     }
     connection.as_mut().graceful_shutdown();
+    // Ready at once if it was idle.
+    if connection.as_mut().now_or_never().is_some() {
+        return ServiceEnd::BetweenRequests;
+    }
     let _ = connection.await;
+    ServiceEnd::AfterResponse
 }
 
 /// Answers a request; after the stop the answer ends its connection.
--- a/crates/daemon/tests/leaving.rs
+++ b/crates/daemon/tests/leaving.rs
@@ -12,7 +12,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::JoinHandle;
 
 /// "A few seconds": the bound on new work after an upstream was announced as leaving.
@@ -212,6 +212,42 @@
     assert_eq!(cut, 0, "connections that were cut, of {all}");
 }
 
+/// Look-ups whose answers are more than a caller with a small buffer takes without reading.
+const PIPELINED_LOOKUPS: usize = 1_000;
+
+/// The receive buffer of a caller on a slow link.
+const SMALL_RECEIVE_BUFFER_BYTES: u32 = 8 * 1024;
+
+/// A stop reset connections whose callers had sent on, and dropped answers that were under way.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stop_resets_answers_that_their_caller_is_still_reading() {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let _alone = alone().await;
+    let mut fleet = fleet().await;
+    let name = fleet.site.box_name(0, 1);
+    let socket = TcpSocket::new_v4().unwrap();
+    socket
+        .set_recv_buffer_size(SMALL_RECEIVE_BUFFER_BYTES)
+        .unwrap();
+    let mut caller = socket.connect(fleet.daemons[&name].callers).await.unwrap();
+    let lookup = b"GET /v1/lookup HTTP/1.1\r\nhost: box\r\n\r\n";
+    caller
+        .write_all(&lookup.repeat(PIPELINED_LOOKUPS))
+        .await
+        .unwrap();
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    fleet.daemon(&name).terminate();
+    // The caller doesn't know yet that the connection ends, and goes on sending.
+    for _ in 0..20 {
+        caller.write_all(lookup).await.unwrap();
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    let mut received = String::new();
+    caller.read_to_string(&mut received).await.unwrap();
+    let answers = received.matches("HTTP/1.1 ").count();
+    assert!(answers >= PIPELINED_LOOKUPS, "{answers}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn replacing_every_box_one_after_another_under_load_cuts_nothing() {
     let _alone = alone().await;
--- a/crates/edge/src/connection_usage.rs
+++ b/crates/edge/src/connection_usage.rs
@@ -19,7 +19,14 @@
 }
 
 /// Counts a connection while it is open.
-struct OpenStream(Arc<ConnectionUsage>);
+pub(crate) struct OpenStream(Arc<ConnectionUsage>);
+
+impl OpenStream {
+    pub(crate) fn new(usage: &Arc<ConnectionUsage>) -> Self {
+        usage.open.fetch_add(1, Ordering::Relaxed);
+        Self(Arc::clone(usage))
+    }
+}
 
 impl Drop for OpenStream {
     fn drop(&mut self) {
@@ -35,10 +42,9 @@
 
 impl<S> CountedStream<S> {
     pub(crate) fn new(stream: S, usage: &Arc<ConnectionUsage>) -> Self {
-        usage.open.fetch_add(1, Ordering::Relaxed);
         Self {
             stream,
-            open: OpenStream(Arc::clone(usage)),
+            open: OpenStream::new(usage),
         }
     }
 
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -3,6 +3,7 @@
 use crate::advice::AdviceRequests;
 use crate::budgets::Budgets;
 use crate::clock::Clock;
+use crate::connection_closes::ConnectionCloses;
 use crate::connection_usage::ConnectionUsage;
 use crate::connections::ConnectionPool;
 use crate::dialect::Dialect;
@@ -111,6 +112,8 @@
     pub(crate) pool: Arc<ConnectionPool>,
     /// Open connections and the bytes that they carry.
     pub(crate) connection_usage: Arc<ConnectionUsage>,
+    /// How clients' connections are closed.
+    pub(crate) connection_closes: ConnectionCloses,
     pub(crate) metrics: Metrics,
     pub(crate) store_calls: StoreCalls,
     /// Requests in progress.
@@ -230,6 +233,7 @@
                 Arc::clone(&connection_usage),
             )),
             connection_usage,
+            connection_closes: ConnectionCloses::default(),
             metrics: Metrics::default(),
             store_calls: StoreCalls::default(),
             in_flight: AtomicUsize::new(0),
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -11,6 +11,7 @@
 mod budgets;
 mod catch_up;
 mod clock;
+mod connection_closes;
 mod connection_failures;
 mod connection_usage;
 mod connections;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -162,6 +162,7 @@
                 count as f64,
             );
         }
+        self.write_closes(&mut text);
         let reaches = self.upstream_path() == UpstreamPath::Direct;
         line(
             &mut text,
@@ -211,6 +212,34 @@
 }
 
 impl Context {
+    /// Writes how clients' connections are closed.
+    fn write_closes(&self, text: &mut String) {
+        let closes = &self.connection_closes;
+        let open = self.open_connections.load(Ordering::Relaxed) as f64;
+        line(text, "client_connections", "", open);
+        let closing = closes.closing() as f64;
+        line(text, "client_connections_closing", "", closing);
+        for (end, count) in closes.by_end() {
+            let labels = format!("end=\"{end}\"");
+            let count = count as f64;
+            line(text, "client_connections_closed_total", &labels, count);
+        }
+        let unacknowledged = closes.unacknowledged() as f64;
+        line(
+            text,
+            "client_connections_unacknowledged_total",
+            "",
+            unacknowledged,
+        );
+        let lingered_s = closes.lingered_s();
+        line(
+            text,
+            "client_connections_lingered_seconds_total",
+            "",
+            lingered_s,
+        );
+    }
+
     /// Writes the number of upstreams by service and state.
     fn write_upstreams(&self, text: &mut String) {
         let services = self.placement().status(self.clock.now());
--- a/crates/edge/src/pipeline/read_ahead.rs
+++ b/crates/edge/src/pipeline/read_ahead.rs
@@ -6,13 +6,13 @@
 
 use super::early::Pipeline;
 use super::head::{NextHead, next_head};
+use brasswinch_listen::ClientStream;
 use bytes::{Buf, Bytes, BytesMut};
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 
 /// Maximum bytes that are read ahead. Further requests stay in the kernel's buffers.
 const MAX_READ_AHEAD_BYTES: usize = 16 * 1024;
@@ -35,7 +35,7 @@
 
 /// A client's connection.
 pub(crate) struct ReadAhead {
-    stream: TcpStream,
+    stream: ClientStream,
     pipeline: Arc<Pipeline>,
     next: Next,
     /// Bytes that the library has not got.
@@ -50,7 +50,7 @@
 }
 
 impl ReadAhead {
-    pub(crate) fn new(stream: TcpStream, pipeline: Arc<Pipeline>) -> Self {
+    pub(crate) fn new(stream: ClientStream, pipeline: Arc<Pipeline>) -> Self {
         Self {
             stream,
             pipeline,
--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -4,11 +4,13 @@
 //! response, so that requests that have reached the machine are answered. It then accepts the
 //! connections left in the listener's queue and closes the listener.
 
-use crate::connection_usage::CountedStream;
+use crate::connection_usage::{CountedStream, OpenStream};
 use crate::context::{Context, Lifecycle};
 use crate::counted::OpenConnection;
 use crate::pipeline::{Pipeline, ReadAhead};
-use crate::write_timeout::WriteTimeout;
+use crate::write_timeout::{WriteTimeout, is_write_timeout};
+use brasswinch_listen::{ClientStream, ClosingSocket, ServiceEnd};
+use futures_util::FutureExt;
 use http::{HeaderValue, header};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -70,13 +72,38 @@
 
 async fn serve_connection(context: Arc<Context>, stream: TcpStream) {
     let _ = stream.set_nodelay(true);
-    let pipeline = Arc::new(Pipeline::new(Arc::clone(&context)));
     let idle = idle_limit(&context) + IDLE_MARGIN;
+    let (stream, closing) = ClientStream::new(stream);
+    let end = serve_requests(&context, stream, idle).await;
+    close_connection(&context, closing, end, idle).await;
+}
+
+/// Closes a connection that the HTTP library has left, and counts how that went.
+async fn close_connection(
+    context: &Context,
+    closing: ClosingSocket,
+    end: ServiceEnd,
+    max_stall: Duration,
+) {
+    let _open = OpenStream::new(&context.connection_usage);
+    let _lingering = context.connection_closes.begin();
+    let closed = closing.close(end, max_stall).await;
+    context.connection_closes.record(closed);
+}
+
+/// Serves a connection until the HTTP library ends it. `idle` is how long the client may send no
+/// request, or take nothing of a response.
+async fn serve_requests(
+    context: &Arc<Context>,
+    stream: ClientStream,
+    idle: Duration,
+) -> ServiceEnd {
+    let pipeline = Arc::new(Pipeline::new(Arc::clone(context)));
     let stream = ReadAhead::new(stream, Arc::clone(&pipeline));
     let stream = CountedStream::new(stream, &context.connection_usage);
     let io = WriteTimeout::new(stream, idle);
     let service = service_fn(|request| {
-        let (context, pipeline) = (Arc::clone(&context), Arc::clone(&pipeline));
+        let (context, pipeline) = (Arc::clone(context), Arc::clone(&pipeline));
         async move {
             let mut response = pipeline.handle(request).await;
             // Requests that run before their turn are answered before the connection closes.
@@ -91,7 +118,7 @@
         http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(idle)
-            .max_buf_size(buffer_bytes(&context))
+            .max_buf_size(buffer_bytes(context))
             .serve_connection(TokioIo::new(io), service)
     );
     let is_closed = async {
@@ -99,15 +126,27 @@
         pipeline.idle().await;
     };
     tokio::select! {
-        // A client that disconnects needs no response.
-        _ = connection.as_mut() => return,
+        served = connection.as_mut() => return service_end(served),
         () = is_closed => {}
     }
-    if timeout(CLOSE_GRACE, connection.as_mut()).await.is_ok() {
-        return;
+    if let Ok(served) = timeout(CLOSE_GRACE, connection.as_mut()).await {
+        return service_end(served);
     }
     connection.as_mut().graceful_shutdown();
-    let _ = connection.await;
+    // Ready at once if it was idle.
+    if connection.as_mut().now_or_never().is_some() {
+        return ServiceEnd::BetweenRequests;
+    }
+    service_end(connection.await)
+}
+
+fn service_end(served: hyper::Result<()>) -> ServiceEnd {
+    match served {
+        // No request came within the idle limit.
+        Err(error) if error.is_timeout() => ServiceEnd::BetweenRequests,
+        Err(error) if is_write_timeout(&error) => ServiceEnd::ClientStalled,
+        _ => ServiceEnd::AfterResponse,
+    }
 }
 
 /// Returns the size of a connection's read and write buffers.
--- a/crates/edge/src/start.rs
+++ b/crates/edge/src/start.rs
@@ -152,7 +152,20 @@
         while is_busy() && Instant::now() < deadline {
             sleep(STAGE_POLL).await;
         }
-        emit(Event::Stopped, format_args!("{}", context.settings.id));
+        let connections = context.open_connections.load(Ordering::Relaxed);
+        let closing = context.connection_closes.closing();
+        let unacknowledged = context.connection_closes.unacknowledged();
+        let requests = context.in_flight.load(Ordering::Relaxed);
+        let tunnels = context.carried_tunnels.open();
+        emit(
+            Event::Stopped,
+            format_args!(
+                "{} after_ms={} connections={connections} closing={closing} requests={requests} \
+                 tunnels={tunnels} unacknowledged_total={unacknowledged}",
+                context.settings.id,
+                began.elapsed().as_millis()
+            ),
+        );
     }
 }
 
--- a/crates/edge/src/write_timeout.rs
+++ b/crates/edge/src/write_timeout.rs
@@ -3,6 +3,7 @@
 //! Load pattern: clients that stop reading in the middle of a large response. Each holds buffers, a
 //! connection to an upstream and a slot there until its connection ends.
 
+use std::error::Error;
 use std::future::Future;
 use std::io;
 use std::pin::Pin;
@@ -11,6 +12,12 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::time::{Sleep, sleep};
 
+/// Returns whether an error of the HTTP library comes from a write that made no progress.
+pub(crate) fn is_write_timeout(error: &hyper::Error) -> bool {
+    let source = error.source().and_then(|source| source.downcast_ref());
+    source.is_some_and(|error: &io::Error| error.kind() == io::ErrorKind::TimedOut)
+}
+
 /// A connection with a limit on how long a write may make no progress.
 pub(crate) struct WriteTimeout<S> {
     stream: S,
--- a/crates/listen/src/lib.rs
+++ b/crates/listen/src/lib.rs
@@ -1,4 +1,9 @@
-//! Closes a listener without cutting off a client.
+//! Closes listeners and connections without cutting off a client.
+//!
+//! Connections: a [`ClientStream`] is served by an HTTP library, and its [`ClosingSocket`] closes
+//! it when the library is done.
+//!
+//! Listeners ([`close`]):
 //!
 //! Linux resets every connection that waits in a listener's queue when the listener is
 //! closed, and its client can't tell whether its request ran. So nothing may be left in
@@ -11,7 +16,13 @@
 //!   connection only when it next collects events, which a busy thread delays without
 //!   bound. The listener is closed in the same step as the look that found nothing.
 
+mod client_stream;
+mod linger;
 mod turn_away;
+mod unacknowledged;
+
+pub use client_stream::{ClientStream, ClosingSocket, ServiceEnd};
+pub use linger::{ConnectionClose, LingerEnd, Lingered};
 
 use socket2::SockRef;
 use std::io::{self, ErrorKind};
--- a/crates/observe/src/events.rs
+++ b/crates/observe/src/events.rs
@@ -110,6 +110,7 @@
     523 Info RequestLetOut "A request that was shut out may be sent again; one more upstream that ends under it shuts it out for longer." "None.";
     600 Warn CallerCut "An answer or an upload was cut short." "Check the upstream and the caller's network.";
     601 Warn ClaimLost "A claim's outcome is not known; the request was not run." "Check the platform's store.";
+    602 Warn ResponseUnacknowledged "A client's connection failed or stalled while it was being closed, before the client had acknowledged all of its response." "If many come together, check the clients' network and the time that the platform gives boxes to stop.";
     700 Warn MetricsFailed "Metrics could not be sent." "Check the metrics address.";
 }
 
