A stopping box begins no request that its end would cut

Cause: a box takes requests for 0.5 of the grace and 0.25 s more, and ends at 0.93 of it, whatever is in progress. A request of 3 s that comes at 3.06 s of 6 s had 2.52 s left.

Change: `routing::StopSchedule` has the stages of a stop. From 3 s after the signal on (the platform's own bound, set in platform/), a request is begun if its limit ends before the process does, or if a slot of its upstream is idle and 1.5 times the 99.9th percentile of its kind's latency fits. Any other is refused at once as box_leaving, not run, so that its client repeats it elsewhere. The retries of a late request pass the same check.

Tried first: refusing by the limit alone.

--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -15,6 +15,7 @@
 use crate::quarantine::QuarantineTasks;
 use crate::quotas::QuotaTasks;
 use crate::settings::EdgeSettings;
+use crate::shutdown::Shutdown;
 use crate::store_calls::StoreCalls;
 use crate::store_era::KnownEra;
 use crate::store_watch::StoreWatch;
@@ -35,7 +36,6 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, AtomicUsize};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, watch};
 
@@ -112,6 +112,8 @@
     pub(crate) pool: Arc<ConnectionPool>,
     /// Open connections and the bytes that they carry.
     pub(crate) connection_usage: Arc<ConnectionUsage>,
+    /// The planned stop.
+    pub(crate) shutdown: Shutdown,
     /// How clients' connections are closed.
     pub(crate) connection_closes: ConnectionCloses,
     pub(crate) metrics: Metrics,
@@ -233,6 +235,7 @@
                 Arc::clone(&connection_usage),
             )),
             connection_usage,
+            shutdown: Shutdown::new(settings.bounds.grace_s, settings.bounds.stop_begin_all_s),
             connection_closes: ConnectionCloses::default(),
             metrics: Metrics::default(),
             store_calls: StoreCalls::default(),
@@ -432,9 +435,4 @@
             .or_insert_with(|| WeightedSplit::new(backends, rand::random()));
         split.pick()
     }
-
-    /// Returns how long requests may still be answered after the box was asked to stop.
-    pub(crate) fn grace(&self) -> Duration {
-        Duration::from_secs_f64(self.settings.bounds.grace_s)
-    }
 }
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -20,7 +20,8 @@
 use brasswinch_observe::{Event, emit};
 use brasswinch_routing::{
     ConfigVersion, KnownWorkspace, Rank, Refusal, RegionLimits, RequestDigest, RequestIdentity,
-    RequestShape, Route, RouteKind, Suspect, UpstreamIncarnation, UpstreamRequest, Verdict,
+    RequestShape, Route, RouteKind, Suspect, UpstreamIncarnation, UpstreamOutcome, UpstreamRequest,
+    Verdict,
 };
 use brasswinch_types::{ErrorKind, Ran, Service};
 use http::request::Parts;
@@ -171,6 +172,8 @@
     config: ConfigVersion,
     arrived: Instant,
     deadline: Deadline,
+    /// Whether the box is stopping, and its process may end before the deadline.
+    may_outlast_process: bool,
     /// Longer response bodies are streamed, in bytes.
     max_buffered_response: usize,
 }
@@ -201,6 +204,8 @@
     let route = in_force.routes.find(facts.host, facts.path);
     let route = route.ok_or_else(|| unmatched(&in_force))?;
     let workspace = workspace(context, &in_force, route, &facts)?;
+    let deadline = facts.deadline(&context.clock, route.timeout_s);
+    let may_outlast_process = !context.shutdown.fits(&context.clock, &deadline);
     let length = facts.body_length.unwrap_or(0);
     if length > in_force.config.limits.max_body_bytes {
         return Err(ErrorKind::BodyTooLarge.into());
@@ -212,7 +217,8 @@
         config: in_force.config.version,
         max_buffered_response: incoming.max_buffered_for(route.kind),
         arrived,
-        deadline: facts.deadline(&context.clock, route.timeout_s),
+        may_outlast_process,
+        deadline,
         strips_credential: in_force.keys.has_workspaces(),
         workspace: workspace.map(Arc::as_ref),
         context,
@@ -286,6 +292,7 @@
         length: u64,
         in_force: &ActiveConfig,
     ) -> Result<Response<AnyBody>, Failure> {
+        self.check_process_end()?;
         // Memory is reserved after the wait for a grant, so that waiting requests of one workspace
         // leave it to the others. A permit that is dropped unused gives its token back.
         let mut permit = match self.workspace {
@@ -536,6 +543,7 @@
         let mut grant_requests = 0;
         loop {
             let chosen = self.choose_without_grant(attempts).await?;
+            self.check_wait(&chosen)?;
             grant_requests += 1;
             match self.context.take_grant(chosen, self.deadline.left()).await {
                 Ok(chosen) => return Ok(chosen),
@@ -548,6 +556,37 @@
         }
     }
 
+    /// Refuses a request that the end of the process would cut: one that may outlast it, unless its
+    /// kind has always taken much less time than is left.
+    fn check_process_end(&self) -> Result<(), ErrorKind> {
+        if !self.may_outlast_process {
+            return Ok(());
+        }
+        let context = self.context;
+        let kind = self.route.kind;
+        let longest = context.metrics.longest_latency(&self.service, kind);
+        let fits = |work| context.shutdown.is_expected_to_fit(&context.clock, work);
+        if longest.is_some_and(fits) {
+            return Ok(());
+        }
+        Err(ErrorKind::BoxLeaving)
+    }
+
+    /// Refuses a request that may outlast the process if it would wait at the chosen upstream.
+    fn check_wait(&self, chosen: &Chosen) -> Result<(), ErrorKind> {
+        if !self.may_outlast_process {
+            return Ok(());
+        }
+        let fits = self.check_process_end();
+        if fits.is_ok() && chosen.choice.fullness < 1.0 {
+            return Ok(());
+        }
+        let now = self.context.clock.now();
+        let mut placement = self.context.placement();
+        placement.ended(&chosen.choice, UpstreamOutcome::Abandoned, now);
+        Err(ErrorKind::BoxLeaving)
+    }
+
     /// Chooses an upstream without asking for a grant of its request limit.
     async fn choose_without_grant(&self, attempts: &Attempts) -> Result<Chosen, Failure> {
         let tried = attempts.upstreams.as_slice();
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -45,6 +45,7 @@
 mod request;
 mod server;
 mod settings;
+mod shutdown;
 mod start;
 mod status;
 mod store;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -17,6 +17,9 @@
 /// Maximum workspaces with quota metrics of their own; those with most refused requests are kept.
 const MAX_WORKSPACES: usize = 128;
 
+/// Minimum answered requests for a statement about their latency.
+const MIN_LATENCIES: u64 = 5;
+
 /// Requests by service and outcome, and the latency of answered requests.
 #[derive(Debug, Default)]
 pub(crate) struct Metrics {
@@ -38,6 +41,14 @@
     listed_small: AtomicU64,
 }
 
+fn class_of(kind: RouteKind) -> Class {
+    match kind {
+        RouteKind::Repeatable | RouteKind::Download => Class::Repeatable,
+        RouteKind::Once | RouteKind::Unknown => Class::Once(OnceProof::default()),
+        RouteKind::Upload => Class::Upload,
+    }
+}
+
 impl Metrics {
     /// Counts a finished request by its outcome: the code of its error, or `answered`.
     pub(crate) fn count(&self, service: &Service, outcome: &'static str) {
@@ -66,13 +77,17 @@
 
     /// Records the latency of an answered request.
     pub(crate) fn record_latency(&self, service: &Service, kind: RouteKind, took: Duration) {
-        let class = match kind {
-            RouteKind::Repeatable | RouteKind::Download => Class::Repeatable,
-            RouteKind::Once | RouteKind::Unknown => Class::Once(OnceProof::default()),
-            RouteKind::Upload => Class::Upload,
-        };
         let name = Workspace::new(service.as_str());
-        self.latency.record(&name, class, took.as_micros() as u64);
+        let micros = took.as_micros() as u64;
+        self.latency.record(&name, class_of(kind), micros);
+    }
+
+    /// Returns the latency that nearly all answered requests of a service and kind stay under;
+    /// `None` if too few were answered.
+    pub(crate) fn longest_latency(&self, service: &Service, kind: RouteKind) -> Option<Duration> {
+        let name = Workspace::new(service.as_str());
+        let (count, micros) = self.latency.p999(&name, class_of(kind))?;
+        (count >= MIN_LATENCIES).then_some(Duration::from_micros(micros))
     }
 
     fn write(&self, text: &mut String) {
--- a/crates/edge/src/start.rs
+++ b/crates/edge/src/start.rs
@@ -1,4 +1,4 @@
-//! Starts a box, and shuts it down gracefully.
+//! Starts a box.
 
 use crate::context::{Context, Lifecycle, SCOPES};
 use crate::dialect::Dialect;
@@ -6,7 +6,7 @@
 use crate::store::{BoxRegistry, FleetSizeStore, FleetStore, QuarantineStore};
 use crate::{
     catch_up, fleet_size, follow, gossip, health, quarantine_store, quotas, refresh, registry,
-    relay, server,
+    relay, server, shutdown,
 };
 use brasswinch_observe::{Event, emit};
 use brasswinch_routing::{
@@ -14,7 +14,6 @@
 };
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::net::{TcpListener, TcpSocket, UdpSocket};
 use tokio::time::{Instant, sleep};
@@ -23,17 +22,11 @@
 const BACKLOG: u32 = 1_024;
 
 /// Poll interval of the start and stop stages.
-const STAGE_POLL: Duration = Duration::from_millis(50);
+pub(crate) const STAGE_POLL: Duration = Duration::from_millis(50);
 
 /// Maximum time that a starting box waits to discover other boxes.
 const MAX_DISCOVERY_WAIT: Duration = Duration::from_millis(1_500);
 
-/// Fraction of the grace period during which a leaving box still accepts new requests.
-const OPEN_GRACE_FRACTION: f64 = 0.5;
-
-/// Fraction of the grace period after which a leaving box stops, whatever is in progress.
-const MAX_GRACE_FRACTION: f64 = 0.93;
-
 /// Interval between two sweeps of idle connections.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -132,40 +125,7 @@
     /// Shuts down gracefully: accepts nothing new and answers what has arrived. Returns when
     /// the process may end.
     pub async fn stop(self) {
-        let began = Instant::now();
-        let context = &self.context;
-        context.advance(Lifecycle::Leaving);
-        emit(Event::Leaving, format_args!("{}", context.settings.id));
-        gossip::announce_leave(context, &self.socket).await;
-        let grace = context.grace();
-        sleep(grace.mul_f64(OPEN_GRACE_FRACTION)).await;
-        context.advance(Lifecycle::Closed);
-        let deadline = began + grace.mul_f64(MAX_GRACE_FRACTION);
-        // Open connections may still receive requests that were sent before they close.
-        sleep(server::CLOSE_GRACE + STAGE_POLL).await;
-        // A connection closes when its last response has been written. A tunnel may carry a request
-        // of another box; those without one are closed by that box.
-        let is_busy = || {
-            context.open_connections.load(Ordering::Relaxed) > 0
-                || context.carried_tunnels.open() > 0
-        };
-        while is_busy() && Instant::now() < deadline {
-            sleep(STAGE_POLL).await;
-        }
-        let connections = context.open_connections.load(Ordering::Relaxed);
-        let closing = context.connection_closes.closing();
-        let unacknowledged = context.connection_closes.unacknowledged();
-        let requests = context.in_flight.load(Ordering::Relaxed);
-        let tunnels = context.carried_tunnels.open();
-        emit(
-            Event::Stopped,
-            format_args!(
-                "{} after_ms={} connections={connections} closing={closing} requests={requests} \
-                 tunnels={tunnels} unacknowledged_total={unacknowledged}",
-                context.settings.id,
-                began.elapsed().as_millis()
-            ),
-        );
+        shutdown::stop(&self.context, &self.socket).await;
     }
 }
 
--- a/crates/observe/src/histograms.rs
+++ b/crates/observe/src/histograms.rs
@@ -67,6 +67,17 @@
         histogram.saturating_record(micros.max(1));
     }
 
+    /// Returns how many requests of a workspace and class were counted, and their 99.9th percentile
+    /// in microseconds; `None` if they have no histogram of their own.
+    pub fn p999(&self, workspace: &Workspace, class: Class) -> Option<(u64, u64)> {
+        let histograms = self
+            .histograms
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let histogram = histograms.get(&(workspace.clone(), class.name()))?;
+        Some((histogram.len(), histogram.value_at_quantile(0.999)))
+    }
+
     /// A summary of each histogram.
     pub fn summary(&self) -> Vec<ClassLatency> {
         let histograms = self
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -28,6 +28,7 @@
 mod retry_budget;
 mod route_table;
 mod split;
+mod stop_schedule;
 mod swim;
 mod token_bucket;
 mod tunnel_peers;
@@ -75,6 +76,7 @@
 pub use retry_budget::{RetryBudget, RetryBudgetSettings, RetryCounts};
 pub use route_table::RouteTable;
 pub use split::WeightedSplit;
+pub use stop_schedule::StopSchedule;
 pub use swim::{
     KnownView, Liveness, Member, MemberRecord, MemberState, MembersDigest, MembersReply,
     MembersRequest, NeededTransfer, Outgoing, Swim, SwimMessage, SwimSettings,
--- a/crates/routing/src/placement/service_upstreams.rs
+++ b/crates/routing/src/placement/service_upstreams.rs
@@ -141,6 +141,7 @@
 
     fn start(&mut self, index: usize, basis: Basis, now: Millis) -> Choice {
         let entry = &mut self.entries[index];
+        let fullness = entry.fullness(now);
         entry.load.started();
         entry.is_used = true;
         Choice {
@@ -150,6 +151,7 @@
             service: entry.record.service.clone(),
             address: entry.record.address,
             zone: entry.record.zone.clone(),
+            fullness,
             lost_ms: entry.lost_ms(now),
         }
     }
