Bodies of unknown length count as memory while they are buffered

Cause: memory is reserved by the declared length. A body in chunks declares none; up to 1 MiB of each was buffered uncounted. Buffered responses weren't counted either, and a response counted as passed on when the HTTP library had taken it whole.

Change: a reservation grows with its body, in steps of 16 KiB. A request that finds no memory is refused as at_capacity, not run; a response is streamed from there on. Buffered bodies go to their connection in frames of 16 KiB and count until the last one is taken.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -1,11 +1,12 @@
 //! One attempt to send a request to one upstream, and its outcome.
 
 use crate::advice::CompletionGuard;
-use crate::body::{AnyBody, BodyError, StreamLimits, StreamedBody, buffer_body, full};
+use crate::body::{AnyBody, BodyError, GuardedBody, StreamLimits, StreamedBody, buffer_body, full};
 use crate::clock::Deadline;
 use crate::connection_failures::FailureCause;
 use crate::connections::Connection;
 use crate::context::Context;
+use crate::counted::BufferedBytes;
 use crate::request::end_to_end;
 use crate::tunnel::{self, TunnelError};
 use crate::upstream_limits::Grant;
@@ -404,7 +405,9 @@
     } else {
         limits.max_buffered
     };
-    let buffered = match timeout_at(deadline.timer(), buffer_body(body, max_buffered)).await {
+    let mut memory = BufferedBytes::none(&context);
+    let buffering = buffer_body(body, max_buffered, &mut memory);
+    let buffered = match timeout_at(deadline.timer(), buffering).await {
         Ok(Ok(buffered)) => buffered,
         Ok(Err(_)) => return AttemptOutcome::ConnectionLost,
         Err(_) => return AttemptOutcome::TimedOut,
@@ -449,6 +452,7 @@
             .boxed()
         }
     };
+    let body = GuardedBody::new(body, memory).boxed();
     let mut client_response = Response::new(body);
     *client_response.status_mut() = parts.status;
     *client_response.headers_mut() = headers;
--- a/crates/edge/src/body.rs
+++ b/crates/edge/src/body.rs
@@ -1,9 +1,11 @@
 //! Bodies: short ones are buffered whole, longer ones are streamed.
 
+use crate::counted::BufferedBytes;
 use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
 use http_body_util::combinators::BoxBody;
-use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
+use std::convert::Infallible;
 use std::pin::Pin;
 use std::task::{Context, Poll};
 use tokio::time::{Instant, Sleep};
@@ -25,11 +27,43 @@
     TimedOut,
 }
 
+/// Maximum bytes that a body hands over at a time. The rest is held, and counted, until the
+/// connection takes it.
+const MAX_FRAME_BYTES: usize = 16 * 1024;
+
 /// Returns a body of the given bytes.
 pub(crate) fn full(bytes: impl Into<Bytes>) -> AnyBody {
-    Full::new(bytes.into())
-        .map_err(|never| match never {})
-        .boxed()
+    let whole = WholeBody { rest: bytes.into() };
+    whole.map_err(|never| match never {}).boxed()
+}
+
+/// A buffered body, handed over in frames.
+struct WholeBody {
+    rest: Bytes,
+}
+
+impl Body for WholeBody {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        if self.rest.is_empty() {
+            return Poll::Ready(None);
+        }
+        let length = self.rest.len().min(MAX_FRAME_BYTES);
+        Poll::Ready(Some(Ok(Frame::data(self.rest.split_to(length)))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.rest.is_empty()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.rest.len() as u64)
+    }
 }
 
 /// The body of a client's request.
@@ -44,8 +78,11 @@
 pub(crate) struct BufferedBody {
     /// The buffered bytes.
     pub(crate) bytes: Bytes,
-    /// The remainder, not read yet, if the body is longer than the buffer limit.
+    /// The remainder, not read yet, if the body is longer than the buffer limit or than the memory
+    /// that is left.
     pub(crate) remainder: Option<Incoming>,
+    /// Whether the remainder was left for lack of memory.
+    pub(crate) lacks_memory: bool,
 }
 
 impl BufferedBody {
@@ -54,6 +91,7 @@
         Self {
             bytes: Bytes::new(),
             remainder: None,
+            lacks_memory: false,
         }
     }
 
@@ -63,43 +101,65 @@
     }
 }
 
-/// Buffers a body up to `max_buffered` bytes; a longer one is buffered in part.
+/// Buffers a body up to `max_buffered` bytes, or until `memory` can't grow; the remainder of a
+/// longer one is not read. Where nothing is to be buffered, the first frame is not counted: it is
+/// part of what is reserved for a stream.
 pub(crate) async fn buffer_body(
     mut body: Incoming,
     max_buffered: usize,
+    memory: &mut BufferedBytes,
 ) -> Result<BufferedBody, BodyError> {
-    let mut pieces = BytesMut::new();
-    let mut first: Option<Bytes> = None;
-    loop {
-        let length = pieces.len() + first.as_ref().map_or(0, Bytes::len);
-        if length > max_buffered {
-            let bytes = joined(first, pieces);
-            let remainder = Some(body);
-            return Ok(BufferedBody { bytes, remainder });
-        }
+    let mut pieces = Pieces::default();
+    let mut lacks_memory = false;
+    while pieces.length() <= max_buffered && !lacks_memory {
         let Some(frame) = body.frame().await else {
-            let bytes = joined(first, pieces);
             return Ok(BufferedBody {
-                bytes,
+                bytes: pieces.join(),
                 remainder: None,
+                lacks_memory: false,
             });
         };
-        let Ok(data) = frame?.into_data() else {
-            continue;
-        };
-        if first.is_none() && pieces.is_empty() {
-            first = Some(data);
-            continue;
+        if let Ok(data) = frame?.into_data() {
+            lacks_memory = max_buffered > 0 && !memory.grow_to(pieces.length() + data.len());
+            pieces.push(data, memory.reserved());
         }
-        if let Some(first) = first.take() {
-            pieces.extend_from_slice(&first);
-        }
-        pieces.extend_from_slice(&data);
     }
+    Ok(BufferedBody {
+        bytes: pieces.join(),
+        remainder: Some(body),
+        lacks_memory,
+    })
+}
+
+/// The pieces of a body. A single one is not copied.
+#[derive(Default)]
+struct Pieces {
+    first: Option<Bytes>,
+    joined: BytesMut,
 }
 
-fn joined(first: Option<Bytes>, pieces: BytesMut) -> Bytes {
-    first.unwrap_or_else(|| pieces.freeze())
+impl Pieces {
+    fn length(&self) -> usize {
+        self.joined.len() + self.first.as_ref().map_or(0, Bytes::len)
+    }
+
+    /// Adds a piece. `reserved` bytes are known to be needed.
+    fn push(&mut self, data: Bytes, reserved: usize) {
+        if self.first.is_none() && self.joined.is_empty() {
+            self.first = Some(data);
+            return;
+        }
+        let reserved = reserved.max(self.length() + data.len());
+        self.joined.reserve(reserved - self.joined.len());
+        if let Some(first) = self.first.take() {
+            self.joined.extend_from_slice(&first);
+        }
+        self.joined.extend_from_slice(&data);
+    }
+
+    fn join(self) -> Bytes {
+        self.first.unwrap_or_else(|| self.joined.freeze())
+    }
 }
 
 /// A body that is streamed: its buffered beginning, then the remainder as it arrives.
--- a/crates/edge/src/counted.rs
+++ b/crates/edge/src/counted.rs
@@ -44,6 +44,9 @@
     }
 }
 
+/// Steps in which the count of a body of unknown length grows.
+const GROWTH_BYTES: usize = 16 * 1024;
+
 /// Counts the bytes of a body while it is buffered.
 pub(crate) struct BufferedBytes {
     context: Arc<Context>,
@@ -51,16 +54,46 @@
 }
 
 impl BufferedBytes {
+    /// Counts nothing yet.
+    pub(crate) fn none(context: &Arc<Context>) -> Self {
+        Self {
+            context: Arc::clone(context),
+            bytes: 0,
+        }
+    }
+
     /// Reserves `bytes` for a body. Returns `None` if buffered bodies would exceed their part of
     /// the memory.
     pub(crate) fn reserve(context: &Arc<Context>, bytes: usize) -> Option<Self> {
-        let max_bytes = max_buffered_bytes(context.settings.memory_bytes);
-        let before = context.buffered_bytes.fetch_add(bytes, Ordering::Relaxed);
-        let reservation = Self {
-            context: Arc::clone(context),
-            bytes,
-        };
-        (before + bytes <= max_bytes).then_some(reservation)
+        let mut reservation = Self::none(context);
+        reservation.add(bytes).then_some(reservation)
+    }
+
+    /// Returns the bytes that are reserved.
+    pub(crate) fn reserved(&self) -> usize {
+        self.bytes
+    }
+
+    /// Makes sure that `bytes` are reserved in all. Returns false, and reserves nothing more, if
+    /// buffered bodies would exceed their part of the memory.
+    pub(crate) fn grow_to(&mut self, bytes: usize) -> bool {
+        if bytes <= self.bytes {
+            return true;
+        }
+        self.add(bytes.next_multiple_of(GROWTH_BYTES) - self.bytes)
+    }
+
+    fn add(&mut self, bytes: usize) -> bool {
+        let counted = &self.context.buffered_bytes;
+        let max_bytes = max_buffered_bytes(self.context.settings.memory_bytes);
+        let before = counted.fetch_add(bytes, Ordering::Relaxed);
+        let has_room = before + bytes <= max_bytes;
+        if has_room {
+            self.bytes += bytes;
+        } else {
+            counted.fetch_sub(bytes, Ordering::Relaxed);
+        }
+        has_room
     }
 }
 
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -278,7 +278,8 @@
     }
 }
 
-/// Returns the bytes to reserve for buffering a body of the declared length.
+/// Returns the bytes to reserve for buffering a body of the declared length. The reservation of a
+/// body that declares none grows as the body arrives.
 fn reservation_bytes(declared: u64) -> usize {
     usize::try_from(declared).map_or(MAX_BUFFERED_BODY_BYTES, |length| {
         length.min(MAX_BUFFERED_BODY_BYTES)
@@ -304,9 +305,9 @@
         };
         let reserved_bytes = reservation_bytes(length);
         let reserved = BufferedBytes::reserve(self.context, reserved_bytes);
-        let _reserved = reserved.ok_or(ErrorKind::AtCapacity)?;
+        let mut reserved = reserved.ok_or(ErrorKind::AtCapacity)?;
         let stream_reservation = self.reserve_stream()?;
-        let buffered = self.read_body(body).await?;
+        let buffered = self.read_body(body, &mut reserved).await?;
         let response = self.send(buffered, in_force, permit.as_mut()).await?;
         Ok(match stream_reservation {
             Some(reserved) => response.map(|body| GuardedBody::new(body, reserved).boxed()),
@@ -323,16 +324,17 @@
         reserved.map(Some).ok_or(ErrorKind::AtCapacity)
     }
 
-    async fn read_body(&self, body: ClientBody) -> Result<BufferedBody, Failure> {
+    async fn read_body(
+        &self,
+        body: ClientBody,
+        memory: &mut BufferedBytes,
+    ) -> Result<BufferedBody, Failure> {
         let ClientBody::Incoming(body) = body else {
             return Ok(BufferedBody::empty());
         };
-        match timeout_at(
-            self.deadline.timer(),
-            buffer_body(body, MAX_BUFFERED_BODY_BYTES),
-        )
-        .await
-        {
+        let buffering = buffer_body(body, MAX_BUFFERED_BODY_BYTES, memory);
+        match timeout_at(self.deadline.timer(), buffering).await {
+            Ok(Ok(buffered)) if buffered.lacks_memory => Err(ErrorKind::AtCapacity.into()),
             Ok(Ok(buffered)) => Ok(buffered),
             Ok(Err(_)) => Err(ErrorKind::MalformedRequest.into()),
             Err(_) => Err(ErrorKind::TimeoutBeforeSend.into()),
--- a/crates/edge/src/health.rs
+++ b/crates/edge/src/health.rs
@@ -7,6 +7,7 @@
 use crate::body::{AnyBody, buffer_body, full};
 use crate::connections::Connection;
 use crate::context::{Context, Lifecycle};
+use crate::counted::BufferedBytes;
 use crate::datagram::Datagram;
 use crate::upstream_signals::{InvalidSignal, cold_time};
 use brasswinch_observe::{Event, emit};
@@ -153,7 +154,7 @@
     if !instance.is_some_and(is_meant_upstream) {
         return Err(HealthError::WrongUpstream);
     }
-    return_to_pool(connection, body).await;
+    return_to_pool(context, connection, body).await;
     match cold_time(&parts.headers, &context.dialect) {
         Ok(cold) => Ok(cold.filter(|cold| cold.ms() > 0)),
         Err(error) => {
@@ -165,8 +166,13 @@
 }
 
 /// Returns the connection to the pool after a complete response.
-async fn return_to_pool(connection: Connection, body: hyper::body::Incoming) {
-    if let Ok(buffered) = buffer_body(body, MAX_BODY_BYTES).await
+async fn return_to_pool(
+    context: &Arc<Context>,
+    connection: Connection,
+    body: hyper::body::Incoming,
+) {
+    let mut memory = BufferedBytes::none(context);
+    if let Ok(buffered) = buffer_body(body, MAX_BODY_BYTES, &mut memory).await
         && buffered.is_complete()
     {
         connection.reuse();
