--- a/crates/edge/src/view_reports.rs
+++ b/crates/edge/src/view_reports.rs
@@ -49,9 +49,10 @@
         self.schedule_report(self.duty() == StoreDuty::Lead);
     }
 
-    /// Schedules a report after a stale view was refreshed from the store.
+    /// Schedules a report after a stale view was refreshed from the store. Where the followers are
+    /// refused, other zones hear of it too.
     pub(crate) fn report_after_refresh(&self) {
-        self.schedule_report(self.duty() != StoreDuty::Listen);
+        self.schedule_report(self.duty() != StoreDuty::Listen || self.is_deferring_to_peer());
     }
 
     /// Schedules a report to the own zone.
