--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -4,7 +4,6 @@
 //! The error that the client receives depends on this state alone.
 
 use crate::advice;
-use crate::answer::{error_response, refusal_response};
 use crate::attempt::{AttemptOutcome, Chosen, Identity, Outgoing, OutgoingBody, attempt};
 use crate::body::{
     AnyBody, BodyError, BufferedBody, ClientBody, GuardedBody, StreamLimits, StreamedBody,
@@ -14,6 +13,7 @@
 use crate::context::{ActiveConfig, Context};
 use crate::counted::{BufferedBytes, InFlight};
 use crate::failure::{Attempts, Failure, LoggedChoice, OptionalDigest};
+use crate::failure_report::{failure_response, log_failure};
 use crate::quota_admission::{Permit, quota_class};
 use crate::request::{RequestFacts, request_id};
 use crate::upstream_limits::Grant;
@@ -23,7 +23,7 @@
     RequestShape, Route, RouteKind, Suspect, UpstreamIncarnation, UpstreamOutcome, UpstreamRequest,
     Verdict,
 };
-use brasswinch_types::{ErrorKind, Ran, Service};
+use brasswinch_types::{ErrorKind, Service};
 use http::request::Parts;
 use http::{Request, Response};
 use http_body_util::BodyExt;
@@ -73,73 +73,6 @@
     response.map(|body| GuardedBody::new(body, in_flight).boxed())
 }
 
-fn failure_response(failure: &Failure) -> Response<AnyBody> {
-    match *failure {
-        Failure::Kind(kind) | Failure::AtUpstream { kind, .. } => error_response(kind),
-        Failure::OverQuota { retry_after_ms, .. } => {
-            refusal_response(ErrorKind::OverQuota, retry_after_ms)
-        }
-        Failure::Refused { retry_after_ms, .. } => {
-            refusal_response(ErrorKind::AtCapacity, retry_after_ms)
-        }
-        Failure::Quarantined { retry_after_ms, .. } => {
-            refusal_response(ErrorKind::ShutOut, retry_after_ms)
-        }
-    }
-}
-
-fn log_failure(context: &Context, parts: &Parts, failure: &Failure, arrived: Instant) {
-    let kind = failure.kind();
-    let event = match kind.answer().ran {
-        Ran::NotRun => Event::RequestRefused,
-        Ran::Unknown => Event::RequestFailed,
-    };
-    let id = request_id(parts, &context.dialect);
-    let (path, took) = (parts.uri.path(), arrived.elapsed().as_millis());
-    let config = context.in_force.load();
-    let config = config
-        .as_ref()
-        .map_or(0, |in_force| in_force.config.version.0);
-    let detail = format!("id={id} path={path} config={config} cause={kind} ms={took}");
-    match failure {
-        Failure::AtUpstream {
-            logged_choice,
-            digest,
-            ..
-        } => {
-            let digest = OptionalDigest(digest.as_ref());
-            emit(
-                event,
-                format_args!("{detail} digest={digest} {logged_choice}"),
-            );
-        }
-        Failure::Refused {
-            retry_after_ms,
-            basis,
-        } => emit(
-            event,
-            format_args!("{detail} upstream=- retry_after_ms={retry_after_ms} {basis}"),
-        ),
-        Failure::OverQuota {
-            workspace,
-            retry_after_ms,
-        } => emit(
-            event,
-            format_args!(
-                "{detail} upstream=- workspace={workspace} retry_after_ms={retry_after_ms}"
-            ),
-        ),
-        Failure::Quarantined {
-            retry_after_ms,
-            digest,
-        } => emit(
-            event,
-            format_args!("{detail} upstream=- digest={digest} retry_after_ms={retry_after_ms}"),
-        ),
-        Failure::Kind(_) => emit(event, format_args!("{detail} upstream=-")),
-    }
-}
-
 /// A request before it is routed.
 struct IncomingRequest<'a> {
     parts: &'a Parts,
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -22,6 +22,7 @@
 mod dialect;
 mod exchange;
 mod failure;
+mod failure_report;
 mod fleet_size;
 mod follow;
 mod gossip;
--- a/crates/listen/src/client_stream.rs
+++ b/crates/listen/src/client_stream.rs
@@ -1,6 +1,6 @@
 //! A client's connection whose socket outlives the HTTP library's use of it.
 
-use crate::linger::{ConnectionClose, close};
+use crate::linger::{ConnectionClose, close_stream};
 use std::io;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -80,7 +80,7 @@
     /// acknowledged.
     pub async fn close(self, end: ServiceEnd, max_stall: Duration) -> ConnectionClose {
         match self.take() {
-            Some(stream) => close(stream, end, max_stall).await,
+            Some(stream) => close_stream(stream, end, max_stall).await,
             None => ConnectionClose::AtOnce,
         }
     }
--- a/crates/listen/src/linger.rs
+++ b/crates/listen/src/linger.rs
@@ -104,7 +104,7 @@
 }
 
 /// Closes a connection; see [`ClosingSocket::close`](crate::ClosingSocket::close).
-pub(crate) async fn close(
+pub(crate) async fn close_stream(
     stream: TcpStream,
     end: ServiceEnd,
     max_stall: Duration,
@@ -181,13 +181,13 @@
             return None;
         }
         self.asked_at = now;
-        let before = self.unacknowledged;
-        self.unacknowledged = unacknowledged();
-        match (self.unacknowledged, before) {
-            (Some(0), Some(0)) => {}
-            (Some(now_left), Some(left)) if now_left >= left => {}
-            (Some(_), _) => self.advanced_at = now,
-            (None, _) => {}
+        let before = std::mem::replace(&mut self.unacknowledged, unacknowledged());
+        let has_advanced = match (self.unacknowledged, before) {
+            (Some(left), Some(before)) => left < before,
+            (left, _) => left.is_some(),
+        };
+        if has_advanced {
+            self.advanced_at = now;
         }
         let since_advance = now - self.advanced_at;
         if self.unacknowledged == Some(0) {
