--- a/crates/edge/tests/shutdown.rs
+++ b/crates/edge/tests/shutdown.rs
@@ -10,6 +10,7 @@
 use http_body_util::Full;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::task::JoinHandle;
 
 /// Time that the platform leaves the box to stop, in seconds.
 const GRACE_S: f64 = 4.0;
@@ -43,6 +44,18 @@
     Site::start_with(settings, 1).await
 }
 
+/// Asks the box to stop, and waits until it knows.
+async fn begin_stop(site: &mut Site) -> JoinHandle<()> {
+    let handle = site.handle.take().unwrap();
+    let context = Arc::clone(handle.context());
+    let stopping = tokio::spawn(handle.stop());
+    eventually("the box is leaving", || {
+        context.status().stage == Lifecycle::Leaving
+    })
+    .await;
+    stopping
+}
+
 fn order(limit_ms: u64) -> Request<Full<bytes::Bytes>> {
     let mut order = request("POST", "/once/1", "order");
     let limit = HeaderValue::from(limit_ms);
@@ -64,13 +77,7 @@
         assert_eq!(client.call(order(LONG_LIMIT_MS)).await.unwrap().status, 200);
     }
     let before = site.runs();
-    let handle = site.handle.take().unwrap();
-    let context = Arc::clone(handle.context());
-    let stopping = tokio::spawn(handle.stop());
-    eventually("the box is leaving", || {
-        context.status().stage == Lifecycle::Leaving
-    })
-    .await;
+    let stopping = begin_stop(&mut site).await;
     // One that ends before the process does is served, however long it takes.
     let [long, short] = &mut clients;
     let served = short.call(order(SHORT_LIMIT_MS)).await.unwrap();
@@ -100,13 +107,7 @@
         clients.push(client);
     }
     let before = site.runs();
-    let handle = site.handle.take().unwrap();
-    let context = Arc::clone(handle.context());
-    let stopping = tokio::spawn(handle.stop());
-    eventually("the box is leaving", || {
-        context.status().stage == Lifecycle::Leaving
-    })
-    .await;
+    let stopping = begin_stop(&mut site).await;
     let calls = clients.into_iter().map(|mut client| {
         tokio::spawn(async move { client.call(order(LONG_LIMIT_MS)).await.unwrap().status })
     });
