--- a/crates/edge/src/refresh.rs
+++ b/crates/edge/src/refresh.rs
@@ -24,7 +24,6 @@
 /// Refreshes the view of `scope` whenever it becomes stale, for as long as the process runs.
 pub(crate) async fn keep_fresh<S: FleetStore>(context: Arc<Context>, store: Arc<S>, scope: Scope) {
     let mut backoff = INITIAL_BACKOFF;
-    let mut has_deferred = false;
     loop {
         let age_ms = wait_until_stale(&context, scope).await;
         if context.following(scope) == Following::Busy {
@@ -32,13 +31,10 @@
             sleep(POLL_INTERVAL).await;
             continue;
         }
-        // The store may refuse its followers and answer others, so each box asks it in the end.
-        if must_defer(&context) && !has_deferred {
-            has_deferred = true;
-            sleep(context.probe_interval().mul_f64(rand::random())).await;
+        if context.is_deferring_to_peer() && !context.duty().follows_store() {
+            sleep(POLL_INTERVAL).await;
             continue;
         }
-        has_deferred = false;
         if context.duty() != StoreDuty::Lead {
             emit(
                 Event::ViewOld,
@@ -52,7 +48,6 @@
         match answered {
             Ok(()) => {
                 backoff = INITIAL_BACKOFF;
-                context.record_store_answer();
                 context.report_after_refresh();
             }
             Err(error) => {
@@ -70,13 +65,6 @@
     }
 }
 
-/// Returns whether the store is left to a follower that retries.
-fn must_defer(context: &Context) -> bool {
-    context.is_deferring_to_peer()
-        && !context.duty().follows_store()
-        && !context.is_answered_by_store()
-}
-
 /// Waits until the view is stale; returns its age in milliseconds.
 async fn wait_until_stale(context: &Context, scope: Scope) -> Millis {
     let random = rand::random();
--- a/crates/edge/src/store_watch.rs
+++ b/crates/edge/src/store_watch.rs
@@ -26,14 +26,6 @@
 /// and reports failures, within 1.2 s.
 const DEFER_TO_PEER_MS: Millis = 1_500;
 
-/// How long a box that the store has answered asks it again without deferring to others.
-const ANSWERED_MEMORY_MS: Millis = 5_000;
-
-/// Calls per second of all boxes together to a store that refuses its followers. Whichever boxes it
-/// answers are found within `boxes / MAX_PROBES_PER_S` seconds, and within 1 s on average if it
-/// answers one box in twenty.
-const MAX_PROBES_PER_S: f64 = 20.0;
-
 /// Follow state of each scope.
 #[derive(Debug, Default)]
 struct FollowStates {
@@ -103,8 +95,6 @@
     starts_with_store: AtomicBool,
     /// Until when the store is left to another box that retries, in milliseconds.
     deferred_until: AtomicU64,
-    /// Until when the store is asked without deferring, since it has answered, in milliseconds.
-    answered_until: AtomicU64,
     duty: Mutex<Duty>,
     following: Mutex<FollowStates>,
 }
@@ -119,7 +109,6 @@
             watches_store: watch::Sender::new(starts_with_store),
             starts_with_store: AtomicBool::new(starts_with_store),
             deferred_until: AtomicU64::new(0),
-            answered_until: AtomicU64::new(0),
             duty: Mutex::new(Duty::new(Watchers::of(swim), starts_with_store)),
             following: Mutex::default(),
         }
@@ -190,24 +179,6 @@
         self.clock.now() < self.store_watch.deferred_until.load(Ordering::Relaxed)
     }
 
-    /// Records that the store has answered this box, which it may do while it refuses others.
-    pub(crate) fn record_store_answer(&self) {
-        let until = self.clock.now() + ANSWERED_MEMORY_MS;
-        self.store_watch
-            .answered_until
-            .store(until, Ordering::Relaxed);
-    }
-
-    /// Returns whether the store has answered this box lately.
-    pub(crate) fn is_answered_by_store(&self) -> bool {
-        self.clock.now() < self.store_watch.answered_until.load(Ordering::Relaxed)
-    }
-
-    /// Returns the time within which each box asks a store once that refuses its followers.
-    pub(crate) fn probe_interval(&self) -> Duration {
-        Duration::from_secs_f64(self.sharing_boxes() as f64 / MAX_PROBES_PER_S)
-    }
-
     /// Puts a newly selected duty into effect once it has lasted long enough.
     pub(crate) fn settle_duty(&self) {
         let is_settled = lock(&self.store_watch.duty).is_settled();
--- a/crates/edge/src/view_reports.rs
+++ b/crates/edge/src/view_reports.rs
@@ -49,10 +49,9 @@
         self.schedule_report(self.duty() == StoreDuty::Lead);
     }
 
-    /// Schedules a report after a stale view was refreshed from the store. Where the followers are
-    /// refused, other zones hear of it too.
+    /// Schedules a report after a stale view was refreshed from the store.
     pub(crate) fn report_after_refresh(&self) {
-        self.schedule_report(self.duty() != StoreDuty::Listen || self.is_deferring_to_peer());
+        self.schedule_report(self.duty() != StoreDuty::Listen);
     }
 
     /// Schedules a report to the own zone.
