Embedded path: an idle connection is closed without reading what crosses the close

The lingering close counted a connection whose idle time was over as one with a response under way: it read and dropped requests that crossed the close for a second, so that their callers weren't told by a reset that nothing was read. The routed path told the two apart already.

`a_request_that_crosses_the_close_of_an_idle_connection_is_read` fails without the change. The routed path is not touched.

--- a/crates/daemon/src/traffic/server.rs
+++ b/crates/daemon/src/traffic/server.rs
@@ -15,6 +15,7 @@
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
 use std::convert::Infallible;
+use std::error::Error;
 use std::net::{IpAddr, SocketAddr};
 use std::pin::pin;
 use std::sync::Arc;
@@ -111,18 +112,27 @@
     let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
     // A caller that breaks off needs no answer.
     tokio::select! {
-        _ = connection.as_mut() => return ServiceEnd::AfterResponse,
+        served = connection.as_mut() => return service_end(served),
         _ = stop.wait_for(|stopped| *stopped) => {}
     }
-    if timeout(LAST_REQUESTS, connection.as_mut()).await.is_ok() {
-        return ServiceEnd::AfterResponse;
+    if let Ok(served) = timeout(LAST_REQUESTS, connection.as_mut()).await {
+        return service_end(served);
     }
     connection.as_mut().graceful_shutdown();
     // Ready at once if it was idle.
     if connection.as_mut().now_or_never().is_some() {
         return ServiceEnd::BetweenRequests;
     }
-    let _ = connection.await;
+    service_end(connection.await)
+}
+
+fn service_end(served: Result<(), Box<dyn Error + Send + Sync>>) -> ServiceEnd {
+    let error = served.as_ref().err();
+    let error = error.and_then(|error| error.downcast_ref::<hyper::Error>());
+    // No request came in time.
+    if error.is_some_and(hyper::Error::is_timeout) {
+        return ServiceEnd::BetweenRequests;
+    }
     ServiceEnd::AfterResponse
 }
 
--- a/crates/daemon/tests/leaving.rs
+++ b/crates/daemon/tests/leaving.rs
@@ -248,6 +248,27 @@
     assert!(answers >= PIPELINED_LOOKUPS, "{answers}");
 }
 
+/// A caller that is told by a reset that its request was not read may repeat it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_crosses_the_close_of_an_idle_connection_is_read() {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let _alone = alone().await;
+    let fleet = fleet().await;
+    let address = fleet.daemons[&fleet.site.box_name(0, 1)].callers;
+    let mut caller = TcpStream::connect(address).await.unwrap();
+    let lookup = b"GET /v1/lookup HTTP/1.1\r\nhost: box\r\n\r\n";
+    caller.write_all(lookup).await.unwrap();
+    // The box closes the connection when it has been idle for long enough.
+    let mut received = Vec::new();
+    caller.read_to_end(&mut received).await.unwrap();
+    assert!(received.starts_with(b"HTTP/1.1 "));
+    caller.write_all(lookup).await.unwrap();
+    // The reset has arrived by the next write.
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let written = caller.write_all(lookup).await;
+    assert!(written.is_err(), "the request was read");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn replacing_every_box_one_after_another_under_load_cuts_nothing() {
     let _alone = alone().await;
