--- a/crates/edge/src/failure_report.rs
+++ b/crates/edge/src/failure_report.rs
@@ -1,4 +1,4 @@
-//! What a client and the log are told of a request that failed.
+//! The response and the log line of a request that failed.
 
 use crate::answer::{error_response, refusal_response};
 use crate::body::AnyBody;
--- a/crates/edge/src/shutdown.rs
+++ b/crates/edge/src/shutdown.rs
@@ -23,11 +23,11 @@
 }
 
 impl Shutdown {
-    pub(crate) fn new(grace_s: f64, begin_all_s: f64) -> Self {
+    pub(crate) fn new(grace_s: f64, admit_all_s: f64) -> Self {
         let grace = Duration::from_secs_f64(grace_s);
-        let begin_all = Duration::from_secs_f64(begin_all_s);
+        let admit_all = Duration::from_secs_f64(admit_all_s);
         Self {
-            schedule: StopSchedule::new(grace, begin_all),
+            schedule: StopSchedule::new(grace, admit_all),
             began: OnceLock::new(),
         }
     }
@@ -76,7 +76,7 @@
     context.open_connections.load(Ordering::Relaxed) > 0 || context.carried_tunnels.open() > 0
 }
 
-/// Logs what the end of the process cuts.
+/// Logs what is still in progress when the process ends.
 fn log_stopped(context: &Context, took: Duration) {
     let id = &context.settings.id;
     let took_ms = took.as_millis();
--- a/crates/edge/tests/shutdown.rs
+++ b/crates/edge/tests/shutdown.rs
@@ -36,11 +36,11 @@
 /// More orders than there are slots.
 const LATE_ORDERS: usize = 8;
 
-/// Starts a box that begins no request that may outlast it once it is asked to stop.
+/// Starts a box that admits no request that may outlast it once it is asked to stop.
 async fn start() -> Site {
     let mut settings = common::settings("box-1", Vec::new());
     settings.bounds.grace_s = GRACE_S;
-    settings.bounds.stop_begin_all_s = 0.0;
+    settings.bounds.stop_admit_all_s = 0.0;
     Site::start_with(settings, 1).await
 }
 
--- a/crates/listen/src/linger.rs
+++ b/crates/listen/src/linger.rs
@@ -3,7 +3,7 @@
 //! Linux resets a connection that is closed with unread bytes, or that gets bytes after its close,
 //! and drops what its client has not acknowledged. A response that a slow client is still reading
 //! would be lost that way. So the sending side ends first (RFC 9112, 9.6), and the socket stays
-//! open, without buffers of ours, until the client ends its side or has got everything.
+//! open until the client ends its side or has acknowledged everything. It holds no buffers.
 
 use crate::client_stream::ServiceEnd;
 use crate::unacknowledged::unacknowledged_bytes;
@@ -47,7 +47,7 @@
     pub end: LingerEnd,
     /// For how long it stayed open.
     pub took: Duration,
-    /// Bytes that the client had not acknowledged in the end; `None` if the system doesn't tell.
+    /// Bytes that the client had not acknowledged in the end; `None` if the system doesn't report them.
     pub unacknowledged_bytes: Option<usize>,
 }
 
@@ -75,7 +75,7 @@
 pub enum LingerEnd {
     /// The client ended its side.
     ClientClosed,
-    /// The client has got everything, and didn't end its side.
+    /// The client has acknowledged everything, but didn't end its side.
     Acknowledged,
     /// The client acknowledged nothing for too long.
     Stalled,
@@ -116,7 +116,7 @@
         }
         ServiceEnd::ClientStalled => LingerEnd::Stalled,
         ServiceEnd::BetweenRequests | ServiceEnd::AfterResponse => {
-            // Fails if the connection has ended; reading from it tells.
+            // Fails on a connection that has ended, which the next read reports.
             let _ = SockRef::from(&stream).shutdown(Shutdown::Write);
             linger(&stream, max_stall).await
         }
--- a/crates/listen/src/unacknowledged.rs
+++ b/crates/listen/src/unacknowledged.rs
@@ -1,16 +1,16 @@
-//! Asks the system how much of what was sent has not been acknowledged.
+//! Queries the length of a socket's send queue.
 
 use tokio::net::TcpStream;
 
 /// Returns how many bytes the client's system has not acknowledged, the end of the stream
-/// included; `None` if this system doesn't tell.
+/// included; `None` if the system doesn't report it.
 #[cfg(target_os = "linux")]
 pub(crate) fn unacknowledged_bytes(stream: &TcpStream) -> Option<usize> {
     let bytes = linux::send_queue_bytes(stream).ok()?;
     usize::try_from(bytes).ok()
 }
 
-/// Says that this system doesn't tell.
+/// Not available on this system.
 #[cfg(not(target_os = "linux"))]
 pub(crate) fn unacknowledged_bytes(_: &TcpStream) -> Option<usize> {
     None
--- a/crates/routing/src/stop_schedule.rs
+++ b/crates/routing/src/stop_schedule.rs
@@ -1,10 +1,10 @@
-//! When a box that was asked to stop does what, and which requests it still begins.
+//! The stages of a planned stop, and which requests a stopping box still admits.
 //!
 //! All times are counted from the request to stop. With the grace `G` of the platform:
 //!
 //! ```text
-//! begin_all <= closes_after < ends_after < G
-//! arrival + limit + RESPONSE_MARGIN <= ends_after        each request after begin_all, or
+//! admit_all <= closes_after < ends_after < G
+//! arrival + limit + RESPONSE_MARGIN <= ends_after        each request after admit_all, or
 //! start + work * WORK_FACTOR + RESPONSE_MARGIN <= ends_after    and its upstream is free
 //! ```
 
@@ -26,17 +26,17 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StopSchedule {
     grace: Duration,
-    begin_all: Duration,
+    admit_all: Duration,
 }
 
 impl StopSchedule {
     /// Returns the schedule of a box that is killed `grace` after the request to stop. Until
-    /// `begin_all` it begins every request, though one may outlast the process.
-    pub fn new(grace: Duration, begin_all: Duration) -> Self {
+    /// `admit_all` it admits every request, though one may outlast the process.
+    pub fn new(grace: Duration, admit_all: Duration) -> Self {
         let closes_after = grace.mul_f64(OPEN_GRACE_FRACTION);
         Self {
             grace,
-            begin_all: begin_all.min(closes_after),
+            admit_all: admit_all.min(closes_after),
         }
     }
 
@@ -51,9 +51,9 @@
     }
 
     /// Returns whether a request that arrives `since_stop` gets its response before the process
-    /// ends, however long it takes within its `limit`; also true while every request is begun.
+    /// ends, however long it takes within its `limit`; also true while every request is admitted.
     pub fn fits(&self, since_stop: Duration, limit: Duration) -> bool {
-        since_stop < self.begin_all || self.ends_before(since_stop, limit)
+        since_stop < self.admit_all || self.ends_before(since_stop, limit)
     }
 
     /// Returns whether a request that starts at an idle slot `since_stop`, and whose `work` takes
--- a/crates/routing/tests/stop_schedule.rs
+++ b/crates/routing/tests/stop_schedule.rs
@@ -11,8 +11,8 @@
 /// a busy machine.
 const END_MARGIN: Duration = Duration::from_millis(400);
 
-/// The time in which every request is begun on the known platform.
-const BEGIN_ALL: Duration = Duration::from_secs(3);
+/// The time in which every request is admitted on the known platform.
+const ADMIT_ALL: Duration = Duration::from_secs(3);
 
 /// The graces of the known deployments.
 const GRACES_S: [u64; 2] = [6, 10];
@@ -20,7 +20,7 @@
 fn schedules() -> impl Iterator<Item = (Duration, StopSchedule)> {
     GRACES_S.into_iter().map(|seconds| {
         let grace = Duration::from_secs(seconds);
-        (grace, StopSchedule::new(grace, BEGIN_ALL))
+        (grace, StopSchedule::new(grace, ADMIT_ALL))
     })
 }
 
@@ -28,7 +28,7 @@
 fn the_stages_of_a_stop_outlast_the_grace() {
     for (grace, schedule) in schedules() {
         let (closes, ends) = (schedule.closes_after(), schedule.ends_after());
-        assert!(BEGIN_ALL <= closes, "{grace:?}: {closes:?}");
+        assert!(ADMIT_ALL <= closes, "{grace:?}: {closes:?}");
         assert!(closes < ends, "{grace:?}: {ends:?}");
         assert!(ends >= grace.mul_f64(UNCUT_GRACE_FRACTION), "{ends:?}");
         assert!(ends + END_MARGIN <= grace, "{grace:?}: {ends:?}");
@@ -36,12 +36,12 @@
 }
 
 #[test]
-fn a_request_is_begun_that_outlasts_the_process() {
+fn a_request_is_admitted_that_outlasts_the_process() {
     for (grace, schedule) in schedules() {
         for arrival_ms in 0..grace.as_millis() as u64 {
             let arrival = Duration::from_millis(arrival_ms);
             let left = schedule.ends_after().saturating_sub(arrival);
-            let is_early = arrival < BEGIN_ALL;
+            let is_early = arrival < ADMIT_ALL;
             assert_eq!(schedule.fits(arrival, left), is_early, "{arrival:?}");
             assert_eq!(schedule.fits(arrival, Duration::MAX), is_early);
         }
