A refusal is not the beginning of the store's reply

Cause: the adapter called `on_reply_start` at the head of any response, so a 503 or 429 counted as the beginning of a reply.

--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -54,7 +54,7 @@
     fn list(&self, scope: Scope) -> impl Future<Output = Result<Snapshot, StoreFailure>> + Send;
 
     /// Waits at most `wait` for a change in `scope` after a revision. Calls
-    /// `on_reply_start` when the reply begins.
+    /// `on_reply_start` when the reply begins, unless it is a refusal.
     fn watch(
         &self,
         scope: Scope,
