A box defers to followers only after a store call of its own has failed

Cause: a follower that the store fails reports it, and whoever heard it left the store to it for 1.5 s, and again at each retry, however old its own view was. The belief "the store is being asked" rested on the word of boxes that it refuses; substitutes came two at a time and were refused as well.

News that one box had was everywhere at once. So it is served boxes that don't ask, and not refused ones that aren't told.

Change: `routing::StoreProbing`. A box whose last call was answered, or that made none, asks at its view's age limit whatever followers report. One whose call failed asks again 2.2 s after that call's start, one scope only; a response opens the other at once. While followers fail, the calls of all boxes are spread so that they make 200 a second at most, and whoever is answered tells the other zones too.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -87,7 +87,10 @@
         context.set_following(scope, Following::Busy);
         let is_answered = matches!(fetched, Ok(_) | Err(StoreFailure::HistoryGone));
         context.set_reaches_store(is_answered);
-        if !is_answered {
+        if is_answered {
+            context.record_store_response();
+        } else {
+            context.record_store_call();
             context.report_store_failure();
         }
         if is_answered != is_reached {
--- a/crates/edge/src/refresh.rs
+++ b/crates/edge/src/refresh.rs
@@ -31,16 +31,20 @@
             sleep(POLL_INTERVAL).await;
             continue;
         }
-        if context.is_deferring_to_peer() && !context.duty().follows_store() {
+        if context.defers_to_follower() {
             sleep(POLL_INTERVAL).await;
             continue;
         }
         if context.duty() != StoreDuty::Lead {
             emit(
                 Event::ViewOld,
-                format_args!("scope={scope:?} age_ms={age_ms}"),
+                format_args!(
+                    "scope={scope:?} age_ms={age_ms} followers_fail={}",
+                    context.hears_of_store_failure()
+                ),
             );
         }
+        context.record_store_call();
         let answered = refresh(&context, &*store, scope).await;
         if context.duty().follows_store() {
             context.set_reaches_store(answered.is_ok());
@@ -48,6 +52,7 @@
         match answered {
             Ok(()) => {
                 backoff = INITIAL_BACKOFF;
+                context.record_store_response();
                 context.report_after_refresh();
             }
             Err(error) => {
@@ -73,7 +78,12 @@
             sleep(POLL_INTERVAL).await;
             continue;
         };
-        let limit_ms = context.view_limits.limit_ms(context.duty(), random);
+        let limit_ms = if context.hears_of_store_failure() {
+            let boxes = context.sharing_boxes();
+            context.view_limits.substitute_limit_ms(boxes, random)
+        } else {
+            context.view_limits.limit_ms(context.duty(), random)
+        };
         if age_ms >= limit_ms {
             return age_ms;
         }
@@ -86,6 +96,11 @@
     store: &S,
     scope: Scope,
 ) -> Result<(), StoreFailure> {
+    let reason = if context.hears_of_store_failure() {
+        CallReason::FollowersFail
+    } else {
+        CallReason::ViewOld
+    };
     let after = context.fleet().resume_after(scope);
     let answered = match after {
         Some(after) => {
@@ -93,12 +108,13 @@
                 scope,
                 after,
                 wait: Duration::ZERO,
-                on_reply_start: &|| {},
-                reason: CallReason::ViewOld,
+                // The other scope doesn't wait for a long transfer.
+                on_reply_start: &|| context.record_store_response(),
+                reason,
             };
             watch(context, store, call).await
         }
-        None => list(context, store, scope, CallReason::ViewOld).await,
+        None => list(context, store, scope, reason).await,
     };
     match answered {
         Err(StoreFailure::HistoryGone | StoreFailure::Incomplete(_)) => {
--- a/crates/edge/src/store_calls.rs
+++ b/crates/edge/src/store_calls.rs
@@ -35,6 +35,8 @@
     Follow,
     /// No report confirmed this box's view in time.
     ViewOld,
+    /// The same, while followers report that the store fails them.
+    FollowersFail,
     /// The store no longer has the requested changes, or the reply was incomplete.
     Gap,
     /// Registration and discovery of boxes.
@@ -67,6 +69,7 @@
         match self {
             Self::Follow => "follow",
             Self::ViewOld => "view_old",
+            Self::FollowersFail => "followers_fail",
             Self::Gap => "gap",
             Self::Discovery => "meet",
             Self::Quarantine => "quarantine",
--- a/crates/edge/src/store_watch.rs
+++ b/crates/edge/src/store_watch.rs
@@ -4,7 +4,7 @@
 use crate::follow::Following;
 use crate::settings::EdgeSettings;
 use crate::store::StoreFailure;
-use brasswinch_routing::{Liveness, Scope, StoreDuty, Swim, Watchers};
+use brasswinch_routing::{Liveness, Scope, StoreDuty, StoreProbing, Swim, Watchers};
 use brasswinch_types::Millis;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -22,9 +22,8 @@
 /// this delay, under 32 with it.
 const DUTY_SETTLE_MS: Millis = 1_000;
 
-/// How long a box leaves the store to another that reported it is retrying. That one retries,
-/// and reports failures, within 1.2 s.
-const DEFER_TO_PEER_MS: Millis = 1_500;
+/// How long a follower's report of a failure counts. It retries, and reports again, within 1.2 s.
+const FAILURE_REPORT_MS: Millis = 1_500;
 
 /// Follow state of each scope.
 #[derive(Debug, Default)]
@@ -93,8 +92,9 @@
     watches_store: watch::Sender<bool>,
     /// Whether this box calls the store before it has received updates from others.
     starts_with_store: AtomicBool,
-    /// Until when the store is left to another box that retries, in milliseconds.
-    deferred_until: AtomicU64,
+    /// Until when the last report of a follower that the store fails counts, in milliseconds.
+    followers_failing_until: AtomicU64,
+    probing: Mutex<StoreProbing>,
     duty: Mutex<Duty>,
     following: Mutex<FollowStates>,
 }
@@ -108,7 +108,8 @@
         Self {
             watches_store: watch::Sender::new(starts_with_store),
             starts_with_store: AtomicBool::new(starts_with_store),
-            deferred_until: AtomicU64::new(0),
+            followers_failing_until: AtomicU64::new(0),
+            probing: Mutex::default(),
             duty: Mutex::new(Duty::new(Watchers::of(swim), starts_with_store)),
             following: Mutex::default(),
         }
@@ -166,17 +167,39 @@
         self.update_duty();
     }
 
-    /// Leaves the store for a while to another box that reported it is retrying.
-    pub(crate) fn defer_to_peer(&self) {
-        let until = self.clock.now() + DEFER_TO_PEER_MS;
+    /// Records that a follower reported that the store fails it and that it is retrying.
+    pub(crate) fn record_follower_failure(&self) {
+        let until = self.clock.now() + FAILURE_REPORT_MS;
         self.store_watch
-            .deferred_until
+            .followers_failing_until
             .store(until, Ordering::Relaxed);
     }
 
-    /// Returns whether the store is left to another box that is retrying.
-    pub(crate) fn is_deferring_to_peer(&self) -> bool {
-        self.clock.now() < self.store_watch.deferred_until.load(Ordering::Relaxed)
+    /// Returns whether this box doesn't follow the store, and a follower has reported lately that
+    /// the store fails it.
+    pub(crate) fn hears_of_store_failure(&self) -> bool {
+        let is_reported = self.clock.now()
+            < self
+                .store_watch
+                .followers_failing_until
+                .load(Ordering::Relaxed);
+        is_reported && !self.duty().follows_store()
+    }
+
+    /// Returns whether the store is left to a follower that is retrying.
+    pub(crate) fn defers_to_follower(&self) -> bool {
+        self.hears_of_store_failure() && !lock(&self.store_watch.probing).is_due(self.clock.now())
+    }
+
+    /// Records the start of a store call, or a failed one.
+    pub(crate) fn record_store_call(&self) {
+        let (boxes, now) = (self.sharing_boxes(), self.clock.now());
+        lock(&self.store_watch.probing).record_call(boxes, rand::random(), now);
+    }
+
+    /// Records that the store has responded to this box.
+    pub(crate) fn record_store_response(&self) {
+        lock(&self.store_watch.probing).record_response();
     }
 
     /// Puts a newly selected duty into effect once it has lasted long enough.
--- a/crates/edge/src/view_reports.rs
+++ b/crates/edge/src/view_reports.rs
@@ -49,9 +49,11 @@
         self.schedule_report(self.duty() == StoreDuty::Lead);
     }
 
-    /// Schedules a report after a stale view was refreshed from the store.
+    /// Schedules a report after a stale view was refreshed from the store. While the store fails
+    /// the followers, other zones rely on this box too.
     pub(crate) fn report_after_refresh(&self) {
-        self.schedule_report(self.duty() != StoreDuty::Listen);
+        let has_duty = self.duty() != StoreDuty::Listen;
+        self.schedule_report(has_duty || self.hears_of_store_failure());
     }
 
     /// Schedules a report to the own zone.
@@ -121,7 +123,7 @@
             is_younger |= self.merge_view(view);
         }
         if failing {
-            self.defer_to_peer();
+            self.record_follower_failure();
         }
         let is_other_zone = zone != self.settings.zone;
         if !is_other_zone || self.duty() == StoreDuty::Listen {
--- a/crates/edge/tests/common/mod.rs
+++ b/crates/edge/tests/common/mod.rs
@@ -4,6 +4,7 @@
 pub mod apart;
 pub mod fleet;
 pub mod know_all;
+pub mod versions;
 
 use brasswinch_edge::{
     COORDINATOR_REPLY_TIMEOUT, Clock, Dialect, EdgeAddresses, EdgeHandle, EdgeSettings,
--- a/crates/edge/tests/left_behind.rs
+++ b/crates/edge/tests/left_behind.rs
@@ -6,12 +6,13 @@
 
 use brasswinch_edge::{Dialect, EdgeHandle, start};
 use brasswinch_lab::memory_store::{MemoryStore, StoreFault};
-use brasswinch_routing::{Change, ChangeKey, RouteKind};
+use brasswinch_routing::{Change, ChangeKey};
 use brasswinch_types::UpstreamId;
 use common::know_all::{
     run_fast_member_with_newest, run_fast_member_without_updates, run_member_with_newest,
 };
-use common::{MAX_CONDITION_WAIT, call, config, eventually, request, route, settings};
+use common::versions::{has_route, with_route};
+use common::{call, config, eventually, request, settings};
 use futures_util::SinkExt;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -84,34 +85,6 @@
     edge
 }
 
-fn with_route(version: u64) -> Change {
-    let mut newer = config(version);
-    let prefix = format!("/new{version}/");
-    let added = route(&prefix, RouteKind::Repeatable, "desk");
-    newer.routes.push(added);
-    Change::Config(Arc::new(newer))
-}
-
-/// Waits until the route added in `version` is active. There are no upstreams, so it answers
-/// 503.
-async fn has_route(edge: &EdgeHandle, version: u64) {
-    let path = format!("/new{version}/1");
-    let clients = edge.addresses().clients;
-    let began = Instant::now();
-    while call(clients, request("GET", &path, ""))
-        .await
-        .unwrap()
-        .status
-        != 503
-    {
-        assert!(
-            began.elapsed() < MAX_CONDITION_WAIT,
-            "version {version} never became active"
-        );
-        tokio::time::sleep(Duration::from_millis(10)).await;
-    }
-}
-
 #[tokio::test]
 async fn a_box_whose_watchers_tell_nothing_asks_the_store() {
     /// Enough members with fast links to be selected as the followers of the store.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -29,6 +29,7 @@
 mod route_table;
 mod split;
 mod stop_schedule;
+mod store_probing;
 mod swim;
 mod token_bucket;
 mod tunnel_peers;
@@ -77,6 +78,7 @@
 pub use route_table::RouteTable;
 pub use split::WeightedSplit;
 pub use stop_schedule::StopSchedule;
+pub use store_probing::StoreProbing;
 pub use swim::{
     KnownView, Liveness, Member, MemberRecord, MemberState, MembersDigest, MembersReply,
     MembersRequest, NeededTransfer, Outgoing, Swim, SwimMessage, SwimSettings,
--- a/crates/routing/src/view_limits.rs
+++ b/crates/routing/src/view_limits.rs
@@ -9,6 +9,7 @@
 //! longest time that a request takes to reach its upstream. A box that can't reach the store
 //! keeps serving with what it knows.
 
+use crate::store_probing::min_round_ms;
 use crate::watchers::StoreDuty;
 use brasswinch_types::Millis;
 
@@ -65,4 +66,13 @@
         };
         (self.max_age_ms * fraction) as Millis
     }
+
+    /// Returns the view age, in milliseconds, at which a box that doesn't follow the store asks it
+    /// while the followers report that it fails them. `boxes` share the rate of such calls; `random`
+    /// is drawn from 0 to 1.
+    pub fn substitute_limit_ms(&self, boxes: usize, random: f64) -> Millis {
+        let first_ms = self.max_age_ms * FOLLOWER_FRACTION;
+        let spread_ms = (self.max_age_ms - first_ms).max(min_round_ms(boxes));
+        (first_ms + spread_ms * random) as Millis
+    }
 }
