A tunnel in use is closed after its exchange once its carrier leaves

What callers would see: a box that reaches no upstream sends requests through a box that has been asked to stop, up to the end of its process, which cuts them.

Cause: on hearing that a carrier leaves, a box closed the idle tunnels through it once. One that was in use at that moment went back into the pool and was taken again, so under load a tunnel was never idle when it was looked at.

Change: the pool knows which boxes no longer carry tunnels, and doesn't keep connections through them. The set is updated while the own path is direct too, so that it isn't old when the path is lost.

--- a/crates/edge/src/connections.rs
+++ b/crates/edge/src/connections.rs
@@ -4,11 +4,12 @@
 use crate::body::AnyBody;
 use crate::clock::Clock;
 use crate::connection_usage::{ConnectionUsage, CountedStream};
+use arc_swap::ArcSwap;
 use brasswinch_types::{BoxId, Millis, UpstreamId};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::{IpAddr, SocketAddr};
 use std::os::fd::AsFd;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -85,6 +86,8 @@
     idle: Mutex<HashMap<UpstreamId, Vec<Idle>>>,
     /// Incremented when all connections are closed; those established before aren't reused.
     epoch: AtomicU64,
+    /// Boxes that no longer carry tunnels; connections through them aren't reused.
+    former_carriers: ArcSwap<HashSet<BoxId>>,
     local: IpAddr,
     clock: Clock,
     usage: Arc<ConnectionUsage>,
@@ -96,6 +99,7 @@
         Self {
             idle: Mutex::default(),
             epoch: AtomicU64::new(0),
+            former_carriers: ArcSwap::default(),
             local,
             clock,
             usage,
@@ -211,14 +215,20 @@
         self.lock().clear();
     }
 
-    /// Closes idle connections through boxes for which `may_carry` is false.
-    pub(crate) fn close_tunnels(&self, may_carry: impl Fn(&BoxId) -> bool) {
+    /// Closes idle connections through these boxes. Those in use are closed after their exchange.
+    pub(crate) fn close_tunnels(&self, former_carriers: HashSet<BoxId>) {
+        self.former_carriers.store(Arc::new(former_carriers));
         let mut idle = self.lock();
         for pooled in idle.values_mut() {
-            pooled.retain(|idle| idle.via.as_ref().is_none_or(&may_carry));
+            pooled.retain(|idle| self.may_use(idle.via.as_ref()));
         }
     }
 
+    /// Whether a connection is direct, or through a box that still carries tunnels.
+    fn may_use(&self, via: Option<&BoxId>) -> bool {
+        via.is_none_or(|via| !self.former_carriers.load().contains(via))
+    }
+
     /// Closes all idle connections to `upstream`.
     pub(crate) fn close(&self, upstream: &UpstreamId) {
         self.lock().remove(upstream);
@@ -262,7 +272,8 @@
 
     /// Returns the connection to the pool, unless it is closed.
     pub(crate) fn reuse(self) {
-        let is_of_former_path = self.epoch != self.pool.epoch.load(Ordering::Relaxed);
+        let is_of_former_path = self.epoch != self.pool.epoch.load(Ordering::Relaxed)
+            || !self.pool.may_use(self.via.as_ref());
         if self.transport.sender.is_closed() || self.idle_limit.is_zero() || is_of_former_path {
             return;
         }
--- a/crates/edge/src/tunnel/open.rs
+++ b/crates/edge/src/tunnel/open.rs
@@ -7,10 +7,10 @@
 use crate::relay::request_tunnel;
 use brasswinch_observe::{Event, emit};
 use brasswinch_routing::{
-    Choice, MemberRecord, RegionLimits, TunnelEnds, TunnelPeer, UpstreamPath, select_tunnel_peer,
+    Choice, Liveness, Member, MemberRecord, MemberState, RegionLimits, TunnelEnds, TunnelPeer,
+    select_tunnel_peer,
 };
 use brasswinch_types::{BoxId, Region};
-use std::collections::HashSet;
 use std::time::Duration;
 use tokio::time::timeout;
 
@@ -106,18 +106,13 @@
 }
 
 impl Context {
-    /// Closes idle tunnels through boxes that are no longer serving, so that these can stop.
+    /// Closes tunnels through boxes that are no longer serving, so that these can stop.
     pub(crate) fn close_tunnels_of_leaving_boxes(&self) {
-        if self.upstream_path() == UpstreamPath::Direct {
-            return;
-        }
         let swim = self.swim();
-        let serving: HashSet<BoxId> = swim
-            .serving_boxes()
-            .map(|record| record.id.clone())
-            .collect();
+        let leaving = swim.members().filter(|member| !is_serving(member));
+        let leaving = leaving.map(|member| member.record.id.clone()).collect();
         drop(swim);
-        self.pool.close_tunnels(|peer| serving.contains(peer));
+        self.pool.close_tunnels(leaving);
     }
 
     /// Selects a box through which to reach the upstream of `choice`.
@@ -144,6 +139,10 @@
     }
 }
 
+fn is_serving(member: &Member) -> bool {
+    member.liveness == Liveness::Alive && member.record.state == MemberState::Serving
+}
+
 fn tunnel_peer(record: &MemberRecord) -> TunnelPeer {
     TunnelPeer {
         id: record.id.clone(),
--- a/crates/edge/tests/tunnels.rs
+++ b/crates/edge/tests/tunnels.rs
@@ -3,6 +3,7 @@
 
 mod common;
 
+use brasswinch_edge::Context;
 use brasswinch_lab::partition::{Partition, PartitionKind};
 use brasswinch_lab::routed_upstream::{Behaviour, Upstream};
 use brasswinch_routing::{RouteKind, UpstreamIncarnation};
@@ -11,8 +12,10 @@
 use common::{KeptConnection, call, config, eventually, request, route};
 use futures_util::{SinkExt, StreamExt};
 use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::net::TcpSocket;
+use tokio::task::JoinHandle;
 use tokio_tungstenite::client_async;
 use tokio_tungstenite::tungstenite::Message;
 
@@ -31,7 +34,11 @@
 
 /// Returns the value of a metric of a box.
 fn metric(boxes: &Apart, index: usize, name: &str) -> u64 {
-    let text = boxes.context(index).metrics_text();
+    metric_of(boxes.context(index), name)
+}
+
+fn metric_of(context: &Context, name: &str) -> u64 {
+    let text = context.metrics_text();
     let line = text
         .lines()
         .find(|line| line.split(' ').next() == Some(name))
@@ -141,6 +148,45 @@
     stopping.await.unwrap();
 }
 
+/// Guards against tunnels that are never idle, and so are used until the end of their carrier's
+/// process cuts them.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_busy_tunnel_is_reused_while_its_carrier_stops() {
+    const CLIENTS: usize = 8;
+    /// Less than the time for which a stopping box accepts connections.
+    const MAX_USE: Duration = Duration::from_millis(2_000);
+    let mut boxes = with_tunnels(BOXES).await;
+    always(&boxes, &Behaviour::AnswerAfter(Duration::from_millis(100)));
+    let to = boxes.clients[0];
+    let clients: Vec<_> = (0..CLIENTS)
+        .map(|number| tokio::spawn(keep_calling(to, format!("/safe/busy-{number}"))))
+        .collect();
+    let open = |index: &usize| metric(&boxes, *index, "brasswinch_tunnels_carried");
+    eventually("all clients use tunnels", || {
+        (1..BOXES).map(|index| open(&index)).sum::<u64>() >= CLIENTS as u64
+    })
+    .await;
+    let busiest = (1..BOXES).max_by_key(open).unwrap();
+    let carrier = boxes.boxes[busiest].take().unwrap();
+    let context = Arc::clone(carrier.context());
+    let began = Instant::now();
+    let stopping = tokio::spawn(carrier.stop());
+    while metric_of(&context, "brasswinch_tunnels_carried") > 0 {
+        assert!(began.elapsed() < MAX_USE, "its tunnels are still in use");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    clients.iter().for_each(JoinHandle::abort);
+    stopping.await.unwrap();
+}
+
+/// Sends a request as soon as the one before is answered.
+async fn keep_calling(to: SocketAddr, path: String) {
+    loop {
+        let answer = call(to, request("GET", &path, "")).await;
+        assert_eq!(answer.unwrap().status, 200);
+    }
+}
+
 /// Guards against boxes that send each other's requests in circles when no box reaches an upstream.
 #[tokio::test]
 async fn boxes_that_are_all_cut_off_forward_to_each_other() {
