--- a/crates/edge/src/refresh.rs
+++ b/crates/edge/src/refresh.rs
@@ -40,7 +40,7 @@
                 Event::ViewOld,
                 format_args!(
                     "scope={scope:?} age_ms={age_ms} followers_fail={}",
-                    context.hears_of_store_failure()
+                    context.relies_on_failing_followers()
                 ),
             );
         }
@@ -78,7 +78,7 @@
             sleep(POLL_INTERVAL).await;
             continue;
         };
-        let limit_ms = if context.hears_of_store_failure() {
+        let limit_ms = if context.relies_on_failing_followers() {
             let boxes = context.sharing_boxes();
             context.view_limits.substitute_limit_ms(boxes, random)
         } else {
@@ -96,7 +96,7 @@
     store: &S,
     scope: Scope,
 ) -> Result<(), StoreFailure> {
-    let reason = if context.hears_of_store_failure() {
+    let reason = if context.relies_on_failing_followers() {
         CallReason::FollowersFail
     } else {
         CallReason::ViewOld
--- a/crates/edge/src/store_watch.rs
+++ b/crates/edge/src/store_watch.rs
@@ -94,6 +94,7 @@
     starts_with_store: AtomicBool,
     /// Until when the last report of a follower that the store fails counts, in milliseconds.
     followers_failing_until: AtomicU64,
+    /// When this box may call the store although its followers fail.
     probing: Mutex<StoreProbing>,
     duty: Mutex<Duty>,
     following: Mutex<FollowStates>,
@@ -175,20 +176,19 @@
             .store(until, Ordering::Relaxed);
     }
 
-    /// Returns whether this box doesn't follow the store, and a follower has reported lately that
-    /// the store fails it.
-    pub(crate) fn hears_of_store_failure(&self) -> bool {
-        let is_reported = self.clock.now()
-            < self
-                .store_watch
-                .followers_failing_until
-                .load(Ordering::Relaxed);
+    /// Returns whether this box relies on followers, and one of them has reported lately that the
+    /// store fails it.
+    pub(crate) fn relies_on_failing_followers(&self) -> bool {
+        let failing_until = &self.store_watch.followers_failing_until;
+        let is_reported = self.clock.now() < failing_until.load(Ordering::Relaxed);
         is_reported && !self.duty().follows_store()
     }
 
-    /// Returns whether the store is left to a follower that is retrying.
+    /// Returns whether this box leaves the store to a follower that retries: its own last call has
+    /// not been answered either.
     pub(crate) fn defers_to_follower(&self) -> bool {
-        self.hears_of_store_failure() && !lock(&self.store_watch.probing).is_due(self.clock.now())
+        let is_due = lock(&self.store_watch.probing).is_due(self.clock.now());
+        self.relies_on_failing_followers() && !is_due
     }
 
     /// Records the start of a store call, or a failed one.
--- a/crates/edge/src/view_reports.rs
+++ b/crates/edge/src/view_reports.rs
@@ -53,7 +53,7 @@
     /// the followers, other zones rely on this box too.
     pub(crate) fn report_after_refresh(&self) {
         let has_duty = self.duty() != StoreDuty::Listen;
-        self.schedule_report(has_duty || self.hears_of_store_failure());
+        self.schedule_report(has_duty || self.relies_on_failing_followers());
     }
 
     /// Schedules a report to the own zone.
--- a/crates/routing/src/store_probing.rs
+++ b/crates/routing/src/store_probing.rs
@@ -6,7 +6,7 @@
 //! box counts as undisturbed:
 //!
 //! ```text
-//! A + call + delivery <= bound                                                     served box
+//! A + call + poll + call + delivery <= bound                                       served box
 //! 0.8 A + ln(1000) / (s × rate) + call + spread + delivery <= bound                large fleet
 //! (1 + PROBE_JITTER) × PROBE_INTERVAL_MS + poll + call <= contact                  served again
 //! ```
--- a/crates/routing/tests/store_probing.rs
+++ b/crates/routing/tests/store_probing.rs
@@ -34,7 +34,9 @@
     for (boxes, bound_ms) in FLEETS {
         for random in DRAWS {
             let asks_at = limits(bound_ms).substitute_limit_ms(boxes, random);
-            let reaches_upstream = asks_at + CALL_MS + DELIVERY_MS;
+            // The second scope waits for the response to the first.
+            let knows_both_at = asks_at + CALL_MS + POLL_MS + CALL_MS;
+            let reaches_upstream = knows_both_at + DELIVERY_MS;
             assert!(reaches_upstream <= bound_ms, "{boxes}: {reaches_upstream}");
         }
     }
