Discarded responses of upstreams are logged with the reason

A response that names another request, names none, isn't marked as the upstream's, ends early or can't be parsed was discarded without a line or a count, and its request ended as `upstream_broken`.

Change: BW517 names the upstream, the request and the reason. The request to an upstream is built in a file of its own. Nothing else changes.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -7,14 +7,17 @@
 use crate::connections::Connection;
 use crate::context::Context;
 use crate::counted::BufferedBytes;
+use crate::invalid_response::InvalidResponse;
 use crate::request::end_to_end;
 use crate::tunnel::{self, TunnelError};
 use crate::upstream_limits::Grant;
+use crate::upstream_request::Head;
 use crate::upstream_signals::UpstreamSignals;
+use brasswinch_observe::{Event, emit};
 use brasswinch_routing::{Choice, RegionLimits, RequestDigest, UpstreamOutcome, UpstreamPath};
 use brasswinch_types::Workspace;
 use bytes::Bytes;
-use http::{HeaderMap, HeaderValue, Request, Response, header};
+use http::{HeaderMap, HeaderValue, Response, header};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use std::sync::Arc;
@@ -204,9 +207,9 @@
                     _ => AttemptOutcome::ConnectionLost,
                 };
             }
-            ExchangeOutcome::InvalidResponse => {
+            ExchangeOutcome::InvalidResponse(error) => {
                 active.outcome = UpstreamOutcome::Unanswered;
-                return AttemptOutcome::InvalidResponse;
+                return active.discard(&InvalidResponse::Malformed(error));
             }
             ExchangeOutcome::TimedOut => {
                 active.outcome = UpstreamOutcome::Unanswered;
@@ -280,17 +283,11 @@
     }
 }
 
-struct Head<'a> {
-    parts: &'a http::request::Parts,
-    deadline: &'a Deadline,
-    identity: Identity<'a>,
-}
-
 enum ExchangeOutcome {
     Response(Box<Response<Incoming>>, Connection),
     NotSent(OutgoingBody),
     ConnectionLost(FailureCause),
-    InvalidResponse,
+    InvalidResponse(hyper::Error),
     TimedOut,
 }
 
@@ -305,7 +302,7 @@
         OutgoingBody::Buffered(bytes) => Some(bytes.clone()),
         OutgoingBody::Streamed(_) => None,
     };
-    let request = upstream_request(head, body, active);
+    let request = head.request_to(&active.choice.upstream, body, &active.context.dialect);
     let sending = connection.sender().try_send_request(request);
     match timeout_at(head.deadline.timer(), sending).await {
         Ok(Ok(response)) => ExchangeOutcome::Response(Box::new(response), connection),
@@ -315,60 +312,15 @@
                 ExchangeOutcome::NotSent(OutgoingBody::Streamed(request.into_body()))
             }
             // An upstream that sends unparsable bytes has not crashed.
-            (None, _) if failure.error().is_parse() => ExchangeOutcome::InvalidResponse,
+            (None, _) if failure.error().is_parse() => {
+                ExchangeOutcome::InvalidResponse(failure.into_error())
+            }
             (None, _) => ExchangeOutcome::ConnectionLost(failure.error().into()),
         },
         Err(_) => ExchangeOutcome::TimedOut,
     }
 }
 
-/// Builds the upstream's request from the client's: adds the remaining time, the intended
-/// upstream and the workspace's name, and removes the key where it is meant for this system.
-fn upstream_request(
-    head: &Head<'_>,
-    body: OutgoingBody,
-    active: &ActiveAttempt,
-) -> Request<AnyBody> {
-    let dialect = &active.context.dialect;
-    let mut headers = end_to_end(&head.parts.headers);
-    headers.remove(&dialect.workspace);
-    if head.identity.strips_credential {
-        headers.remove(header::AUTHORIZATION);
-    }
-    if let Some(workspace) = head.identity.workspace {
-        headers.insert(&dialect.workspace, workspace_header(workspace));
-    }
-    let left = head.deadline.left().as_millis() as u64;
-    headers.insert(&dialect.deadline_ms, HeaderValue::from(left));
-    if let Ok(id) = HeaderValue::from_str(active.choice.upstream.as_str()) {
-        headers.insert(&dialect.intended_upstream, id);
-    }
-    let body = match body {
-        OutgoingBody::Buffered(bytes) => {
-            let has_framing = head.parts.headers.contains_key(header::TRANSFER_ENCODING);
-            if has_framing {
-                headers.insert(header::CONTENT_LENGTH, HeaderValue::from(bytes.len()));
-            }
-            full(bytes)
-        }
-        OutgoingBody::Streamed(body) => body,
-    };
-    let mut request = Request::new(body);
-    *request.method_mut() = head.parts.method.clone();
-    let path_and_query = head.parts.uri.path_and_query();
-    if let Some(path_and_query) = path_and_query {
-        *request.uri_mut() = http::Uri::from(path_and_query.clone());
-    }
-    *request.headers_mut() = headers;
-    request
-}
-
-/// Returns a workspace's name as a header value. The configuration allows only names that are
-/// valid header values.
-fn workspace_header(workspace: &Workspace) -> HeaderValue {
-    HeaderValue::from_str(workspace.as_str()).unwrap_or(HeaderValue::from_static(""))
-}
-
 /// Limits of a response.
 struct ResponseLimits<'a> {
     deadline: &'a Deadline,
@@ -387,8 +339,8 @@
     active.outcome = UpstreamOutcome::Unanswered;
     let context = Arc::clone(&active.context);
     let (parts, body) = response.into_parts();
-    if !active.matches_request(&parts.headers) {
-        return AttemptOutcome::InvalidResponse;
+    if let Err(reason) = active.check_request(&parts.headers) {
+        return active.discard(&reason);
     }
     let signals = UpstreamSignals::read(&parts, &context.dialect);
     active.apply_signals(&signals);
@@ -397,7 +349,7 @@
     }
     let refused = signals.is_refusal();
     if !refused && parts.status.is_success() && !signals.is_signed {
-        return AttemptOutcome::InvalidResponse;
+        return active.discard(&InvalidResponse::Unsigned);
     }
     // Refusals and errors are short, whatever the route's responses are.
     let max_buffered = if refused || !parts.status.is_success() {
@@ -409,7 +361,10 @@
     let buffering = buffer_body(body, max_buffered, &mut memory);
     let buffered = match timeout_at(deadline.timer(), buffering).await {
         Ok(Ok(buffered)) => buffered,
-        Ok(Err(_)) => return AttemptOutcome::ConnectionLost,
+        Ok(Err(error)) => {
+            active.log_discarded(&InvalidResponse::Incomplete(error));
+            return AttemptOutcome::ConnectionLost;
+        }
         Err(_) => return AttemptOutcome::TimedOut,
     };
     active.outcome = UpstreamOutcome::Answered;
@@ -483,13 +438,29 @@
         }
     }
 
-    /// Whether a response belongs to this request: it must repeat the request's id, if any.
-    fn matches_request(&self, headers: &HeaderMap) -> bool {
-        let dialect = &self.context.dialect;
-        match (&self.request_id, headers.get(&dialect.request_id)) {
-            (Some(sent), Some(echoed)) => sent == echoed,
-            (Some(_), None) => false,
-            (None, _) => true,
+    /// Checks that a response is to this request.
+    fn check_request(&self, headers: &HeaderMap) -> Result<(), InvalidResponse> {
+        let Some(sent) = &self.request_id else {
+            return Ok(());
+        };
+        match headers.get(&self.context.dialect.request_id) {
+            Some(echoed) if echoed == sent => Ok(()),
+            Some(other) => Err(InvalidResponse::OtherRequest(other.clone())),
+            None => Err(InvalidResponse::NoRequest),
         }
     }
+
+    fn discard(&self, reason: &InvalidResponse) -> AttemptOutcome {
+        self.log_discarded(reason);
+        AttemptOutcome::InvalidResponse
+    }
+
+    fn log_discarded(&self, reason: &InvalidResponse) {
+        let upstream = &self.choice.upstream;
+        let id = self.request_id.as_ref().and_then(|id| id.to_str().ok());
+        emit(
+            Event::ResponseDiscarded,
+            format_args!("upstream={upstream} id={}: {reason}", id.unwrap_or("-")),
+        );
+    }
 }
--- a/crates/observe/src/events.rs
+++ b/crates/observe/src/events.rs
@@ -98,6 +98,7 @@
     514 Warn UpstreamPathLost "This box reaches no upstream; it uses connections of other boxes." "Check the network between the box and the upstreams.";
     515 Info UpstreamPathRestored "This box reaches upstreams again." "None.";
     516 Info RetryBudgetUsed "Requests of a service are retried; the line has this box's counts since its start, and what its share of the budget has left." "If retries are denied for long, check the service's upstreams.";
+    517 Warn ResponseDiscarded "An upstream's response was discarded; the line tells why. Its request may have run." "Check the upstream.";
     310 Info MemberHeard "Other boxes are heard again, or for the first time." "None.";
     311 Warn MemberSilent "Other boxes are no longer heard." "Check the boxes and the network between the zones.";
     510 Info RequestServed "A routed request got an upstream's answer." "None.";
