--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -11,6 +11,7 @@
 mod stop_queue;
 mod store;
 mod target;
+mod two_lengths;
 
 use record::Record;
 use std::process::ExitCode;
@@ -35,6 +36,7 @@
     let verdict = match case.as_str() {
         "stop-queue" => stop_queue::play(&record, trouble),
         "chunked-body" => chunked_body::play(&record, trouble),
+        "two-lengths" => two_lengths::play(&record, trouble),
         "slow-reader" => slow_reader::play(&record, trouble),
         "pipelined" => pipelined::play(&record, trouble),
         _ => Verdict::CannotRun,
--- a/review/standins-2/pipelined.rs
+++ b/review/standins-2/pipelined.rs
@@ -62,6 +62,7 @@
             queue: 18,
             unread_limit: Duration::from_secs(10),
             reads_after: Duration::ZERO,
+            misstates_one_in: 0,
         };
         let (id, address) = (format!("i-7f3a91c{number}"), place.at(20 + number, 0));
         Target::start(&id, "galeria", "centro-a", address, rules, shared);
--- a/review/standins-2/stop_queue.rs
+++ b/review/standins-2/stop_queue.rs
@@ -94,6 +94,7 @@
         queue: 18,
         unread_limit: Duration::from_secs(10),
         reads_after: Duration::ZERO,
+        misstates_one_in: 0,
     };
     let shared = (&ledger, record, &store);
     for number in 0..TARGETS {
--- a/review/standins-2/target.rs
+++ b/review/standins-2/target.rs
@@ -7,6 +7,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -20,6 +21,9 @@
     /// How long the body of a request stays unread after its head. A target with such a pause works
     /// while the body comes in.
     pub reads_after: Duration,
+    /// Answers come in chunks; of so many, one also says a length, which is a third of the true one.
+    /// 0: none does, and answers have a length.
+    pub misstates_one_in: u64,
 }
 
 /// What became of a request at targets, by the time of the run.
@@ -58,6 +62,7 @@
     id: String,
     rules: Rules,
     load: Arc<(Mutex<Load>, Condvar)>,
+    answers: Arc<AtomicU64>,
     ledger: Ledger,
     record: Record,
 }
@@ -78,6 +83,7 @@
             id: id.to_owned(),
             rules,
             load: Arc::default(),
+            answers: Arc::default(),
             ledger: Arc::clone(ledger),
             record: record.clone(),
         };
@@ -275,13 +281,30 @@
         Some(())
     }
 
+    /// The fields that frame a body, and the body as it is sent.
+    fn framed(&self, body: &[u8]) -> (String, Vec<u8>) {
+        if self.rules.misstates_one_in == 0 {
+            return (format!("Content-Length: {}", body.len()), body.to_vec());
+        }
+        let count = self.answers.fetch_add(1, Ordering::Relaxed) + 1;
+        let mut framing = "Transfer-Encoding: chunked".to_owned();
+        if count % self.rules.misstates_one_in == 0 {
+            framing = format!("Content-Length: {}\r\n{framing}", body.len() / 3);
+        }
+        let mut sent = format!("{:x}\r\n", body.len()).into_bytes();
+        sent.extend_from_slice(body);
+        sent.extend_from_slice(b"\r\n0\r\n\r\n");
+        (framing, sent)
+    }
+
     fn send_answer(&self, wire: &mut Wire, head: &Head, id: &str) -> bool {
         let length = query(head, "b") as usize;
         let body = body_of(id, length);
         self.load.0.lock().unwrap().running -= 1;
+        let (framing, sent_body) = self.framed(&body);
         let text = format!(
             "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: {}\r\n\
-             Server-Load: {}\r\nKeep-Alive: timeout=10\r\nContent-Length: {length}\r\n\r\n",
+             Server-Load: {}\r\nKeep-Alive: timeout=10\r\n{framing}\r\n\r\n",
             signature(id, length),
             self.load_field()
         );
@@ -289,7 +312,7 @@
         if wire.send(text.as_bytes()).is_err() {
             return false;
         }
-        match wire.send(&body) {
+        match wire.send(&sent_body) {
             Ok(()) => {
                 self.note(id, "answer sent", |seen, now| seen.sent = Some(now));
                 true
