--- a/review/standins-2/place.rs
+++ b/review/standins-2/place.rs
@@ -116,12 +116,10 @@
         }
     }
 
-    /// Sends a signal by its name.
+    /// Sends a signal by its name. The shell has the command built in.
     pub fn signal(&self, name: &str) {
-        let id = self.child.id().to_string();
-        let _ = Command::new("kill")
-            .args([&format!("-{name}"), &id])
-            .status();
+        let command = format!("kill -{name} {}", self.child.id());
+        let _ = Command::new("sh").args(["-c", &command]).status();
     }
 
     /// Says how the process ended, if it has.
