A stopping box sends what may outlast it only to an idle slot

Cause: StopSchedule::fits was true for every request of the first 3 s, so check_wait wasn't asked then. The 3 s stand for an allowance for requests that are being worked on at the end; those that wait have none. And whether a request may outlast the process was decided once, at its arrival: one that arrived before the signal and was sent after it was never checked.

Change: StopSchedule::admits takes what is known about a request (its limit, the work of its kind, whether it would wait) and is asked before each attempt. A request that may outlast the process needs an idle slot, at any time of the stop; after admit_if_idle (the same 3 s) also a work that is expected to fit, as before.

Why it works: a request that waits is refused before anything is sent, so it has not run, and another box, which doesn't end, waits for the same slot.

Tests: a_stop_cuts_early_uploads_that_wait_for_a_slot (200 in place of four refusals) and a_stop_cuts_uploads_whose_upstream_refuses_them (504 in place of 503) fail without the change; an_early_request_waits_until_the_process_ends in routing. The stand-in of an upstream can work in slots and refuse after a while.

--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -235,7 +235,10 @@
                 Arc::clone(&connection_usage),
             )),
             connection_usage,
-            shutdown: Shutdown::new(settings.bounds.grace_s, settings.bounds.stop_admit_all_s),
+            shutdown: Shutdown::new(
+                settings.bounds.grace_s,
+                settings.bounds.stop_admit_if_idle_s,
+            ),
             connection_closes: ConnectionCloses::default(),
             metrics: Metrics::default(),
             store_calls: StoreCalls::default(),
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -19,9 +19,9 @@
 use crate::upstream_limits::Grant;
 use brasswinch_observe::{Event, emit};
 use brasswinch_routing::{
-    ConfigVersion, KnownWorkspace, Rank, Refusal, RegionLimits, RequestDigest, RequestIdentity,
-    RequestShape, Route, RouteKind, Suspect, UpstreamIncarnation, UpstreamOutcome, UpstreamRequest,
-    Verdict,
+    ConfigVersion, ExpectedTime, KnownWorkspace, Rank, Refusal, RegionLimits, RequestDigest,
+    RequestIdentity, RequestShape, Route, RouteKind, Suspect, UpstreamIncarnation, UpstreamOutcome,
+    UpstreamRequest, Verdict,
 };
 use brasswinch_types::{ErrorKind, Service};
 use http::request::Parts;
@@ -105,8 +105,6 @@
     config: ConfigVersion,
     arrived: Instant,
     deadline: Deadline,
-    /// Whether the box is stopping, and its process may end before the deadline.
-    may_outlast_process: bool,
     /// Longer response bodies are streamed, in bytes.
     max_buffered_response: usize,
 }
@@ -138,7 +136,6 @@
     let route = route.ok_or_else(|| unmatched(&in_force))?;
     let workspace = workspace(context, &in_force, route, &facts)?;
     let deadline = facts.deadline(&context.clock, route.timeout_s);
-    let may_outlast_process = !context.shutdown.fits(&context.clock, &deadline);
     let length = facts.body_length.unwrap_or(0);
     if length > in_force.config.limits.max_body_bytes {
         return Err(ErrorKind::BodyTooLarge.into());
@@ -150,7 +147,6 @@
         config: in_force.config.version,
         max_buffered_response: incoming.max_buffered_for(route.kind),
         arrived,
-        may_outlast_process,
         deadline,
         strips_credential: in_force.keys.has_workspaces(),
         workspace: workspace.map(Arc::as_ref),
@@ -491,34 +487,37 @@
         }
     }
 
-    /// Refuses a request that the end of the process would cut: one that may outlast it, unless its
-    /// kind has always taken much less time than is left.
+    /// Refuses a request that the end of the process would cut wherever it is sent.
     fn check_process_end(&self) -> Result<(), ErrorKind> {
-        if !self.may_outlast_process {
-            return Ok(());
-        }
-        let context = self.context;
-        let kind = self.route.kind;
-        let longest = context.metrics.longest_latency(&self.service, kind);
-        let fits = |work| context.shutdown.is_expected_to_fit(&context.clock, work);
-        if longest.is_some_and(fits) {
-            return Ok(());
-        }
-        Err(ErrorKind::BoxLeaving)
+        let waits = false;
+        self.check_expected_end(waits)
     }
 
-    /// Refuses a request that may outlast the process if it would wait at the chosen upstream.
+    /// Refuses a request that the end of the process would cut at the chosen upstream.
     fn check_wait(&self, chosen: &Chosen) -> Result<(), ErrorKind> {
-        if !self.may_outlast_process {
-            return Ok(());
+        let waits = chosen.choice.fullness >= 1.0;
+        let check = self.check_expected_end(waits);
+        if check.is_err() {
+            let now = self.context.clock.now();
+            let mut placement = self.context.placement();
+            placement.ended(&chosen.choice, UpstreamOutcome::Abandoned, now);
         }
-        let fits = self.check_process_end();
-        if fits.is_ok() && chosen.choice.fullness < 1.0 {
+        check
+    }
+
+    // A stop may begin after the request has arrived: while it is read, waits for its quota, or is
+    // at an upstream that refuses it. So each attempt is checked anew.
+    fn check_expected_end(&self, waits: bool) -> Result<(), ErrorKind> {
+        let context = self.context;
+        let (service, kind) = (&self.service, self.route.kind);
+        let expected = || ExpectedTime {
+            limit: self.deadline.left(),
+            longest_work: context.metrics.longest_latency(service, kind),
+            waits,
+        };
+        if context.shutdown.admits(&context.clock, expected) {
             return Ok(());
         }
-        let now = self.context.clock.now();
-        let mut placement = self.context.placement();
-        placement.ended(&chosen.choice, UpstreamOutcome::Abandoned, now);
         Err(ErrorKind::BoxLeaving)
     }
 
--- a/crates/edge/src/shutdown.rs
+++ b/crates/edge/src/shutdown.rs
@@ -1,12 +1,12 @@
 //! Shuts a box down gracefully.
 
-use crate::clock::{Clock, Deadline};
+use crate::clock::Clock;
 use crate::context::{Context, Lifecycle};
 use crate::gossip;
 use crate::server::CLOSE_GRACE;
 use crate::start::STAGE_POLL;
 use brasswinch_observe::{Event, emit};
-use brasswinch_routing::StopSchedule;
+use brasswinch_routing::{ExpectedTime, StopSchedule};
 use brasswinch_types::Millis;
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, OnceLock};
@@ -23,26 +23,20 @@
 }
 
 impl Shutdown {
-    pub(crate) fn new(grace_s: f64, admit_all_s: f64) -> Self {
+    pub(crate) fn new(grace_s: f64, admit_if_idle_s: f64) -> Self {
         let grace = Duration::from_secs_f64(grace_s);
-        let admit_all = Duration::from_secs_f64(admit_all_s);
+        let admit_if_idle = Duration::from_secs_f64(admit_if_idle_s);
         Self {
-            schedule: StopSchedule::new(grace, admit_all),
+            schedule: StopSchedule::new(grace, admit_if_idle),
             began: OnceLock::new(),
         }
     }
 
-    /// Returns whether a request that has just arrived gets its response before the process ends,
-    /// or arrived so early that this doesn't matter; always true unless the box is stopping.
-    pub(crate) fn fits(&self, clock: &Clock, deadline: &Deadline) -> bool {
+    /// Returns whether a request may be sent now, as [`StopSchedule::admits`] decides; always true
+    /// unless the box is stopping.
+    pub(crate) fn admits(&self, clock: &Clock, expected: impl FnOnce() -> ExpectedTime) -> bool {
         let since_stop = self.since_stop(clock);
-        since_stop.is_none_or(|since_stop| self.schedule.fits(since_stop, deadline.left()))
-    }
-
-    /// Returns whether work that starts now is expected to end before the process does.
-    pub(crate) fn is_expected_to_fit(&self, clock: &Clock, work: Duration) -> bool {
-        let since_stop = self.since_stop(clock);
-        since_stop.is_none_or(|since_stop| self.schedule.is_expected_to_fit(since_stop, work))
+        since_stop.is_none_or(|since_stop| self.schedule.admits(since_stop, &expected()))
     }
 
     fn since_stop(&self, clock: &Clock) -> Option<Duration> {
--- a/crates/edge/tests/shutdown.rs
+++ b/crates/edge/tests/shutdown.rs
@@ -36,12 +36,27 @@
 /// More orders than there are slots.
 const LATE_ORDERS: usize = 8;
 
+/// Time in which the box admits what finds an idle slot, in seconds.
+const ADMIT_IF_IDLE_S: f64 = 1.5;
+
+/// Time that an upstream takes to refuse an upload; the stop begins meanwhile.
+const REFUSAL_DELAY: Duration = Duration::from_millis(500);
+
+/// Work that ends before the process, unless the request has to wait for a slot.
+const UPLOAD_WORK: Duration = Duration::from_millis(2_000);
+
 /// Starts a box that admits no request that may outlast it once it is asked to stop.
 async fn start() -> Site {
+    start_with(0.0, 1).await
+}
+
+/// Starts a box that admits requests for `admit_if_idle_s` seconds after the request to stop if they
+/// find an idle slot.
+async fn start_with(admit_if_idle_s: f64, upstreams: usize) -> Site {
     let mut settings = common::settings("box-1", Vec::new());
     settings.bounds.grace_s = GRACE_S;
-    settings.bounds.stop_admit_all_s = 0.0;
-    Site::start_with(settings, 1).await
+    settings.bounds.stop_admit_if_idle_s = admit_if_idle_s;
+    Site::start_with(settings, upstreams).await
 }
 
 /// Asks the box to stop, and waits until it knows.
@@ -65,6 +80,15 @@
     order
 }
 
+fn upload() -> Request<Full<bytes::Bytes>> {
+    let mut upload = request("POST", "/upload/1", "upload");
+    let limit = HeaderValue::from(LONG_LIMIT_MS);
+    upload
+        .headers_mut()
+        .insert(&Dialect::default().deadline_ms, limit);
+    upload
+}
+
 /// An order that came shortly before its connection closed ran, and the process ended under it.
 #[tokio::test]
 async fn a_stop_cuts_orders_that_came_late() {
@@ -90,6 +114,53 @@
     stopping.await.unwrap();
 }
 
+/// Uploads that came just after the request to stop were sent to a full upstream, and waited there
+/// until the process ended.
+#[tokio::test]
+async fn a_stop_cuts_early_uploads_that_wait_for_a_slot() {
+    let mut site = start_with(ADMIT_IF_IDLE_S, 1).await;
+    let mut clients = Vec::new();
+    for _ in 0..2 * SLOTS {
+        let mut client = KeptConnection::open(site.clients).await;
+        assert_eq!(client.call(upload()).await.unwrap().status, 200);
+        clients.push(client);
+    }
+    site.upstreams[0].always(Behaviour::AnswerInTurn(UPLOAD_WORK));
+    let before = site.runs();
+    let stopping = begin_stop(&mut site).await;
+    let calls = clients.into_iter().map(|mut client| {
+        tokio::spawn(async move { client.call(upload()).await.map(|answer| answer.status) })
+    });
+    let mut statuses = Vec::new();
+    for call in calls.collect::<Vec<_>>() {
+        statuses.push(call.await.unwrap().expect("no upload is cut"));
+    }
+    statuses.sort_unstable();
+    let expected = [vec![200; SLOTS], vec![503; SLOTS]].concat();
+    assert_eq!(statuses, expected);
+    assert_eq!(site.runs(), before + SLOTS, "a refused upload has not run");
+    stopping.await.unwrap();
+}
+
+/// An upload that arrived before the request to stop was sent after it, and the process ended under
+/// it.
+#[tokio::test]
+async fn a_stop_cuts_uploads_whose_upstream_refuses_them() {
+    let mut site = start_with(0.0, 2).await;
+    let mut client = KeptConnection::open(site.clients).await;
+    assert_eq!(client.call(upload()).await.unwrap().status, 200);
+    site.upstreams.sort_by_key(|upstream| upstream.seen().len());
+    let [other, home] = [site.upstreams[0].clone(), site.upstreams[1].clone()];
+    home.always(Behaviour::RefuseAfter(REFUSAL_DELAY));
+    other.always(Behaviour::AnswerAfter(SLOW_WORK));
+    let call = tokio::spawn(async move { client.call(upload()).await.map(|answer| answer.status) });
+    eventually("the upload is at its home", || home.seen().len() == 2).await;
+    let stopping = begin_stop(&mut site).await;
+    assert_eq!(call.await.unwrap().expect("no upload is cut"), 503);
+    assert_eq!(site.runs(), 1, "a refused upload has not run");
+    stopping.await.unwrap();
+}
+
 /// Orders that no slot was free for waited at their upstream until the process ended.
 #[tokio::test]
 async fn a_stop_cuts_late_orders_that_wait_for_a_slot() {
--- a/crates/lab/src/routed_upstream.rs
+++ b/crates/lab/src/routed_upstream.rs
@@ -12,11 +12,14 @@
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use tokio::sync::{Semaphore, watch};
 
 /// Path of its health check.
 const HEALTH_PATH: &str = "/health";
 
+/// Requests that it works on at the same time where it has slots.
+const SLOTS: usize = 4;
+
 /// What long answers are made of.
 const LONG_PIECE: [u8; 8 * 1024] = [b'x'; 8 * 1024];
 
@@ -27,8 +30,12 @@
     Answer(u16),
     /// Runs it for a while first.
     AnswerAfter(Duration),
+    /// Runs it for a while in one of its slots; if none is idle, the request waits for one.
+    AnswerInTurn(Duration),
     /// Refuses it and reports that it did not run it.
     Refuse,
+    /// Refuses it after a while and reports that it did not run it.
+    RefuseAfter(Duration),
     /// Identifies itself as another upstream.
     Misdirected,
     /// Runs it, answers, and sends a second answer with the same id behind it.
@@ -122,6 +129,7 @@
     pub address: SocketAddr,
     dialect: Arc<Dialect>,
     state: Arc<Mutex<State>>,
+    slots: Arc<Semaphore>,
     has_crashed: Arc<watch::Sender<bool>>,
     partition: Arc<watch::Sender<Partition>>,
 }
@@ -145,6 +153,7 @@
             address: listener.local_addr()?,
             dialect: Arc::new(dialect.clone()),
             state: Arc::default(),
+            slots: Arc::new(Semaphore::new(SLOTS)),
             has_crashed: Arc::new(watch::Sender::new(false)),
             partition: Arc::default(),
         };
@@ -338,7 +347,10 @@
             stream.write_all(&self.answer(200, &id, true)).await?;
         }
         let body = read_body(stream, buffer, head).await?;
-        let ran = !matches!(behaviour, Behaviour::Refuse | Behaviour::Misdirected);
+        let ran = !matches!(
+            behaviour,
+            Behaviour::Refuse | Behaviour::RefuseAfter(_) | Behaviour::Misdirected
+        );
         let deadline = header(head, self.dialect.deadline_ms.as_str());
         self.lock().seen.push(Seen {
             line: head.lines().next().unwrap_or_default().to_owned(),
@@ -370,7 +382,22 @@
                 }
                 stream.write_all(&whole).await?;
             }
+            Behaviour::AnswerInTurn(time) => {
+                let Ok(_slot) = self.slots.acquire().await else {
+                    return Ok(false);
+                };
+                if self.leaves_within(stream, *time).await {
+                    return Ok(false);
+                }
+                stream.write_all(&whole).await?;
+            }
             Behaviour::Refuse => stream.write_all(&self.refusal(503, id)).await?,
+            Behaviour::RefuseAfter(time) => {
+                if self.leaves_within(stream, *time).await {
+                    return Ok(false);
+                }
+                stream.write_all(&self.refusal(503, id)).await?;
+            }
             Behaviour::Misdirected => stream.write_all(&self.refusal(421, id)).await?,
             Behaviour::AnswerTwice => {
                 stream.write_all(&[whole.clone(), whole].concat()).await?;
@@ -481,7 +508,7 @@
         let (request_id, load) = (&self.dialect.request_id, &self.dialect.load);
         let (length, body) = (self.id.len(), &self.id);
         format!(
-            "HTTP/1.1 {status} Said\r\n{request_id}: {id}\r\n{signature}{load}: 1,0,4\r\n{own_words}\
+            "HTTP/1.1 {status} Said\r\n{request_id}: {id}\r\n{signature}{load}: 1,0,{SLOTS}\r\n{own_words}\
              content-length: {length}\r\n\r\n{body}"
         )
         .into_bytes()
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -77,7 +77,7 @@
 pub use retry_budget::{RetryBudget, RetryBudgetSettings, RetryCounts};
 pub use route_table::RouteTable;
 pub use split::WeightedSplit;
-pub use stop_schedule::StopSchedule;
+pub use stop_schedule::{ExpectedTime, StopSchedule};
 pub use store_probing::StoreProbing;
 pub use swim::{
     KnownView, Liveness, Member, MemberRecord, MemberState, MembersDigest, MembersReply,
--- a/crates/routing/src/stop_schedule.rs
+++ b/crates/routing/src/stop_schedule.rs
@@ -3,9 +3,11 @@
 //! All times are counted from the request to stop. With the grace `G` of the platform:
 //!
 //! ```text
-//! admit_all <= closes_after < ends_after < G
-//! arrival + limit + RESPONSE_MARGIN <= ends_after        each request after admit_all, or
-//! start + work * WORK_FACTOR + RESPONSE_MARGIN <= ends_after    and its upstream is free
+//! admit_if_idle <= closes_after < ends_after < G
+//! admitted are requests with
+//!     arrival + limit + RESPONSE_MARGIN <= ends_after,
+//!     or an idle slot and arrival < admit_if_idle,
+//!     or an idle slot and start + work * WORK_FACTOR + RESPONSE_MARGIN <= ends_after
 //! ```
 
 use std::time::Duration;
@@ -22,21 +24,33 @@
 /// Multiple of the longest known work that a request may take.
 const WORK_FACTOR: f64 = 1.5;
 
+/// What is known about the time that a request takes.
+#[derive(Clone, Copy, Debug)]
+pub struct ExpectedTime {
+    /// The time after which it ends in any case: its client's deadline or its route's timeout.
+    pub limit: Duration,
+    /// The time that nearly all requests of its kind take; `None` if too few have ended.
+    pub longest_work: Option<Duration>,
+    /// Whether it would wait at its upstream for a slot.
+    pub waits: bool,
+}
+
 /// The stages of a planned stop.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StopSchedule {
     grace: Duration,
-    admit_all: Duration,
+    admit_if_idle: Duration,
 }
 
 impl StopSchedule {
     /// Returns the schedule of a box that is killed `grace` after the request to stop. Until
-    /// `admit_all` it admits every request, though one may outlast the process.
-    pub fn new(grace: Duration, admit_all: Duration) -> Self {
+    /// `admit_if_idle` it admits every request that finds an idle slot, though one may outlast the
+    /// process.
+    pub fn new(grace: Duration, admit_if_idle: Duration) -> Self {
         let closes_after = grace.mul_f64(OPEN_GRACE_FRACTION);
         Self {
             grace,
-            admit_all: admit_all.min(closes_after),
+            admit_if_idle: admit_if_idle.min(closes_after),
         }
     }
 
@@ -50,16 +64,17 @@
         self.grace.mul_f64(MAX_GRACE_FRACTION)
     }
 
-    /// Returns whether a request that arrives `since_stop` gets its response before the process
-    /// ends, however long it takes within its `limit`; also true while every request is admitted.
-    pub fn fits(&self, since_stop: Duration, limit: Duration) -> bool {
-        since_stop < self.admit_all || self.ends_before(since_stop, limit)
-    }
-
-    /// Returns whether a request that starts at an idle slot `since_stop`, and whose `work` takes
-    /// about as long as the longest of its kind, is expected to end before the process does.
-    pub fn is_expected_to_fit(&self, since_stop: Duration, work: Duration) -> bool {
-        self.ends_before(since_stop, work.mul_f64(WORK_FACTOR))
+    /// Returns whether a request may be sent `since_stop`: whether its response is expected before
+    /// the process ends, or the request is so early that its upstream begins with it at once.
+    pub fn admits(&self, since_stop: Duration, expected: &ExpectedTime) -> bool {
+        if self.ends_before(since_stop, expected.limit) {
+            return true;
+        }
+        if expected.waits {
+            return false;
+        }
+        let fits = |work: Duration| self.ends_before(since_stop, work.mul_f64(WORK_FACTOR));
+        since_stop < self.admit_if_idle || expected.longest_work.is_some_and(fits)
     }
 
     fn ends_before(&self, since_stop: Duration, takes: Duration) -> bool {
--- a/crates/routing/tests/stop_schedule.rs
+++ b/crates/routing/tests/stop_schedule.rs
@@ -1,7 +1,7 @@
 //! The stages of a planned stop fit into the time that the platform leaves.
 #![allow(clippy::unwrap_used, clippy::expect_used)]
 
-use brasswinch_routing::StopSchedule;
+use brasswinch_routing::{ExpectedTime, StopSchedule};
 use std::time::Duration;
 
 /// Fraction of the grace before which no request may be cut.
@@ -11,8 +11,8 @@
 /// a busy machine.
 const END_MARGIN: Duration = Duration::from_millis(400);
 
-/// The time in which every request is admitted on the known platform.
-const ADMIT_ALL: Duration = Duration::from_secs(3);
+/// The time in which every request is admitted on the known platform that finds an idle slot.
+const ADMIT_IF_IDLE: Duration = Duration::from_secs(3);
 
 /// The graces of the known deployments.
 const GRACES_S: [u64; 2] = [6, 10];
@@ -20,7 +20,7 @@
 fn schedules() -> impl Iterator<Item = (Duration, StopSchedule)> {
     GRACES_S.into_iter().map(|seconds| {
         let grace = Duration::from_secs(seconds);
-        (grace, StopSchedule::new(grace, ADMIT_ALL))
+        (grace, StopSchedule::new(grace, ADMIT_IF_IDLE))
     })
 }
 
@@ -28,22 +28,59 @@
 fn the_stages_of_a_stop_outlast_the_grace() {
     for (grace, schedule) in schedules() {
         let (closes, ends) = (schedule.closes_after(), schedule.ends_after());
-        assert!(ADMIT_ALL <= closes, "{grace:?}: {closes:?}");
+        assert!(ADMIT_IF_IDLE <= closes, "{grace:?}: {closes:?}");
         assert!(closes < ends, "{grace:?}: {ends:?}");
         assert!(ends >= grace.mul_f64(UNCUT_GRACE_FRACTION), "{ends:?}");
         assert!(ends + END_MARGIN <= grace, "{grace:?}: {ends:?}");
     }
 }
 
+/// Returns what is known about a request that has no limit and finds an idle slot.
+fn expected(longest_work: Option<Duration>) -> ExpectedTime {
+    ExpectedTime {
+        limit: Duration::MAX,
+        longest_work,
+        waits: false,
+    }
+}
+
 #[test]
 fn a_request_is_admitted_that_outlasts_the_process() {
     for (grace, schedule) in schedules() {
         for arrival_ms in 0..grace.as_millis() as u64 {
             let arrival = Duration::from_millis(arrival_ms);
             let left = schedule.ends_after().saturating_sub(arrival);
-            let is_early = arrival < ADMIT_ALL;
-            assert_eq!(schedule.fits(arrival, left), is_early, "{arrival:?}");
-            assert_eq!(schedule.fits(arrival, Duration::MAX), is_early);
+            let is_early = arrival < ADMIT_IF_IDLE;
+            for limit in [left, Duration::MAX] {
+                let at_idle_slot = ExpectedTime {
+                    limit,
+                    ..expected(None)
+                };
+                let admits = schedule.admits(arrival, &at_idle_slot);
+                assert_eq!(admits, is_early, "{arrival:?}");
+            }
+        }
+    }
+}
+
+/// Requests of the first seconds were sent to full upstreams, where they waited for longer than the
+/// process had left.
+#[test]
+fn an_early_request_waits_until_the_process_ends() {
+    for (grace, schedule) in schedules() {
+        for arrival_ms in 0..grace.as_millis() as u64 {
+            let arrival = Duration::from_millis(arrival_ms);
+            let left = schedule.ends_after().saturating_sub(arrival);
+            for limit in [left, Duration::MAX] {
+                for longest_work in [None, Some(left.mul_f64(0.5))] {
+                    let waiting = ExpectedTime {
+                        limit,
+                        longest_work,
+                        waits: true,
+                    };
+                    assert!(!schedule.admits(arrival, &waiting), "{arrival:?}");
+                }
+            }
         }
     }
 }
@@ -52,9 +89,16 @@
 fn a_short_request_is_refused_though_it_fits() {
     for (_, schedule) in schedules() {
         let limit = Duration::from_millis(500);
-        assert!(schedule.fits(schedule.closes_after(), limit));
-        let late = schedule.ends_after() - limit;
-        assert!(!schedule.fits(late, limit));
+        for waits in [false, true] {
+            let short = ExpectedTime {
+                limit,
+                longest_work: None,
+                waits,
+            };
+            assert!(schedule.admits(Duration::ZERO, &short));
+            assert!(schedule.admits(schedule.closes_after(), &short));
+            assert!(!schedule.admits(schedule.ends_after() - limit, &short));
+        }
     }
 }
 
@@ -62,10 +106,9 @@
 fn a_late_request_is_refused_though_its_kind_is_quick() {
     for (_, schedule) in schedules() {
         let work = Duration::from_millis(500);
-        let late = schedule.ends_after() - work * 2;
-        assert!(schedule.is_expected_to_fit(late, work));
+        let quick = expected(Some(work));
+        assert!(schedule.admits(schedule.ends_after() - work * 2, &quick));
         // Some take longer than any before.
-        let too_late = schedule.ends_after() - work;
-        assert!(!schedule.is_expected_to_fit(too_late, work));
+        assert!(!schedule.admits(schedule.ends_after() - work, &quick));
     }
 }
