The length of a response is that of the body that was read

Cause: the HTTP library reads such a body by its chunks (RFC 9112, 6.3). The box removed Transfer-Encoding as a field of one connection and passed Content-Length on, where responses are streamed.

Change: framing::remove_framing takes what the upstream said about the length out of every head, and the library writes that of the body. framing:: check_response tells a head apart that contradicts itself; such a response is delivered only if it has been read whole and has the stated length, else it is discarded before a byte goes to the client, and repeated where that is allowed. The embedded path checks the same. A counter tells discarded responses by reason (brasswinch_responses_discarded_total).

Weighed: to trust the chunks and drop the length (a response whose chunks end early would pass for whole), to discard all such responses (the client of an order that ran loses a response that is whole by both).

--- a/crates/daemon/src/traffic/proxy.rs
+++ b/crates/daemon/src/traffic/proxy.rs
@@ -16,6 +16,7 @@
 use crate::service::ServiceRuntime;
 use brasswinch_decide::health::UpstreamReport;
 use brasswinch_decide::members::BoxState;
+use brasswinch_framing::{check_response, remove_framing};
 use brasswinch_observe::{Event, emit, emit_about};
 use brasswinch_types::{
     Class, ErrorKind, Millis, OnceProof, Ran, UpstreamRest, UpstreamSignal, only_value,
@@ -391,8 +392,20 @@
             );
             return Err(ErrorKind::UpstreamBroken);
         }
+        // The body isn't read before its beginning is passed on.
+        let checked = check_response(headers).and_then(|length| length.check(None));
+        if let Err(reason) = checked {
+            emit(
+                Event::CallerCut,
+                format_args!("{}: {reason}", self.service.key),
+            );
+            return Err(ErrorKind::UpstreamBroken);
+        }
         let (mut parts, body) = answered.response.into_parts();
         strip_hop_by_hop(&mut parts.headers);
+        if !head_method {
+            remove_framing(&mut parts.headers);
+        }
         parts.headers.remove(LOAD_HEADER);
         parts.version = http::Version::default();
         let on_end = self.on_end(began, counted);
--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -13,11 +13,13 @@
 use crate::upstream_limits::Grant;
 use crate::upstream_request::Head;
 use crate::upstream_signals::UpstreamSignals;
+use brasswinch_framing::{ExpectedLength, check_response, remove_framing};
 use brasswinch_observe::{Event, emit};
 use brasswinch_routing::{Choice, RegionLimits, RequestDigest, UpstreamOutcome, UpstreamPath};
 use brasswinch_types::Workspace;
 use bytes::Bytes;
-use http::{HeaderMap, HeaderValue, Response, header};
+use http::response::Parts;
+use http::{HeaderMap, HeaderValue, Response};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use std::sync::Arc;
@@ -339,9 +341,10 @@
     active.outcome = UpstreamOutcome::Unanswered;
     let context = Arc::clone(&active.context);
     let (parts, body) = response.into_parts();
-    if let Err(reason) = active.check_request(&parts.headers) {
-        return active.discard(&reason);
-    }
+    let expected_length = match active.check_head(&parts) {
+        Ok(expected_length) => expected_length,
+        Err(reason) => return active.discard(&reason),
+    };
     let signals = UpstreamSignals::read(&parts, &context.dialect);
     active.apply_signals(&signals);
     if let Some(seconds) = signals.idle_limit_s {
@@ -367,6 +370,10 @@
         }
         Err(_) => return AttemptOutcome::TimedOut,
     };
+    let whole_body = buffered.is_complete().then_some(&buffered.bytes[..]);
+    if !refused && let Err(reason) = expected_length.check(whole_body) {
+        return active.discard(&reason.into());
+    }
     active.outcome = UpstreamOutcome::Answered;
     if refused {
         active.outcome = if signals.is_misdirected {
@@ -380,11 +387,11 @@
         return AttemptOutcome::Refused;
     }
     let mut headers = end_to_end(&parts.headers);
+    remove_framing(&mut headers);
     let body = match buffered.remainder {
         None => {
             connection.reuse();
             active.report_completed();
-            headers.remove(header::CONTENT_LENGTH);
             full(buffered.bytes)
         }
         Some(remainder) => {
@@ -438,6 +445,13 @@
         }
     }
 
+    /// Checks that a response is one that HTTP/1.1 allows, and that it is to this request.
+    fn check_head(&self, response: &Parts) -> Result<ExpectedLength, InvalidResponse> {
+        let expected_length = check_response(&response.headers)?;
+        self.check_request(&response.headers)?;
+        Ok(expected_length)
+    }
+
     /// Checks that a response is to this request.
     fn check_request(&self, headers: &HeaderMap) -> Result<(), InvalidResponse> {
         let Some(sent) = &self.request_id else {
@@ -456,6 +470,7 @@
     }
 
     fn log_discarded(&self, reason: &InvalidResponse) {
+        self.context.metrics.count_discarded(reason);
         let upstream = &self.choice.upstream;
         let id = self.request_id.as_ref().and_then(|id| id.to_str().ok());
         emit(
--- a/crates/edge/src/invalid_response.rs
+++ b/crates/edge/src/invalid_response.rs
@@ -1,6 +1,7 @@
 //! Responses of upstreams that are discarded.
 
 use crate::body::BodyError;
+use brasswinch_framing::InvalidHead;
 use http::HeaderValue;
 
 /// Why a response isn't delivered. The request may have run.
@@ -21,4 +22,21 @@
     /// It can't be parsed.
     #[error("{0}")]
     Malformed(hyper::Error),
+    /// HTTP/1.1 doesn't allow its head.
+    #[error("{0}")]
+    InvalidHead(#[from] InvalidHead),
+}
+
+impl InvalidResponse {
+    /// Returns a short name for metrics.
+    pub(crate) fn reason(&self) -> &'static str {
+        match self {
+            Self::OtherRequest(_) => "other_request",
+            Self::NoRequest => "no_request",
+            Self::Unsigned => "unsigned",
+            Self::Incomplete(_) => "incomplete",
+            Self::Malformed(_) => "malformed",
+            Self::InvalidHead(head) => head.reason(),
+        }
+    }
 }
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use crate::connection_failures::ConnectionCounts;
 use crate::context::Context;
+use crate::invalid_response::InvalidResponse;
 use brasswinch_observe::{LatencyTable, dropped_lines};
 use brasswinch_routing::{Liveness, RouteKind, Scope, Selection, UpstreamPath};
 use brasswinch_types::{Class, OnceProof, Service, Workspace};
@@ -27,6 +28,8 @@
     /// Requests to upstreams with limits, by service and whether the limit had room.
     limited: Mutex<BTreeMap<(Service, bool), u64>>,
     latency: LatencyTable,
+    /// Discarded responses of upstreams, by reason.
+    discarded: Mutex<BTreeMap<&'static str, u64>>,
     /// Pipelined requests that ran before their turn.
     pub(crate) early_requests: AtomicU64,
     /// Connections to upstreams.
@@ -66,6 +69,15 @@
         }
     }
 
+    /// Counts a response of an upstream that isn't delivered.
+    pub(crate) fn count_discarded(&self, response: &InvalidResponse) {
+        let mut discarded = self
+            .discarded
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        *discarded.entry(response.reason()).or_default() += 1;
+    }
+
     /// Counts an answer to a look-up and the boxes that it lists.
     pub(crate) fn count_look_up(&self, selection: &Selection) {
         let large = selection.large as u64;
@@ -106,6 +118,14 @@
             let labels = format!("service=\"{service}\",outcome=\"{outcome}\"");
             line(text, "limit_requests_total", &labels, *count as f64);
         }
+        let discarded = self
+            .discarded
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        for (reason, count) in &*discarded {
+            let labels = format!("reason=\"{reason}\"");
+            line(text, "responses_discarded_total", &labels, *count as f64);
+        }
         let answers = self.lookup_answers.load(Ordering::Relaxed) as f64;
         line(text, "lookup_answers_total", "", answers);
         for (size, count) in [("large", &self.listed_large), ("small", &self.listed_small)] {
--- /dev/null
+++ b/crates/framing/src/response.rs
@@ -0,0 +1,80 @@
+//! Checks the heads of responses.
+
+use crate::list::items;
+use http::HeaderMap;
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+
+/// Why a response can't be passed on.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum InvalidHead {
+    /// It comes in chunks and states lengths that are no number, or that differ.
+    #[error("its stated lengths are invalid: {0}")]
+    StatedLength(String),
+    /// It comes in chunks and states another length, or a length that can't be compared because
+    /// the body isn't read whole before it is passed on.
+    #[error("it comes in chunks beside a stated length of {0} bytes")]
+    LengthBesideChunks(u64),
+}
+
+impl InvalidHead {
+    /// Returns a short name for metrics.
+    pub fn reason(&self) -> &'static str {
+        match self {
+            Self::StatedLength(_) | Self::LengthBesideChunks(_) => "length",
+        }
+    }
+}
+
+/// The length that a response states beside its chunks, in bytes; `None` if it states none there.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[must_use]
+pub struct ExpectedLength(Option<u64>);
+
+impl ExpectedLength {
+    /// Checks a body that has been read, or `None` if it isn't read whole before its beginning is
+    /// passed on.
+    ///
+    /// # Errors
+    ///
+    /// [`InvalidHead::LengthBesideChunks`] if the body is not known to have the stated length. RFC
+    /// 9112, section 6.3, asks to treat such a message as an error.
+    pub fn check(self, body: Option<&[u8]>) -> Result<(), InvalidHead> {
+        let Some(stated) = self.0 else {
+            return Ok(());
+        };
+        if body.is_some_and(|body| body.len() as u64 == stated) {
+            return Ok(());
+        }
+        Err(InvalidHead::LengthBesideChunks(stated))
+    }
+}
+
+/// Checks the headers of a response, and returns what its body has to be checked for.
+///
+/// # Errors
+///
+/// [`InvalidHead::StatedLength`].
+pub fn check_response(headers: &HeaderMap) -> Result<ExpectedLength, InvalidHead> {
+    if !headers.contains_key(TRANSFER_ENCODING) {
+        return Ok(ExpectedLength::default());
+    }
+    stated_length(headers).map(ExpectedLength)
+}
+
+fn stated_length(headers: &HeaderMap) -> Result<Option<u64>, InvalidHead> {
+    let stated = items(headers, &CONTENT_LENGTH);
+    let Some(first) = stated.first() else {
+        return Ok(None);
+    };
+    let length = first.parse().ok();
+    let length = length.filter(|_| stated.iter().all(|other| other == first));
+    let length = length.ok_or_else(|| InvalidHead::StatedLength(stated.join(", ")))?;
+    Ok(Some(length))
+}
+
+/// Removes the fields that tell where a body ends. The HTTP library then writes those of the body
+/// that is sent.
+pub fn remove_framing(headers: &mut HeaderMap) {
+    headers.remove(CONTENT_LENGTH);
+    headers.remove(TRANSFER_ENCODING);
+}
--- /dev/null
+++ b/crates/framing/tests/response.rs
@@ -0,0 +1,47 @@
+//! What HTTP/1.1 allows in the heads of responses.
+#![allow(clippy::unwrap_used, clippy::expect_used)]
+
+use brasswinch_framing::{InvalidHead, check_response, remove_framing};
+use http::{HeaderMap, HeaderName};
+
+fn headers(fields: &[(&'static str, &str)]) -> HeaderMap {
+    let fields = fields.iter();
+    fields
+        .map(|(name, value)| (HeaderName::from_static(name), value.parse().unwrap()))
+        .collect()
+}
+
+const CHUNKED: (&str, &str) = ("transfer-encoding", "chunked");
+
+/// A length beside chunks was passed on as the length of the body.
+#[test]
+fn a_length_beside_chunks_is_trusted() {
+    let check = |length: &str, body: Option<&[u8]>| {
+        let expected = check_response(&headers(&[CHUNKED, ("content-length", length)]))?;
+        expected.check(body)
+    };
+    assert_eq!(check("4", Some(b"body")), Ok(()));
+    let contradicts = Err(InvalidHead::LengthBesideChunks(3));
+    assert_eq!(check("3", Some(b"body")), contradicts);
+    assert_eq!(check("3", None), contradicts, "the body isn't known");
+    assert_eq!(check("4, 4", Some(b"body")), Ok(()));
+    for invalid in ["4, 3", "many", "-4", "99999999999999999999"] {
+        let error = check(invalid, Some(b"body")).unwrap_err();
+        assert!(matches!(error, InvalidHead::StatedLength(_)), "{error}");
+    }
+}
+
+#[test]
+fn a_response_with_one_framing_is_discarded() {
+    for field in [CHUNKED, ("content-length", "4")] {
+        let expected = check_response(&headers(&[field])).unwrap();
+        assert_eq!(expected.check(None), Ok(()));
+    }
+}
+
+#[test]
+fn framing_stays_beside_a_body() {
+    let mut headers = headers(&[CHUNKED, ("content-length", "4"), ("content-type", "text")]);
+    remove_framing(&mut headers);
+    assert_eq!(headers.len(), 1);
+}
--- a/crates/lab/src/routed_upstream.rs
+++ b/crates/lab/src/routed_upstream.rs
@@ -72,6 +72,15 @@
     },
     /// Runs it and sends a body that never ends.
     AnswerEndless,
+    /// Runs it and sends these bytes.
+    AnswerRaw {
+        /// What is sent; `{id}` stands for the request's id.
+        bytes: String,
+        /// What is sent behind it over and over, until the caller closes; none if empty.
+        repeated: String,
+        /// Whether the connection is closed behind it.
+        closes: bool,
+    },
 }
 
 /// A request that reached the upstream.
@@ -431,6 +440,19 @@
                     stream.write_all(&LONG_PIECE).await?;
                 }
             }
+            Behaviour::AnswerRaw {
+                bytes,
+                repeated,
+                closes,
+            } => {
+                stream
+                    .write_all(bytes.replace("{id}", id).as_bytes())
+                    .await?;
+                while !repeated.is_empty() {
+                    stream.write_all(repeated.as_bytes()).await?;
+                }
+                return Ok(!closes);
+            }
             Behaviour::Close => return Ok(false),
             Behaviour::Garbage => {
                 stream.write_all(b"\x00\x01 no answer\r\n\r\n").await?;
