Responses whose status is none of a final response are discarded

Cause: the HTTP library refuses numbers under 100, skips 1xx but for 101, and nothing else looked at the status.

Change: framing::check_response refuses statuses outside of 200 to 599, on both traffic paths, before the first byte goes to the client.

Evidence: a_status_that_is_no_answer_is_passed_on (11 heads, at a route that buffers and one that streams) fails with the check taken out: "101 at /safe/1: Answer { status: 101 }, not Discarded"; so does the test of framing.

--- a/crates/daemon/src/traffic/proxy.rs
+++ b/crates/daemon/src/traffic/proxy.rs
@@ -382,10 +382,17 @@
         counted: Counted,
         head_method: bool,
     ) -> Result<Response<AnswerBody>, ErrorKind> {
-        let headers = answered.response.headers();
-        let echoed = headers.get(REQUEST_ID_HEADER);
+        let Answered {
+            response,
+            permit,
+            connection,
+            progress,
+        } = answered;
+        let shows_its_end = head_method || shows_its_end(&response);
+        let (mut parts, body) = response.into_parts();
+        let echoed = parts.headers.get(REQUEST_ID_HEADER);
         let crossed = echoed.is_some_and(|id| id.as_bytes() != self.request_id.as_bytes());
-        if crossed || !(head_method || shows_its_end(&answered.response)) {
+        if crossed || !shows_its_end {
             emit(
                 Event::CallerCut,
                 format_args!("{}: crossed or endless answer", self.service.key),
@@ -393,7 +400,7 @@
             return Err(ErrorKind::UpstreamBroken);
         }
         // The body isn't read before its beginning is passed on.
-        let checked = check_response(headers).and_then(|length| length.check(None));
+        let checked = check_response(&parts).and_then(|length| length.check(None));
         if let Err(reason) = checked {
             emit(
                 Event::CallerCut,
@@ -401,7 +408,6 @@
             );
             return Err(ErrorKind::UpstreamBroken);
         }
-        let (mut parts, body) = answered.response.into_parts();
         strip_hop_by_hop(&mut parts.headers);
         if !head_method {
             remove_framing(&mut parts.headers);
@@ -410,9 +416,9 @@
         parts.version = http::Version::default();
         let on_end = self.on_end(began, counted);
         let held = Held {
-            permit: answered.permit,
-            connection: answered.connection,
-            upload: answered.progress,
+            permit,
+            connection,
+            upload: progress,
             on_end,
         };
         let body = DownloadBody::new(body, self.limits(), held);
--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -447,7 +447,7 @@
 
     /// Checks that a response is one that HTTP/1.1 allows, and that it is to this request.
     fn check_head(&self, response: &Parts) -> Result<ExpectedLength, InvalidResponse> {
-        let expected_length = check_response(&response.headers)?;
+        let expected_length = check_response(response)?;
         self.check_request(&response.headers)?;
         Ok(expected_length)
     }
--- a/crates/edge/tests/spoilt_responses.rs
+++ b/crates/edge/tests/spoilt_responses.rs
@@ -166,3 +166,20 @@
     ])
     .await;
 }
+
+/// An upstream's status that is no answer in the protocol was passed on, with its signature.
+#[tokio::test]
+async fn a_status_that_is_no_answer_is_passed_on() {
+    use Expected::Discarded;
+    let length = format!("content-length: {}\r\n", BODY.len());
+    let statuses = [
+        "000", "099", "101", "600", "999", "20", "2000", "+200", "-200", "two",
+    ];
+    let plain = statuses.map(|status| {
+        let bytes = response(status, &length, BODY);
+        Form::new(status, bytes, [Discarded; 2])
+    });
+    let upgrade = response("101", "upgrade: other\r\nconnection: upgrade\r\n", "");
+    let upgrade = Form::new("101 with an upgrade", upgrade, [Discarded; 2]);
+    check_all(plain.into_iter().chain([upgrade])).await;
+}
--- a/crates/framing/src/response.rs
+++ b/crates/framing/src/response.rs
@@ -1,12 +1,21 @@
 //! Checks the heads of responses.
 
 use crate::list::items;
-use http::HeaderMap;
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use http::response::Parts;
+use http::{HeaderMap, StatusCode};
+use std::ops::RangeInclusive;
+
+/// Statuses of final responses (RFC 9110, section 15).
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
 
 /// Why a response can't be passed on.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum InvalidHead {
+    /// Its status is none of a final response: the number has no meaning, or the response switches
+    /// to a protocol that nobody asked for.
+    #[error("status {} is none of a final response", .0.as_u16())]
+    Status(StatusCode),
     /// It comes in chunks and states lengths that are no number, or that differ.
     #[error("its stated lengths are invalid: {0}")]
     StatedLength(String),
@@ -20,6 +29,7 @@
     /// Returns a short name for metrics.
     pub fn reason(&self) -> &'static str {
         match self {
+            Self::Status(_) => "status",
             Self::StatedLength(_) | Self::LengthBesideChunks(_) => "length",
         }
     }
@@ -49,12 +59,16 @@
     }
 }
 
-/// Checks the headers of a response, and returns what its body has to be checked for.
+/// Checks the head of a response, and returns what its body has to be checked for.
 ///
 /// # Errors
 ///
-/// [`InvalidHead::StatedLength`].
-pub fn check_response(headers: &HeaderMap) -> Result<ExpectedLength, InvalidHead> {
+/// Every variant of [`InvalidHead`] but [`InvalidHead::LengthBesideChunks`].
+pub fn check_response(response: &Parts) -> Result<ExpectedLength, InvalidHead> {
+    let (status, headers) = (response.status, &response.headers);
+    if !FINAL_STATUSES.contains(&status.as_u16()) {
+        return Err(InvalidHead::Status(status));
+    }
     if !headers.contains_key(TRANSFER_ENCODING) {
         return Ok(ExpectedLength::default());
     }
--- a/crates/framing/tests/response.rs
+++ b/crates/framing/tests/response.rs
@@ -2,7 +2,15 @@
 #![allow(clippy::unwrap_used, clippy::expect_used)]
 
 use brasswinch_framing::{InvalidHead, check_response, remove_framing};
-use http::{HeaderMap, HeaderName};
+use http::response::Parts;
+use http::{HeaderMap, HeaderName, Response, StatusCode};
+
+fn response(status: u16, fields: &[(&'static str, &str)]) -> Parts {
+    let (mut parts, ()) = Response::new(()).into_parts();
+    parts.status = StatusCode::from_u16(status).unwrap();
+    parts.headers = headers(fields);
+    parts
+}
 
 fn headers(fields: &[(&'static str, &str)]) -> HeaderMap {
     let fields = fields.iter();
@@ -17,7 +25,7 @@
 #[test]
 fn a_length_beside_chunks_is_trusted() {
     let check = |length: &str, body: Option<&[u8]>| {
-        let expected = check_response(&headers(&[CHUNKED, ("content-length", length)]))?;
+        let expected = check_response(&response(200, &[CHUNKED, ("content-length", length)]))?;
         expected.check(body)
     };
     assert_eq!(check("4", Some(b"body")), Ok(()));
@@ -34,7 +42,7 @@
 #[test]
 fn a_response_with_one_framing_is_discarded() {
     for field in [CHUNKED, ("content-length", "4")] {
-        let expected = check_response(&headers(&[field])).unwrap();
+        let expected = check_response(&response(200, &[field])).unwrap();
         assert_eq!(expected.check(None), Ok(()));
     }
 }
@@ -45,3 +53,15 @@
     remove_framing(&mut headers);
     assert_eq!(headers.len(), 1);
 }
+
+/// A status that no final response has was passed on as if it were an answer.
+#[test]
+fn a_status_without_a_meaning_is_passed_on() {
+    for status in [200, 204, 304, 421, 500, 599] {
+        assert!(check_response(&response(status, &[])).is_ok(), "{status}");
+    }
+    for status in [100, 101, 199, 600, 999] {
+        let error = check_response(&response(status, &[])).unwrap_err();
+        assert!(matches!(error, InvalidHead::Status(_)), "{error}");
+    }
+}
