Responses with other transfer codings than chunked are discarded

What callers would see (MIXED): for "Transfer-Encoding: chunked, identity" a signed 200 with the marks of the chunks in its body, whole by its framing; for "gzip, chunked" a body that is left coded while its coding's name is gone.

Cause: the HTTP library reads a body whose last coding isn't chunked until the connection closes, decodes no other coding, and the box removes the field.

Change: framing::check_response accepts chunked alone, on both traffic paths.

Evidence: a_transfer_coding_is_left_in_the_body (five heads, two routes) fails with the check taken out: body "e\r\nthe whole body\r\n0\r\n\r\n" in a 200.

--- a/crates/edge/tests/spoilt_responses.rs
+++ b/crates/edge/tests/spoilt_responses.rs
@@ -103,6 +103,19 @@
         }
     }
 
+    /// A response behind which the upstream closes the connection.
+    fn closing(name: &str, bytes: String, expected: [Expected; 2]) -> Self {
+        Self {
+            name: name.to_owned(),
+            behaviour: Behaviour::AnswerRaw {
+                bytes,
+                repeated: String::new(),
+                closes: true,
+            },
+            expected,
+        }
+    }
+
     /// Plays the response at both routes.
     async fn check(&self) {
         for (path, expected) in PATHS.into_iter().zip(self.expected) {
@@ -183,3 +196,28 @@
     let upgrade = Form::new("101 with an upgrade", upgrade, [Discarded; 2]);
     check_all(plain.into_iter().chain([upgrade])).await;
 }
+
+/// A body with a transfer coding that the box doesn't decode went to the client with the marks of
+/// its chunks, or coded, and whole by its framing.
+#[tokio::test]
+async fn a_transfer_coding_is_left_in_the_body() {
+    use Expected::Discarded;
+    let codings = [
+        "chunked, identity",
+        "gzip, chunked",
+        "chunked, chunked",
+        "identity",
+    ];
+    let forms = codings.map(|coding| {
+        let header = format!("transfer-encoding: {coding}\r\n");
+        let bytes = response("200", &header, &chunks(BODY));
+        Form::closing(coding, bytes, [Discarded; 2])
+    });
+    let two_fields = response(
+        "200",
+        &format!("{CHUNKED}transfer-encoding: gzip\r\n"),
+        &chunks(BODY),
+    );
+    let two_fields = Form::closing("two fields", two_fields, [Discarded; 2]);
+    check_all(forms.into_iter().chain([two_fields])).await;
+}
--- a/crates/framing/src/response.rs
+++ b/crates/framing/src/response.rs
@@ -9,6 +9,9 @@
 /// Statuses of final responses (RFC 9110, section 15).
 const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
 
+/// The only transfer coding that the HTTP library decodes.
+const CHUNKED: &str = "chunked";
+
 /// Why a response can't be passed on.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum InvalidHead {
@@ -16,6 +19,10 @@
     /// to a protocol that nobody asked for.
     #[error("status {} is none of a final response", .0.as_u16())]
     Status(StatusCode),
+    /// Its body has other transfer codings than `chunked` alone, so its end is unknown or its
+    /// content is left coded.
+    #[error("its transfer codings are {0:?}, not `chunked` alone")]
+    TransferCoding(String),
     /// It comes in chunks and states lengths that are no number, or that differ.
     #[error("its stated lengths are invalid: {0}")]
     StatedLength(String),
@@ -30,6 +37,7 @@
     pub fn reason(&self) -> &'static str {
         match self {
             Self::Status(_) => "status",
+            Self::TransferCoding(_) => "transfer_coding",
             Self::StatedLength(_) | Self::LengthBesideChunks(_) => "length",
         }
     }
@@ -72,6 +80,10 @@
     if !headers.contains_key(TRANSFER_ENCODING) {
         return Ok(ExpectedLength::default());
     }
+    let codings = items(headers, &TRANSFER_ENCODING);
+    if !matches!(&codings[..], [coding] if coding.eq_ignore_ascii_case(CHUNKED)) {
+        return Err(InvalidHead::TransferCoding(codings.join(", ")));
+    }
     stated_length(headers).map(ExpectedLength)
 }
 
--- a/crates/framing/tests/response.rs
+++ b/crates/framing/tests/response.rs
@@ -65,3 +65,26 @@
         assert!(matches!(error, InvalidHead::Status(_)), "{error}");
     }
 }
+
+/// A body whose last transfer coding isn't `chunked` has no known end, and one that has another
+/// coding below it was passed on coded.
+#[test]
+fn a_transfer_coding_is_taken_for_chunks() {
+    let check = |value: &str| check_response(&response(200, &[("transfer-encoding", value)]));
+    for value in ["chunked", "Chunked", " chunked ", "chunked,"] {
+        assert!(check(value).is_ok(), "{value}");
+    }
+    for value in [
+        "chunked, identity",
+        "gzip, chunked",
+        "chunked, chunked",
+        "identity",
+        "gzip",
+        "xchunked",
+        "chunked;a=b",
+        "",
+    ] {
+        let error = check(value).unwrap_err();
+        assert!(matches!(error, InvalidHead::TransferCoding(_)), "{error}");
+    }
+}
