Successes with a content coding that nobody asked for are discarded

Cause: nothing compared what a client can read with what it was sent.

Change: framing::check_response compares Content-Encoding of a success with the request's Accept-Encoding, on both traffic paths. A failure keeps its status.

Evidence: a_content_coding_goes_to_a_client_that_asked_for_none fails with the check taken out ("gzip at /safe/1: Answer { status: 200 }"). A coding that the request names is passed on (a_content_coding_is_passed_on_unasked in framing).

--- a/crates/daemon/src/traffic/proxy.rs
+++ b/crates/daemon/src/traffic/proxy.rs
@@ -140,6 +140,7 @@
         deadline,
         until,
         request_id: format!("{:016x}", rand::random::<u64>()),
+        request_headers: request.headers().clone(),
     };
     let mut permit = service.gate.acquire(service, until).await?;
     let mut claim = None;
@@ -214,6 +215,8 @@
     deadline: Instant,
     until: Millis,
     request_id: String,
+    /// As the caller sent them.
+    request_headers: HeaderMap,
 }
 
 /// A request ready to be sent.
@@ -400,7 +403,8 @@
             return Err(ErrorKind::UpstreamBroken);
         }
         // The body isn't read before its beginning is passed on.
-        let checked = check_response(&parts).and_then(|length| length.check(None));
+        let checked =
+            check_response(&self.request_headers, &parts).and_then(|length| length.check(None));
         if let Err(reason) = checked {
             emit(
                 Event::CallerCut,
--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -183,11 +183,12 @@
         let via = connection.via().cloned();
         match exchange(connection, &head, body, &active).await {
             ExchangeOutcome::Response(response, connection) => {
+                let headers = &outgoing.parts.headers;
                 let limits = ResponseLimits {
                     deadline: outgoing.deadline,
                     max_buffered: outgoing.max_buffered_response,
                 };
-                return read_response(*response, connection, active, limits).await;
+                return read_response(headers, *response, connection, active, limits).await;
             }
             // The upstream closed the idle connection. A new one shows whether it still serves.
             ExchangeOutcome::NotSent(unsent) if is_pooled => body = unsent,
@@ -330,8 +331,9 @@
     max_buffered: usize,
 }
 
-/// Validates the response, applies its signals, and buffers or streams its body.
+/// Validates the response to a request with these headers, applies its signals, and buffers or streams its body.
 async fn read_response(
+    request: &HeaderMap,
     response: Response<Incoming>,
     mut connection: Connection,
     mut active: ActiveAttempt,
@@ -341,7 +343,7 @@
     active.outcome = UpstreamOutcome::Unanswered;
     let context = Arc::clone(&active.context);
     let (parts, body) = response.into_parts();
-    let expected_length = match active.check_head(&parts) {
+    let expected_length = match active.check_head(request, &parts) {
         Ok(expected_length) => expected_length,
         Err(reason) => return active.discard(&reason),
     };
@@ -446,8 +448,12 @@
     }
 
     /// Checks that a response is one that HTTP/1.1 allows, and that it is to this request.
-    fn check_head(&self, response: &Parts) -> Result<ExpectedLength, InvalidResponse> {
-        let expected_length = check_response(response)?;
+    fn check_head(
+        &self,
+        request: &HeaderMap,
+        response: &Parts,
+    ) -> Result<ExpectedLength, InvalidResponse> {
+        let expected_length = check_response(request, response)?;
         self.check_request(&response.headers)?;
         Ok(expected_length)
     }
--- a/crates/edge/tests/spoilt_responses.rs
+++ b/crates/edge/tests/spoilt_responses.rs
@@ -221,3 +221,21 @@
     let two_fields = Form::closing("two fields", two_fields, [Discarded; 2]);
     check_all(forms.into_iter().chain([two_fields])).await;
 }
+
+/// A success whose body has a content coding that the client didn't ask for was passed on.
+#[tokio::test]
+async fn a_content_coding_goes_to_a_client_that_asked_for_none() {
+    let head = |coding: &str| {
+        format!(
+            "content-length: {}\r\ncontent-encoding: {coding}\r\n",
+            BODY.len()
+        )
+    };
+    let coded = response("200", &head("gzip"), BODY);
+    let plain = response("200", &head("identity"), BODY);
+    check_all([
+        Form::new("gzip", coded, [Expected::Discarded; 2]),
+        Form::new("identity", plain, [Expected::Whole; 2]),
+    ])
+    .await;
+}
--- a/crates/framing/src/lib.rs
+++ b/crates/framing/src/lib.rs
@@ -4,6 +4,7 @@
 //! its length must come from that body alone: a field that is passed on beside it can contradict
 //! it, and the recipient then takes a part for the whole or waits for bytes that never come.
 
+mod coding;
 mod list;
 mod response;
 
--- a/crates/framing/src/response.rs
+++ b/crates/framing/src/response.rs
@@ -1,5 +1,6 @@
 //! Checks the heads of responses.
 
+use crate::coding::unrequested;
 use crate::list::items;
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::response::Parts;
@@ -23,6 +24,9 @@
     /// content is left coded.
     #[error("its transfer codings are {0:?}, not `chunked` alone")]
     TransferCoding(String),
+    /// Its body has a content coding that the request doesn't ask for.
+    #[error("content coding {0:?} was not asked for")]
+    ContentCoding(String),
     /// It comes in chunks and states lengths that are no number, or that differ.
     #[error("its stated lengths are invalid: {0}")]
     StatedLength(String),
@@ -38,6 +42,7 @@
         match self {
             Self::Status(_) => "status",
             Self::TransferCoding(_) => "transfer_coding",
+            Self::ContentCoding(_) => "content_coding",
             Self::StatedLength(_) | Self::LengthBesideChunks(_) => "length",
         }
     }
@@ -67,16 +72,25 @@
     }
 }
 
-/// Checks the head of a response, and returns what its body has to be checked for.
+/// Checks the head of a response to a request with the headers `request`, and returns what its body has to be checked for.
 ///
 /// # Errors
 ///
 /// Every variant of [`InvalidHead`] but [`InvalidHead::LengthBesideChunks`].
-pub fn check_response(response: &Parts) -> Result<ExpectedLength, InvalidHead> {
+pub fn check_response(
+    request: &HeaderMap,
+    response: &Parts,
+) -> Result<ExpectedLength, InvalidHead> {
     let (status, headers) = (response.status, &response.headers);
     if !FINAL_STATUSES.contains(&status.as_u16()) {
         return Err(InvalidHead::Status(status));
     }
+    // A failure is told by its status, whatever its body is.
+    if status.is_success()
+        && let Some(coding) = unrequested(request, headers)
+    {
+        return Err(InvalidHead::ContentCoding(coding.to_owned()));
+    }
     if !headers.contains_key(TRANSFER_ENCODING) {
         return Ok(ExpectedLength::default());
     }
--- a/crates/framing/tests/response.rs
+++ b/crates/framing/tests/response.rs
@@ -25,7 +25,10 @@
 #[test]
 fn a_length_beside_chunks_is_trusted() {
     let check = |length: &str, body: Option<&[u8]>| {
-        let expected = check_response(&response(200, &[CHUNKED, ("content-length", length)]))?;
+        let expected = check_response(
+            &HeaderMap::new(),
+            &response(200, &[CHUNKED, ("content-length", length)]),
+        )?;
         expected.check(body)
     };
     assert_eq!(check("4", Some(b"body")), Ok(()));
@@ -42,7 +45,7 @@
 #[test]
 fn a_response_with_one_framing_is_discarded() {
     for field in [CHUNKED, ("content-length", "4")] {
-        let expected = check_response(&response(200, &[field])).unwrap();
+        let expected = check_response(&HeaderMap::new(), &response(200, &[field])).unwrap();
         assert_eq!(expected.check(None), Ok(()));
     }
 }
@@ -58,10 +61,13 @@
 #[test]
 fn a_status_without_a_meaning_is_passed_on() {
     for status in [200, 204, 304, 421, 500, 599] {
-        assert!(check_response(&response(status, &[])).is_ok(), "{status}");
+        assert!(
+            check_response(&HeaderMap::new(), &response(status, &[])).is_ok(),
+            "{status}"
+        );
     }
     for status in [100, 101, 199, 600, 999] {
-        let error = check_response(&response(status, &[])).unwrap_err();
+        let error = check_response(&HeaderMap::new(), &response(status, &[])).unwrap_err();
         assert!(matches!(error, InvalidHead::Status(_)), "{error}");
     }
 }
@@ -70,7 +76,12 @@
 /// coding below it was passed on coded.
 #[test]
 fn a_transfer_coding_is_taken_for_chunks() {
-    let check = |value: &str| check_response(&response(200, &[("transfer-encoding", value)]));
+    let check = |value: &str| {
+        check_response(
+            &HeaderMap::new(),
+            &response(200, &[("transfer-encoding", value)]),
+        )
+    };
     for value in ["chunked", "Chunked", " chunked ", "chunked,"] {
         assert!(check(value).is_ok(), "{value}");
     }
@@ -88,3 +99,28 @@
         assert!(matches!(error, InvalidHead::TransferCoding(_)), "{error}");
     }
 }
+
+/// A body with a coding that the client can't decode went on as a success.
+#[test]
+fn a_content_coding_is_passed_on_unasked() {
+    let check = |status: u16, accepted: Option<&str>, coding: &str| {
+        let accepted = accepted.map(|accepted| ("accept-encoding", accepted));
+        let request = headers(accepted.as_slice());
+        check_response(&request, &response(status, &[("content-encoding", coding)])).is_ok()
+    };
+    for accepted in [
+        None,
+        Some("identity"),
+        Some("br"),
+        Some("gzip;q=0"),
+        Some("*; q=0"),
+    ] {
+        assert!(!check(200, accepted, "gzip"), "{accepted:?}");
+        assert!(check(200, accepted, "identity"), "{accepted:?}");
+        assert!(check(500, accepted, "gzip"), "{accepted:?}");
+    }
+    for accepted in ["gzip", "br, GZIP;q=0.5", "*"] {
+        assert!(check(200, Some(accepted), "gzip"), "{accepted}");
+    }
+    assert!(!check(200, Some("gzip"), "gzip, br"));
+}
