A stopping box knows that a slot is idle, or refuses

Cause: "a slot is idle" was the box's estimate. Without a report of the upstream, or with an old one, it counts little more than the box's own requests; one of 89 boxes has none there. Besides, requests of the first 3 s were admitted however long their kind works.

Change: Choice::has_idle_slot tells what is known: the coordinator's advice on the chosen upstream, or its own report of the last second. From the signal on a request that may outlast the process needs such a slot and a work that fits. The first 3 s, an allowance of the platform's rules, are used no more: a refused upload costs its client a second connection, a cut one costs it the answer whether it ran. The setting for them is gone.

Tests: a_slot_counts_as_idle_at_an_upstream_that_has_not_reported_lately; stop_schedule's tests ask more: no request that may outlast the process is admitted at any time on less than a known work.

--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -235,10 +235,7 @@
                 Arc::clone(&connection_usage),
             )),
             connection_usage,
-            shutdown: Shutdown::new(
-                settings.bounds.grace_s,
-                settings.bounds.stop_admit_if_idle_s,
-            ),
+            shutdown: Shutdown::new(settings.bounds.grace_s),
             connection_closes: ConnectionCloses::default(),
             metrics: Metrics::default(),
             store_calls: StoreCalls::default(),
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -489,14 +489,14 @@
 
     /// Refuses a request that the end of the process would cut wherever it is sent.
     fn check_process_end(&self) -> Result<(), ErrorKind> {
-        let waits = false;
-        self.check_expected_end(waits)
+        let may_wait = false;
+        self.check_expected_end(may_wait)
     }
 
     /// Refuses a request that the end of the process would cut at the chosen upstream.
     fn check_wait(&self, chosen: &Chosen) -> Result<(), ErrorKind> {
-        let waits = chosen.choice.fullness >= 1.0;
-        let check = self.check_expected_end(waits);
+        let may_wait = !chosen.choice.has_idle_slot;
+        let check = self.check_expected_end(may_wait);
         if check.is_err() {
             let now = self.context.clock.now();
             let mut placement = self.context.placement();
@@ -507,13 +507,13 @@
 
     // A stop may begin after the request has arrived: while it is read, waits for its quota, or is
     // at an upstream that refuses it. So each attempt is checked anew.
-    fn check_expected_end(&self, waits: bool) -> Result<(), ErrorKind> {
+    fn check_expected_end(&self, may_wait: bool) -> Result<(), ErrorKind> {
         let context = self.context;
         let (service, kind) = (&self.service, self.route.kind);
         let expected = || ExpectedTime {
             limit: self.deadline.left(),
             longest_work: context.metrics.longest_latency(service, kind),
-            waits,
+            may_wait,
         };
         if context.shutdown.admits(&context.clock, expected) {
             return Ok(());
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -21,10 +21,6 @@
 pub struct FleetBounds {
     /// Maximum time from the request to stop until the process ends.
     pub grace_s: f64,
-    /// Time after the request to stop in which every request is admitted that finds an idle slot,
-    /// though it may outlast the process. Any other is admitted only if it is expected to end before
-    /// the process does.
-    pub stop_admit_if_idle_s: f64,
     /// Maximum time for which requests may still reach an upstream that announced it is leaving.
     pub drain_s: f64,
     /// Maximum time until a change by operators is in force at all boxes.
@@ -53,7 +49,6 @@
     fn default() -> Self {
         Self {
             grace_s: 6.0,
-            stop_admit_if_idle_s: 3.0,
             drain_s: 2.0,
             config_apply_s: 2.0,
             retry_ratio: 0.2,
--- a/crates/edge/src/shutdown.rs
+++ b/crates/edge/src/shutdown.rs
@@ -23,11 +23,10 @@
 }
 
 impl Shutdown {
-    pub(crate) fn new(grace_s: f64, admit_if_idle_s: f64) -> Self {
+    pub(crate) fn new(grace_s: f64) -> Self {
         let grace = Duration::from_secs_f64(grace_s);
-        let admit_if_idle = Duration::from_secs_f64(admit_if_idle_s);
         Self {
-            schedule: StopSchedule::new(grace, admit_if_idle),
+            schedule: StopSchedule::new(grace),
             began: OnceLock::new(),
         }
     }
--- a/crates/edge/tests/shutdown.rs
+++ b/crates/edge/tests/shutdown.rs
@@ -36,26 +36,16 @@
 /// More orders than there are slots.
 const LATE_ORDERS: usize = 8;
 
-/// Time in which the box admits what finds an idle slot, in seconds.
-const ADMIT_IF_IDLE_S: f64 = 1.5;
-
 /// Time that an upstream takes to refuse an upload; the stop begins meanwhile.
 const REFUSAL_DELAY: Duration = Duration::from_millis(500);
 
 /// Work that ends before the process, unless the request has to wait for a slot.
 const UPLOAD_WORK: Duration = Duration::from_millis(2_000);
 
-/// Starts a box that admits no request that may outlast it once it is asked to stop.
-async fn start() -> Site {
-    start_with(0.0, 1).await
-}
-
-/// Starts a box that admits requests for `admit_if_idle_s` seconds after the request to stop if they
-/// find an idle slot.
-async fn start_with(admit_if_idle_s: f64, upstreams: usize) -> Site {
+/// Starts a box in front of as many upstreams.
+async fn start(upstreams: usize) -> Site {
     let mut settings = common::settings("box-1", Vec::new());
     settings.bounds.grace_s = GRACE_S;
-    settings.bounds.stop_admit_if_idle_s = admit_if_idle_s;
     Site::start_with(settings, upstreams).await
 }
 
@@ -92,7 +82,7 @@
 /// An order that came shortly before its connection closed ran, and the process ended under it.
 #[tokio::test]
 async fn a_stop_cuts_orders_that_came_late() {
-    let mut site = start().await;
+    let mut site = start(1).await;
     let mut clients = [
         KeptConnection::open(site.clients).await,
         KeptConnection::open(site.clients).await,
@@ -118,7 +108,7 @@
 /// until the process ended.
 #[tokio::test]
 async fn a_stop_cuts_early_uploads_that_wait_for_a_slot() {
-    let mut site = start_with(ADMIT_IF_IDLE_S, 1).await;
+    let mut site = start(1).await;
     let mut clients = Vec::new();
     for _ in 0..2 * SLOTS {
         let mut client = KeptConnection::open(site.clients).await;
@@ -146,7 +136,7 @@
 /// it.
 #[tokio::test]
 async fn a_stop_cuts_uploads_whose_upstream_refuses_them() {
-    let mut site = start_with(0.0, 2).await;
+    let mut site = start(2).await;
     let mut client = KeptConnection::open(site.clients).await;
     assert_eq!(client.call(upload()).await.unwrap().status, 200);
     site.upstreams.sort_by_key(|upstream| upstream.seen().len());
@@ -164,7 +154,7 @@
 /// Orders that no slot was free for waited at their upstream until the process ended.
 #[tokio::test]
 async fn a_stop_cuts_late_orders_that_wait_for_a_slot() {
-    let mut site = start().await;
+    let mut site = start(1).await;
     let mut warm_up = KeptConnection::open(site.clients).await;
     site.upstreams[0].always(Behaviour::AnswerAfter(QUICK_WORK));
     for _ in 0..WARM_UP_ORDERS {
--- a/crates/routing/src/placement/mod.rs
+++ b/crates/routing/src/placement/mod.rs
@@ -109,8 +109,9 @@
     pub address: SocketAddr,
     /// The zone of the upstream.
     pub zone: Zone,
-    /// Requests there before this one, as a multiple of its slots.
-    pub fullness: f64,
+    /// Whether a slot was idle by what its coordinator or its last report said, not long ago.
+    /// False if neither is known.
+    pub has_idle_slot: bool,
     /// How long ago this box learned that the upstream's entry was lost together with many others,
     /// in milliseconds; `None` while the entry exists.
     pub lost_ms: Option<Millis>,
--- a/crates/routing/src/placement/service_upstreams.rs
+++ b/crates/routing/src/placement/service_upstreams.rs
@@ -51,6 +51,9 @@
 /// How long a service counts as disturbed after all of its upstreams are back.
 const DISTURBED_MS: Millis = 3_000;
 
+/// Maximum age of a load report that tells whether a slot is idle.
+const MAX_REPORT_AGE_MS: Millis = 1_000;
+
 /// Shortest retry time sent to refused callers.
 const MIN_RETRY_MS: Millis = 150;
 
@@ -141,7 +144,7 @@
 
     fn start(&mut self, index: usize, basis: Basis, now: Millis) -> Choice {
         let entry = &mut self.entries[index];
-        let fullness = entry.fullness(now);
+        let has_idle_slot = has_idle_slot(entry, &basis, now);
         entry.load.started();
         entry.is_used = true;
         Choice {
@@ -151,7 +154,7 @@
             service: entry.record.service.clone(),
             address: entry.record.address,
             zone: entry.record.zone.clone(),
-            fullness,
+            has_idle_slot,
             lost_ms: entry.lost_ms(now),
         }
     }
@@ -315,6 +318,22 @@
     }
 }
 
+/// Whether an upstream is known to have an idle slot.
+// The estimate of its load alone is no knowledge: without a report it counts only the requests of
+// this box, and an old report has lost most of its weight.
+fn has_idle_slot(entry: &Entry, basis: &Basis, now: Millis) -> bool {
+    let advised = basis.advised.as_ref();
+    let advised = advised.filter(|advised| advised.upstream == entry.record.id);
+    let is_known_idle = match advised {
+        Some(advised) => advised.fullness < 1.0,
+        None => entry
+            .load
+            .report_age_ms(now)
+            .is_some_and(|age| age <= MAX_REPORT_AGE_MS),
+    };
+    is_known_idle && entry.fullness(now) < 1.0
+}
+
 /// Returns the first home if a slot is free or the wait is short.
 fn at_home(homes: &[HomeSnapshot], queue_fraction: f64) -> Option<usize> {
     let home = homes.first()?;
--- a/crates/routing/src/stop_schedule.rs
+++ b/crates/routing/src/stop_schedule.rs
@@ -3,10 +3,9 @@
 //! All times are counted from the request to stop. With the grace `G` of the platform:
 //!
 //! ```text
-//! admit_if_idle <= closes_after < ends_after < G
+//! closes_after < ends_after < G
 //! admitted are requests with
 //!     arrival + limit + RESPONSE_MARGIN <= ends_after,
-//!     or an idle slot and arrival < admit_if_idle,
 //!     or an idle slot and start + work * WORK_FACTOR + RESPONSE_MARGIN <= ends_after
 //! ```
 
@@ -31,27 +30,20 @@
     pub limit: Duration,
     /// The time that nearly all requests of its kind take; `None` if too few have ended.
     pub longest_work: Option<Duration>,
-    /// Whether it would wait at its upstream for a slot.
-    pub waits: bool,
+    /// Whether it may have to wait at its upstream for a slot.
+    pub may_wait: bool,
 }
 
 /// The stages of a planned stop.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StopSchedule {
     grace: Duration,
-    admit_if_idle: Duration,
 }
 
 impl StopSchedule {
-    /// Returns the schedule of a box that is killed `grace` after the request to stop. Until
-    /// `admit_if_idle` it admits every request that finds an idle slot, though one may outlast the
-    /// process.
-    pub fn new(grace: Duration, admit_if_idle: Duration) -> Self {
-        let closes_after = grace.mul_f64(OPEN_GRACE_FRACTION);
-        Self {
-            grace,
-            admit_if_idle: admit_if_idle.min(closes_after),
-        }
+    /// Returns the schedule of a box that is killed `grace` after the request to stop.
+    pub fn new(grace: Duration) -> Self {
+        Self { grace }
     }
 
     /// Returns when the box accepts no further connections.
@@ -64,17 +56,14 @@
         self.grace.mul_f64(MAX_GRACE_FRACTION)
     }
 
-    /// Returns whether a request may be sent `since_stop`: whether its response is expected before
-    /// the process ends, or the request is so early that its upstream begins with it at once.
+    /// Returns whether the response to a request that is sent `since_stop` is expected before the
+    /// process ends.
     pub fn admits(&self, since_stop: Duration, expected: &ExpectedTime) -> bool {
         if self.ends_before(since_stop, expected.limit) {
             return true;
         }
-        if expected.waits {
-            return false;
-        }
         let fits = |work: Duration| self.ends_before(since_stop, work.mul_f64(WORK_FACTOR));
-        since_stop < self.admit_if_idle || expected.longest_work.is_some_and(fits)
+        !expected.may_wait && expected.longest_work.is_some_and(fits)
     }
 
     fn ends_before(&self, since_stop: Duration, takes: Duration) -> bool {
--- a/crates/routing/tests/placement.rs
+++ b/crates/routing/tests/placement.rs
@@ -588,3 +588,29 @@
         "the wait at home is longer than a run elsewhere"
     );
 }
+
+/// A box that stops sent requests to upstreams that it knew nothing of, where they waited until its
+/// process ended.
+#[test]
+fn a_slot_counts_as_idle_at_an_upstream_that_has_not_reported_lately() {
+    let mut test = Test::new(fleet(1));
+    let report = |running| LoadReport {
+        running,
+        waiting: 0,
+        slots: SLOTS,
+        duration_percent: None,
+    };
+    let first = test.choose("1", 1_000);
+    assert!(!first.has_idle_slot, "nothing is known");
+    test.placement.reported(&first, report(1), 1_100);
+    let outcome = UpstreamOutcome::Answered;
+    test.placement.ended(&first, outcome, 1_100);
+    let second = test.choose("1", 1_200);
+    assert!(second.has_idle_slot, "one of its slots is taken");
+    test.placement.ended(&second, outcome, 1_300);
+    let third = test.choose("1", 9_000);
+    assert!(!third.has_idle_slot, "the report is old");
+    test.placement.reported(&third, report(SLOTS + 1), 9_100);
+    let fourth = test.choose("1", 9_100);
+    assert!(!fourth.has_idle_slot, "all of its slots are taken");
+}
--- a/crates/routing/tests/stop_schedule.rs
+++ b/crates/routing/tests/stop_schedule.rs
@@ -11,16 +11,13 @@
 /// a busy machine.
 const END_MARGIN: Duration = Duration::from_millis(400);
 
-/// The time in which every request is admitted on the known platform that finds an idle slot.
-const ADMIT_IF_IDLE: Duration = Duration::from_secs(3);
-
 /// The graces of the known deployments.
 const GRACES_S: [u64; 2] = [6, 10];
 
 fn schedules() -> impl Iterator<Item = (Duration, StopSchedule)> {
     GRACES_S.into_iter().map(|seconds| {
         let grace = Duration::from_secs(seconds);
-        (grace, StopSchedule::new(grace, ADMIT_IF_IDLE))
+        (grace, StopSchedule::new(grace))
     })
 }
 
@@ -28,7 +25,6 @@
 fn the_stages_of_a_stop_outlast_the_grace() {
     for (grace, schedule) in schedules() {
         let (closes, ends) = (schedule.closes_after(), schedule.ends_after());
-        assert!(ADMIT_IF_IDLE <= closes, "{grace:?}: {closes:?}");
         assert!(closes < ends, "{grace:?}: {ends:?}");
         assert!(ends >= grace.mul_f64(UNCUT_GRACE_FRACTION), "{ends:?}");
         assert!(ends + END_MARGIN <= grace, "{grace:?}: {ends:?}");
@@ -40,7 +36,7 @@
     ExpectedTime {
         limit: Duration::MAX,
         longest_work,
-        waits: false,
+        may_wait: false,
     }
 }
 
@@ -50,14 +46,15 @@
         for arrival_ms in 0..grace.as_millis() as u64 {
             let arrival = Duration::from_millis(arrival_ms);
             let left = schedule.ends_after().saturating_sub(arrival);
-            let is_early = arrival < ADMIT_IF_IDLE;
             for limit in [left, Duration::MAX] {
-                let at_idle_slot = ExpectedTime {
-                    limit,
-                    ..expected(None)
-                };
-                let admits = schedule.admits(arrival, &at_idle_slot);
-                assert_eq!(admits, is_early, "{arrival:?}");
+                for longest_work in [None, Some(left)] {
+                    let at_idle_slot = ExpectedTime {
+                        limit,
+                        ..expected(longest_work)
+                    };
+                    let admits = schedule.admits(arrival, &at_idle_slot);
+                    assert!(!admits, "{arrival:?}");
+                }
             }
         }
     }
@@ -76,7 +73,7 @@
                     let waiting = ExpectedTime {
                         limit,
                         longest_work,
-                        waits: true,
+                        may_wait: true,
                     };
                     assert!(!schedule.admits(arrival, &waiting), "{arrival:?}");
                 }
@@ -89,11 +86,11 @@
 fn a_short_request_is_refused_though_it_fits() {
     for (_, schedule) in schedules() {
         let limit = Duration::from_millis(500);
-        for waits in [false, true] {
+        for may_wait in [false, true] {
             let short = ExpectedTime {
                 limit,
                 longest_work: None,
-                waits,
+                may_wait,
             };
             assert!(schedule.admits(Duration::ZERO, &short));
             assert!(schedule.admits(schedule.closes_after(), &short));
