--- a/crates/edge/src/upstream_request.rs
+++ b/crates/edge/src/upstream_request.rs
@@ -34,6 +34,7 @@
         }
         let left = self.deadline.left().as_millis() as u64;
         headers.insert(&dialect.deadline_ms, HeaderValue::from(left));
+        // The store's reader accepts only ids that are valid header values.
         if let Ok(id) = HeaderValue::from_str(upstream.as_str()) {
             headers.insert(&dialect.intended_upstream, id);
         }
