The body of a forwarded request is announced for every method

Cause: Transfer-Encoding is removed as a field of one connection. A buffered body got a length in its place, a streamed one nothing; the HTTP library announces chunks itself, but sends no body with GET, HEAD or CONNECT.

Change: framing::frame_request sets the field from the body that is sent, on both traffic paths, where the client announced a body.

--- a/crates/daemon/src/traffic/proxy.rs
+++ b/crates/daemon/src/traffic/proxy.rs
@@ -16,7 +16,7 @@
 use crate::service::ServiceRuntime;
 use brasswinch_decide::health::UpstreamReport;
 use brasswinch_decide::members::BoxState;
-use brasswinch_framing::{check_response, remove_framing};
+use brasswinch_framing::{check_response, frame_request, remove_framing};
 use brasswinch_observe::{Event, emit, emit_about};
 use brasswinch_types::{
     Class, ErrorKind, Millis, OnceProof, Ran, UpstreamRest, UpstreamSignal, only_value,
@@ -263,6 +263,8 @@
         parts.version = http::Version::HTTP_11;
         parts.uri = target.parse().unwrap_or_default();
         strip_hop_by_hop(&mut parts.headers);
+        let length = body.size_hint().exact();
+        frame_request(&self.request_headers, &mut parts.headers, length);
         parts.headers.remove(header::AUTHORIZATION);
         parts.headers.remove(TICKET_HEADER);
         parts.headers.insert(DEADLINE_HEADER, deadline_ms.into());
--- a/crates/edge/src/upstream_request.rs
+++ b/crates/edge/src/upstream_request.rs
@@ -5,8 +5,10 @@
 use crate::clock::Deadline;
 use crate::dialect::Dialect;
 use crate::request::end_to_end;
+use brasswinch_framing::frame_request;
 use brasswinch_types::{UpstreamId, Workspace};
 use http::{HeaderValue, Request, header};
+use hyper::body::Body;
 
 /// What the head of a request to an upstream is built from.
 pub(crate) struct Head<'a> {
@@ -39,15 +41,10 @@
             headers.insert(&dialect.intended_upstream, id);
         }
         let body = match body {
-            OutgoingBody::Buffered(bytes) => {
-                let has_framing = self.parts.headers.contains_key(header::TRANSFER_ENCODING);
-                if has_framing {
-                    headers.insert(header::CONTENT_LENGTH, HeaderValue::from(bytes.len()));
-                }
-                full(bytes)
-            }
+            OutgoingBody::Buffered(bytes) => full(bytes),
             OutgoingBody::Streamed(body) => body,
         };
+        frame_request(&self.parts.headers, &mut headers, body.size_hint().exact());
         let mut request = Request::new(body);
         *request.method_mut() = self.parts.method.clone();
         let path_and_query = self.parts.uri.path_and_query();
--- a/crates/framing/src/lib.rs
+++ b/crates/framing/src/lib.rs
@@ -6,6 +6,8 @@
 
 mod coding;
 mod list;
+mod request;
 mod response;
 
+pub use request::frame_request;
 pub use response::{ExpectedLength, InvalidHead, check_response, remove_framing};
