A request with a transfer coding that isn't decoded gets 400

Cause: the HTTP library accepts any list that ends in chunked and decodes that one alone; the box removes the field.

Change: framing::check_request, on both traffic paths. What both directions share stands in framing::transfer_coding, and InvalidHead in a module of its own.

Evidence: a_coding_of_a_client_is_left_in_the_body fails with the check taken out (200 in place of 400).

--- a/crates/daemon/src/traffic/proxy.rs
+++ b/crates/daemon/src/traffic/proxy.rs
@@ -16,7 +16,7 @@
 use crate::service::ServiceRuntime;
 use brasswinch_decide::health::UpstreamReport;
 use brasswinch_decide::members::BoxState;
-use brasswinch_framing::{check_response, frame_request, remove_framing};
+use brasswinch_framing::{check_request, check_response, frame_request, remove_framing};
 use brasswinch_observe::{Event, emit, emit_about};
 use brasswinch_types::{
     Class, ErrorKind, Millis, OnceProof, Ran, UpstreamRest, UpstreamSignal, only_value,
@@ -129,6 +129,7 @@
     let deadline = began + Duration::from_millis(deadline_ms);
     let until = context.clock.now() + deadline_ms;
     let key = request::key(request.headers())?.map(str::to_owned);
+    check_request(request.headers()).map_err(|_| ErrorKind::MalformedRequest)?;
     let mut ticket = match plan.class {
         Class::Once(_) => Some(ticket::use_ticket(context, service, request.headers()).await?),
         _ => None,
--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -3,6 +3,7 @@
 use crate::clock::{Clock, Deadline};
 use crate::credentials::presented_key;
 use crate::dialect::Dialect;
+use brasswinch_framing::check_request;
 use brasswinch_routing::MAX_TIME_S;
 use brasswinch_types::ErrorKind;
 use http::request::Parts;
@@ -48,6 +49,7 @@
             .get(header::HOST)
             .and_then(|host| host.to_str().ok())
             .ok_or(ErrorKind::MalformedRequest)?;
+        check_request(&parts.headers).map_err(|_| ErrorKind::MalformedRequest)?;
         Ok(Self {
             host,
             path: parts.uri.path(),
--- a/crates/edge/tests/request_bodies.rs
+++ b/crates/edge/tests/request_bodies.rs
@@ -20,6 +20,8 @@
 enum Framing {
     Length,
     Chunks,
+    /// In chunks, below which there is another coding.
+    Coded,
 }
 
 impl Framing {
@@ -27,7 +29,7 @@
     fn frame(self, body: &[u8]) -> (String, Vec<u8>) {
         match self {
             Self::Length => (format!("content-length: {}", body.len()), body.to_vec()),
-            Self::Chunks => {
+            Self::Chunks | Self::Coded => {
                 let mut sent = Vec::new();
                 for chunk in body.chunks(CHUNK_BYTES) {
                     sent.extend_from_slice(format!("{:x}\r\n", chunk.len()).as_bytes());
@@ -35,7 +37,11 @@
                     sent.extend_from_slice(b"\r\n");
                 }
                 sent.extend_from_slice(b"0\r\n\r\n");
-                ("transfer-encoding: chunked".to_owned(), sent)
+                let codings = match self {
+                    Self::Coded => "gzip, chunked",
+                    _ => "chunked",
+                };
+                (format!("transfer-encoding: {codings}"), sent)
             }
         }
     }
@@ -78,3 +84,17 @@
         }
     }
 }
+
+/// A body with a coding that the box doesn't decode went on without the name of the coding.
+#[tokio::test]
+async fn a_coding_of_a_client_is_left_in_the_body() {
+    let site = Site::start(1).await;
+    for path in ["/safe/1", "/upload/1"] {
+        for length in [5, LONG_BODY_BYTES] {
+            let framing = Framing::Coded;
+            let status = send(site.clients, "POST", path, framing, &vec![1; length]).await;
+            assert_eq!(status, "400", "{path} {length}");
+        }
+    }
+    assert_eq!(site.seen(), 0);
+}
--- a/crates/framing/src/lib.rs
+++ b/crates/framing/src/lib.rs
@@ -4,10 +4,13 @@
 //! its length must come from that body alone: a field that is passed on beside it can contradict
 //! it, and the recipient then takes a part for the whole or waits for bytes that never come.
 
-mod coding;
+mod content_coding;
+mod invalid_head;
 mod list;
 mod request;
 mod response;
+mod transfer_coding;
 
-pub use request::frame_request;
-pub use response::{ExpectedLength, InvalidHead, check_response, remove_framing};
+pub use invalid_head::InvalidHead;
+pub use request::{check_request, frame_request};
+pub use response::{ExpectedLength, check_response, remove_framing};
