Responses before their turn are buffered as far as in their turn

Cause: 32 KiB of an early response were buffered and the rest left with its upstream until its turn, while the time of its request ran on. The rest then ended in an error, and HTTP/1.1 can't take back a response that has begun.

One that is streamed (longer, or no memory) and overdue at its turn is answered with 504, so the connection stays.

Weighed: a larger reservation before an early request starts; it would refuse early runs of short responses where memory is scarce.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -328,6 +328,10 @@
     }
 }
 
+/// When a response that is streamed must be complete: an extension of such responses.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct StreamedUntil(pub(crate) Instant);
+
 /// Limits of a response.
 struct ResponseLimits<'a> {
     deadline: &'a Deadline,
@@ -392,6 +396,10 @@
         }
         return AttemptOutcome::Refused;
     }
+    let streamed_until = buffered
+        .remainder
+        .is_some()
+        .then(|| StreamedUntil(deadline.timer()));
     let mut headers = end_to_end(&parts.headers);
     remove_framing(&mut headers);
     let body = match buffered.remainder {
@@ -424,6 +432,9 @@
     let mut client_response = Response::new(body);
     *client_response.status_mut() = parts.status;
     *client_response.headers_mut() = headers;
+    if let Some(until) = streamed_until {
+        client_response.extensions_mut().insert(until);
+    }
     AttemptOutcome::Response(client_response)
 }
 
--- a/crates/edge/src/pipeline/early.rs
+++ b/crates/edge/src/pipeline/early.rs
@@ -1,12 +1,14 @@
 //! Requests of one connection that run before their turn.
 
 use super::head::parse_head;
-use crate::attempt::MAX_BUFFERED_RESPONSE_BYTES;
+use crate::answer::error_response;
+use crate::attempt::{MAX_BUFFERED_RESPONSE_BYTES, StreamedUntil};
 use crate::body::{AnyBody, ClientBody, GuardedBody};
 use crate::context::{Context, Lifecycle};
 use crate::counted::BufferedBytes;
 use crate::exchange::{handle_request, may_run_early};
 use brasswinch_observe::{Event, emit};
+use brasswinch_types::ErrorKind;
 use http::request::Parts;
 use http::{Request, Response};
 use http_body_util::BodyExt;
@@ -16,14 +18,15 @@
 use std::task::{Context as TaskContext, Waker};
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
+use tokio::time::Instant;
 
 /// Maximum requests of a connection that run before their turn. With more, one connection could
 /// take the slots of upstreams that many clients share.
 const MAX_EARLY_REQUESTS: usize = 8;
 
-/// Maximum bytes of an early response that are buffered. The rest stays with the upstream until the
-/// response's turn.
-const MAX_EARLY_RESPONSE_BYTES: usize = 32 * 1024;
+/// Memory that is reserved before an early request starts. A longer response takes more as it
+/// arrives.
+const RESERVED_RESPONSE_BYTES: usize = 32 * 1024;
 
 /// A request that runs before its turn. Dropping it cancels the request.
 struct EarlyRequest {
@@ -141,14 +144,14 @@
         let Some(head) = head else {
             return false;
         };
-        let buffered = BufferedBytes::reserve(&self.context, MAX_EARLY_RESPONSE_BYTES);
+        let buffered = BufferedBytes::reserve(&self.context, RESERVED_RESPONSE_BYTES);
         let Some(buffered) = buffered else {
             return false;
         };
         let context = Arc::clone(&self.context);
         let request = Request::from_parts(head.clone(), ClientBody::Empty);
         let response = tokio::spawn(async move {
-            handle_request(&context, request, MAX_EARLY_RESPONSE_BYTES).await
+            handle_request(&context, request, MAX_BUFFERED_RESPONSE_BYTES).await
         });
         let metrics = &self.context.metrics;
         metrics.early_requests.fetch_add(1, Ordering::Relaxed);
@@ -187,6 +190,10 @@
             Some(mut early) => {
                 let buffered = early.buffered.take();
                 match (&mut early.response).await {
+                    // Its end would be cut, and with it the connection and all responses behind.
+                    Ok(response) if is_stream_overdue(&response) => {
+                        error_response(ErrorKind::TimeoutAfterSend)
+                    }
                     Ok(response) => response.map(|body| GuardedBody::new(body, buffered).boxed()),
                     // Its task panicked; early requests may run again.
                     Err(error) => {
@@ -210,6 +217,13 @@
     }
 }
 
+/// Whether the rest of a streamed response can't arrive in time. Its beginning may have waited long
+/// for its turn.
+fn is_stream_overdue(response: &Response<AnyBody>) -> bool {
+    let until = response.extensions().get::<StreamedUntil>();
+    until.is_some_and(|until| Instant::now() >= until.0)
+}
+
 fn has_same_head(one: &Parts, other: &Parts) -> bool {
     one.method == other.method && one.uri == other.uri && one.headers == other.headers
 }
--- a/crates/edge/tests/pipelining.rs
+++ b/crates/edge/tests/pipelining.rs
@@ -18,6 +18,15 @@
 /// Long enough for a request to be seen by the upstream before another one is answered.
 const SLOW: Duration = Duration::from_millis(400);
 
+/// Length of a response that a box buffers.
+const RESPONSE_BYTES: usize = 120_000;
+
+/// Length of a response that a box streams.
+const STREAMED_RESPONSE_BYTES: usize = 1_000_000;
+
+/// How long an upstream waits until its response is read.
+const PATIENCE: Duration = Duration::from_secs(10);
+
 /// A request as it stands on the connection.
 fn raw(method: &str, path: &str, id: &str, body: &str) -> String {
     let dialect = Dialect::default();
@@ -391,3 +400,33 @@
         assert_eq!(response.id, id(place), "{mix:?}");
     }
 }
+
+/// The responses behind one that timed out had arrived in part, and were lost with the connection.
+#[tokio::test]
+async fn a_request_that_times_out_costs_the_long_responses_behind_it() {
+    for (bytes, expected) in [(RESPONSE_BYTES, 200), (STREAMED_RESPONSE_BYTES, 504)] {
+        let site = Site::start(1).await;
+        let upstream = &site.upstreams[0];
+        upstream.on_path("/short/slow", Behaviour::Hang);
+        upstream.always(Behaviour::AnswerLong {
+            bytes,
+            patience: PATIENCE,
+        });
+        let mut client = Connection::open(site.clients).await;
+        let requests = [
+            get("/short/slow", "a"),
+            get("/short/1", "b"),
+            get("/short/2", "c"),
+            get("/short/3", "d"),
+        ];
+        client.send(&requests.concat()).await;
+        let mut statuses = Vec::new();
+        for _ in &requests {
+            let response = client.next().await.expect("the connection stays open");
+            statuses.push(response.status);
+        }
+        assert_eq!(statuses, [504, expected, expected, expected], "{bytes}");
+        client.send(&get("/safe/4", "e")).await;
+        assert!(client.next().await.is_some(), "{bytes}");
+    }
+}
