A peer that doesn't read is no longer taken for a dead one

A client that read nothing for 1.5 s through a tunnel was cut off.

Cause: TCP_USER_TIMEOUT (0.7 s on connections to upstreams and on tunnels) also runs while a living peer keeps its window closed.

Change: edge::peer_silence keeps 0.7 s while at most 32 KiB were sent since the peer's last bytes, and sets 30 s beyond. Any living peer's system takes 32 KiB, so silence then means that it is gone; beyond, it can't be told, and the request's deadline bounds the wait. Both ends of tunnels do the same.

Weighed: TCP_INFO, which tells them apart at any length, for a timer and a call with raw memory on each connection; a longer timeout for all requests.

--- a/crates/edge/src/connections.rs
+++ b/crates/edge/src/connections.rs
@@ -4,19 +4,19 @@
 use crate::body::AnyBody;
 use crate::clock::Clock;
 use crate::connection_usage::{ConnectionUsage, CountedStream};
+use crate::peer_silence::PeerSilence;
+use crate::upstream_stream::UpstreamStream;
 use arc_swap::ArcSwap;
 use brasswinch_types::{BoxId, Millis, UpstreamId};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use socket2::{SockRef, TcpKeepalive};
 use std::collections::{HashMap, HashSet};
 use std::net::{IpAddr, SocketAddr};
-use std::os::fd::AsFd;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite};
-use tokio::net::{TcpSocket, TcpStream};
+use tokio::net::TcpSocket;
 use tokio::task::AbortHandle;
 
 /// Maximum bytes read from an upstream that have not been passed on. Bounds what a slow client
@@ -26,16 +26,6 @@
 /// Timeout for establishing a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
 
-/// Maximum time that sent bytes may stay unacknowledged. A machine that lost power closes no
-/// connection.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(700);
-
-/// Idle time after which the kernel sends keepalive probes, and the interval between probes.
-const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
-
-/// Unacknowledged probes after which the kernel closes a connection.
-const MAX_KEEPALIVE_PROBES: u32 = 2;
-
 /// Maximum idle connections per upstream.
 const MAX_IDLE_PER_UPSTREAM: usize = 24;
 
@@ -181,23 +171,23 @@
     }
 
     /// Opens a TCP connection to an upstream.
-    pub(crate) async fn open_stream(&self, address: SocketAddr) -> std::io::Result<TcpStream> {
+    pub(crate) async fn open_stream(&self, address: SocketAddr) -> std::io::Result<UpstreamStream> {
         tokio::time::timeout(CONNECT_TIMEOUT, self.connect_stream(address))
             .await
             .map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))?
     }
 
-    async fn connect_stream(&self, address: SocketAddr) -> std::io::Result<TcpStream> {
+    async fn connect_stream(&self, address: SocketAddr) -> std::io::Result<UpstreamStream> {
         let socket = if address.is_ipv4() {
             TcpSocket::new_v4()?
         } else {
             TcpSocket::new_v6()?
         };
         socket.bind(SocketAddr::new(self.local, 0))?;
-        detect_silence(&socket)?;
+        let silence = PeerSilence::detect(&socket)?;
         let stream = socket.connect(address).await?;
         stream.set_nodelay(true)?;
-        Ok(stream)
+        Ok(UpstreamStream::new(stream, silence))
     }
 
     /// Closes connections past their idle limit, and all connections to upstreams that are unknown.
@@ -294,18 +284,3 @@
         None => MAX_IDLE_TIME,
     }
 }
-
-/// Makes the kernel close a connection whose other side has fallen silent.
-///
-/// # Errors
-///
-/// Fails if the socket takes no options.
-pub(crate) fn detect_silence(socket: &impl AsFd) -> std::io::Result<()> {
-    let options = SockRef::from(socket);
-    options.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
-    let keepalive = TcpKeepalive::new()
-        .with_time(KEEPALIVE_INTERVAL)
-        .with_interval(KEEPALIVE_INTERVAL)
-        .with_retries(MAX_KEEPALIVE_PROBES);
-    options.set_tcp_keepalive(&keepalive)
-}
--- a/crates/edge/src/tunnel/carry.rs
+++ b/crates/edge/src/tunnel/carry.rs
@@ -3,10 +3,10 @@
 use super::stream::TunnelStream;
 use super::{TunnelReply, TunnelRequest};
 use crate::connection_usage::CountedStream;
-use crate::connections::detect_silence;
 use crate::context::{Context, Lifecycle};
 use crate::counted::BufferedBytes;
 use crate::relay::{RelayError, send_tunnel_reply};
+use crate::upstream_stream::UpstreamStream;
 use brasswinch_observe::{Event, emit};
 use brasswinch_routing::{Liveness, UpstreamPath};
 use std::io;
@@ -94,11 +94,11 @@
     let Ok((tunnel, upstream)) = connected else {
         return Ok(());
     };
-    detect_silence(socket.get_ref()).map_err(connection_error)?;
+    let socket = TunnelStream::new(socket).map_err(connection_error)?;
     let total = &context.carried_tunnels.total;
     total.fetch_add(1, Ordering::Relaxed);
     let usage = &context.connection_usage;
-    let socket = CountedStream::new(TunnelStream::new(socket), usage);
+    let socket = CountedStream::new(socket, usage);
     copy(socket, CountedStream::new(upstream, usage)).await;
     drop(tunnel);
     Ok(())
@@ -108,7 +108,7 @@
     context: &Arc<Context>,
     request: &TunnelRequest,
     from: SocketAddr,
-) -> Result<(OpenTunnel, TcpStream), TunnelReply> {
+) -> Result<(OpenTunnel, UpstreamStream), TunnelReply> {
     if !context.is_member(from.ip()) {
         emit(
             Event::PeerMalformed,
@@ -142,7 +142,7 @@
 }
 
 /// Copies bytes both ways until both directions end, or one side fails.
-async fn copy(mut tunnel: CountedStream<TunnelStream>, upstream: CountedStream<TcpStream>) {
+async fn copy(mut tunnel: CountedStream<TunnelStream>, upstream: CountedStream<UpstreamStream>) {
     let mut upstream = UpstreamSide {
         stream: upstream,
         failure: None,
@@ -162,7 +162,7 @@
 
 /// The connection to the upstream; tells its failures from those of the tunnel.
 struct UpstreamSide {
-    stream: CountedStream<TcpStream>,
+    stream: CountedStream<UpstreamStream>,
     failure: Option<io::ErrorKind>,
 }
 
--- a/crates/edge/src/tunnel/open.rs
+++ b/crates/edge/src/tunnel/open.rs
@@ -1,7 +1,6 @@
 //! Opens tunnels through boxes that reach upstreams.
 
 use super::{TunnelReply, TunnelRequest, TunnelStream};
-use crate::connections::detect_silence;
 use crate::context::Context;
 use crate::recent_failures::RecentFailures;
 use crate::relay::request_tunnel;
@@ -81,12 +80,10 @@
         };
         let opening = request_tunnel(context, peer.address, request);
         let reply = match timeout(OPEN_TIMEOUT, opening).await {
-            Ok(Ok((socket, TunnelReply::Connected))) => {
-                if detect_silence(socket.get_ref()).is_ok() {
-                    return Ok((TunnelStream::new(socket), peer.id));
-                }
-                "its socket takes no options".to_owned()
-            }
+            Ok(Ok((socket, TunnelReply::Connected))) => match TunnelStream::new(socket) {
+                Ok(tunnel) => return Ok((tunnel, peer.id)),
+                Err(error) => error.to_string(),
+            },
             Ok(Ok((_, TunnelReply::UpstreamUnreachable))) => {
                 return Err(TunnelError::UpstreamUnreachable);
             }
--- a/crates/edge/src/tunnel/stream.rs
+++ b/crates/edge/src/tunnel/stream.rs
@@ -1,5 +1,6 @@
 //! The bytes of a tunnel as binary messages of a WebSocket.
 
+use crate::peer_silence::PeerSilence;
 use futures_util::{Sink, SinkExt, StreamExt};
 use std::fmt;
 use std::io;
@@ -45,15 +46,23 @@
     /// Received bytes that have not been read.
     received: Bytes,
     is_ended: bool,
+    silence: PeerSilence,
 }
 
 impl TunnelStream {
-    pub(super) fn new(socket: WebSocketStream<TcpStream>) -> Self {
-        Self {
+    /// Returns the end of a tunnel, which fails if the other end falls silent.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the socket takes no options.
+    pub(super) fn new(socket: WebSocketStream<TcpStream>) -> io::Result<Self> {
+        let silence = PeerSilence::detect(socket.get_ref())?;
+        Ok(Self {
             socket,
             received: Bytes::new(),
             is_ended: false,
-        }
+            silence,
+        })
     }
 
     /// Tells the other end that the upstream's connection failed.
@@ -86,7 +95,10 @@
                 return Poll::Ready(Ok(()));
             }
             match ready!(self.socket.poll_next_unpin(cx)) {
-                Some(Ok(Message::Binary(bytes))) => self.received = bytes,
+                Some(Ok(Message::Binary(bytes))) => {
+                    self.received = bytes;
+                    self.silence.received();
+                }
                 Some(Ok(Message::Close(frame))) => {
                     self.is_ended = true;
                     match frame.map(|frame| frame.code) {
@@ -112,15 +124,17 @@
 
 impl AsyncWrite for TunnelStream {
     fn poll_write(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let mut socket = Pin::new(&mut self.socket);
+        let this = self.get_mut();
+        let mut socket = Pin::new(&mut this.socket);
         ready!(socket.as_mut().poll_ready(cx)).map_err(tunnel_error)?;
         let length = bytes.len().min(MAX_MESSAGE_BYTES);
         let message = Message::Binary(Bytes::copy_from_slice(&bytes[..length]));
         socket.start_send(message).map_err(tunnel_error)?;
+        this.silence.sent(this.socket.get_ref(), length);
         Poll::Ready(Ok(length))
     }
 
--- a/crates/edge/tests/request_bodies.rs
+++ b/crates/edge/tests/request_bodies.rs
@@ -4,8 +4,10 @@
 mod common;
 
 use brasswinch_edge::Dialect;
+use brasswinch_lab::routed_upstream::Behaviour;
 use common::{HOST, Site};
 use std::net::SocketAddr;
+use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -15,6 +17,9 @@
 /// Length of a chunk.
 const CHUNK_BYTES: usize = 50_000;
 
+/// More than the timeout of an upstream that has fallen silent.
+const READING_PAUSE: Duration = Duration::from_millis(1_500);
+
 /// How the length of a body is told.
 #[derive(Clone, Copy, Debug)]
 enum Framing {
@@ -98,3 +103,19 @@
     }
     assert_eq!(site.seen(), 0);
 }
+
+/// An upstream that was alive and didn't read a body for a second lost its connection.
+#[tokio::test]
+async fn an_upstream_that_reads_slowly_is_taken_for_a_dead_one() {
+    let site = Site::start(1).await;
+    site.upstreams[0].always(Behaviour::ReadAfter(READING_PAUSE));
+    for length in [LONG_BODY_BYTES, 4 * LONG_BODY_BYTES] {
+        let body = vec![1; length];
+        for framing in [Framing::Length, Framing::Chunks] {
+            let status = send(site.clients, "POST", "/upload/1", framing, &body).await;
+            assert_eq!(status, "200", "{framing:?} {length}");
+            let seen = site.upstreams[0].seen().pop().unwrap();
+            assert_eq!(seen.body.len(), length, "{framing:?}");
+        }
+    }
+}
--- a/crates/edge/tests/tunnels.rs
+++ b/crates/edge/tests/tunnels.rs
@@ -3,18 +3,19 @@
 
 mod common;
 
-use brasswinch_edge::Context;
+use brasswinch_edge::{Context, Dialect};
 use brasswinch_lab::partition::{Partition, PartitionKind};
 use brasswinch_lab::routed_upstream::{Behaviour, Upstream};
 use brasswinch_routing::{RouteKind, UpstreamIncarnation};
 use brasswinch_types::{Region, UpstreamId};
 use common::apart::{Apart, box_ip};
-use common::{KeptConnection, call, config, eventually, request, route};
+use common::{HOST, KeptConnection, call, config, eventually, request, route};
 use futures_util::{SinkExt, StreamExt};
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use tokio::net::TcpSocket;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::JoinHandle;
 use tokio_tungstenite::client_async;
 use tokio_tungstenite::tungstenite::Message;
@@ -24,6 +25,15 @@
 /// How long upstreams of some tests work.
 const LONG_RUN: Duration = Duration::from_millis(1_500);
 
+/// More than a tunnel and the sockets on its way hold.
+const LONG_BODY_BYTES: usize = 12_000_000;
+
+/// More than the timeout of a peer that has fallen silent.
+const READING_PAUSE: Duration = Duration::from_millis(1_500);
+
+/// How long an upstream waits until its response is read.
+const PATIENCE: Duration = Duration::from_secs(10);
+
 /// Starts boxes of which the first is partitioned from all upstreams and uses tunnels.
 async fn with_tunnels(count: usize) -> Apart {
     let boxes = Apart::start(count).await;
@@ -335,3 +345,30 @@
     boxes.wait_until_served(0).await;
     assert_eq!(status_on(&mut kept).await, 200);
 }
+
+/// Guards against a client or an upstream that reads nothing for a while and is taken for dead by
+/// one side of the tunnel.
+#[tokio::test]
+async fn a_slow_reader_is_cut_off_by_a_tunnel() {
+    let boxes = with_tunnels(BOXES).await;
+    always(
+        &boxes,
+        &Behaviour::AnswerLong {
+            bytes: LONG_BODY_BYTES,
+            patience: PATIENCE,
+        },
+    );
+    let mut client = TcpStream::connect(boxes.clients[0]).await.unwrap();
+    let id = Dialect::default().request_id;
+    let head = format!("GET /download/slow HTTP/1.1\r\nhost: {HOST}\r\n{id}: 1\r\n\r\n");
+    client.write_all(head.as_bytes()).await.unwrap();
+    tokio::time::sleep(READING_PAUSE).await;
+    let mut answer = vec![0; LONG_BODY_BYTES];
+    let read = client.read_exact(&mut answer).await;
+    read.expect("the response isn't cut off");
+
+    always(&boxes, &Behaviour::ReadAfter(READING_PAUSE));
+    let body = "x".repeat(LONG_BODY_BYTES);
+    let upload = request("POST", "/upload/slow", &body);
+    assert_eq!(call(boxes.clients[0], upload).await.unwrap().status, 200);
+}
--- a/crates/lab/src/routed_upstream.rs
+++ b/crates/lab/src/routed_upstream.rs
@@ -56,6 +56,8 @@
     Garbage,
     /// Answers as soon as the head is in, and reads the body afterwards.
     AnswerEarly,
+    /// Reads the body only after a while, runs it and answers.
+    ReadAfter(Duration),
     /// Runs it and never answers.
     Hang,
     /// Answers and announces that it closes the connection.
@@ -355,6 +357,9 @@
         if *behaviour == Behaviour::AnswerEarly {
             stream.write_all(&self.answer(200, &id, true)).await?;
         }
+        if let Behaviour::ReadAfter(time) = behaviour {
+            tokio::time::sleep(*time).await;
+        }
         let body = read_body(stream, buffer, head).await?;
         let ran = !matches!(
             behaviour,
@@ -459,6 +464,7 @@
                 return Ok(false);
             }
             Behaviour::AnswerEarly => {}
+            Behaviour::ReadAfter(_) => stream.write_all(&whole).await?,
             Behaviour::CloseWhenKept => stream.write_all(&whole).await?,
             Behaviour::Hang => {
                 self.leaves_within(stream, Duration::from_secs(60)).await;
