--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -4,6 +4,7 @@
 //! Settings, header names ([`Dialect`]) and the store ([`FleetStore`]) are supplied by the
 //! caller.
 
+mod active_attempt;
 mod advice;
 mod answer;
 mod attempt;
@@ -60,6 +61,7 @@
 mod upstream_limits;
 mod upstream_path;
 mod upstream_request;
+mod upstream_response;
 mod upstream_signals;
 mod upstream_stream;
 mod utilization;
--- a/crates/edge/src/pipeline/early.rs
+++ b/crates/edge/src/pipeline/early.rs
@@ -2,11 +2,11 @@
 
 use super::head::parse_head;
 use crate::answer::error_response;
-use crate::attempt::{MAX_BUFFERED_RESPONSE_BYTES, StreamedUntil};
 use crate::body::{AnyBody, ClientBody, GuardedBody};
 use crate::context::{Context, Lifecycle};
 use crate::counted::BufferedBytes;
 use crate::exchange::{handle_request, may_run_early};
+use crate::upstream_response::{MAX_BUFFERED_RESPONSE_BYTES, StreamedUntil};
 use brasswinch_observe::{Event, emit};
 use brasswinch_types::ErrorKind;
 use http::request::Parts;
