A status that promises too much is not passed on

What callers would see (REFUSED, then TWICE; read in the code, no caller reported it): an upstream answers an order 503, 429 or 408 without its mark that the request has not run. The status went to the client, who takes it for the promise that the order has not run, and sends it again.

Cause: the mark decided only whether the box itself sends a request again.

Change: without the mark such a response is discarded (BW517, reason "promise"): 502, or another attempt where the request may run more than once.

Evidence: a_status_that_promises_too_much_is_passed_on failed before (408 in place of 502).

Besides, a_request_that_waits_is_granted_and_served_at_every_box (known red) tells on failure which boxes count the quota and how the last try went.

--- a/crates/edge/src/invalid_response.rs
+++ b/crates/edge/src/invalid_response.rs
@@ -2,7 +2,7 @@
 
 use crate::body::BodyError;
 use brasswinch_framing::InvalidHead;
-use http::HeaderValue;
+use http::{HeaderValue, StatusCode};
 
 /// Why a response isn't delivered. The request may have run.
 #[derive(Debug, thiserror::Error)]
@@ -16,6 +16,9 @@
     /// It is a success without the upstream's mark.
     #[error("it is not marked as the upstream's")]
     Unsigned,
+    /// Its status promises the client that the request has not run, and the upstream doesn't say so.
+    #[error("status {0} without the upstream's word that the request has not run")]
+    UnfoundedPromise(StatusCode),
     /// Its body ended early.
     #[error("{0}")]
     Incomplete(BodyError),
@@ -34,6 +37,7 @@
             Self::OtherRequest(_) => "other_request",
             Self::NoRequest => "no_request",
             Self::Unsigned => "unsigned",
+            Self::UnfoundedPromise(_) => "promise",
             Self::Incomplete(_) => "incomplete",
             Self::Malformed(_) => "malformed",
             Self::InvalidHead(head) => head.reason(),
--- a/crates/edge/src/upstream_response.rs
+++ b/crates/edge/src/upstream_response.rs
@@ -14,7 +14,7 @@
 use brasswinch_framing::remove_framing;
 use brasswinch_routing::UpstreamOutcome;
 use http::response::Parts;
-use http::{HeaderMap, Response};
+use http::{HeaderMap, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use std::sync::Arc;
@@ -30,6 +30,13 @@
 /// told the client all that it can use.
 const MAX_ERROR_BYTES: u64 = 1024 * 1024;
 
+/// Statuses that clients take for the promise that their request has not run and never will.
+const PROMISES: [StatusCode; 3] = [
+    StatusCode::REQUEST_TIMEOUT,
+    StatusCode::TOO_MANY_REQUESTS,
+    StatusCode::SERVICE_UNAVAILABLE,
+];
+
 /// When a response that is streamed must be complete: an extension of such responses.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct StreamedUntil(pub(crate) Instant);
@@ -112,6 +119,9 @@
     if parts.status.is_success() && !signals.is_signed {
         return Err(InvalidResponse::Unsigned);
     }
+    if PROMISES.contains(&parts.status) {
+        return Err(InvalidResponse::UnfoundedPromise(parts.status));
+    }
     Ok(())
 }
 
--- a/crates/edge/tests/answers.rs
+++ b/crates/edge/tests/answers.rs
@@ -301,3 +301,18 @@
         assert_eq!(site.post("/once/1", "x").await.status, 200);
     }
 }
+
+/// Clients take these statuses for the promise that their request has not run, and send it again.
+#[tokio::test]
+async fn a_status_that_promises_too_much_is_passed_on() {
+    for status in [408, 429, 503] {
+        let site = Site::start(2).await;
+        for upstream in &site.upstreams {
+            upstream.always(Behaviour::Answer(status));
+        }
+        let answer = site.post("/once/1", "x").await;
+        assert_eq!(answer.status, 502, "{status}");
+        assert!(!is_signed(&answer), "{status}");
+        assert_eq!(site.runs(), 1, "{status}");
+    }
+}
--- a/crates/edge/tests/quota_queue.rs
+++ b/crates/edge/tests/quota_queue.rs
@@ -207,11 +207,19 @@
         for one in &self.boxes {
             one.get(&format!("{IMPATIENT}1")).await;
         }
+        self.coordinators()[0]
+    }
+
+    /// Returns the indexes of the boxes that count the quota for all, in ascending order.
+    fn coordinators(&self) -> Vec<usize> {
         let is_coordinator = |one: &QuotaBox| {
             let quotas = one.status().quotas;
             quotas.iter().any(|quota| quota.level.is_some())
         };
-        self.boxes.iter().position(is_coordinator).unwrap()
+        let indexes = 0..self.boxes.len();
+        indexes
+            .filter(|index| is_coordinator(&self.boxes[*index]))
+            .collect()
     }
 
     /// Returns how often the upstream ran each request.
@@ -234,8 +242,13 @@
     for (index, one) in fleet.boxes.iter().enumerate() {
         let until = Instant::now() + MAX_CONDITION_WAIT;
         let mut has_waited = false;
+        let mut last = String::new();
         while !has_waited {
-            assert!(Instant::now() < until, "box {index}: none waits");
+            assert!(
+                Instant::now() < until,
+                "box {index}: none waits; coordinators {:?} of which {coordinator} counts; {last}",
+                fleet.coordinators()
+            );
             let (before, sent_before) = (one.counts(PATIENT), one.sent_quota_messages());
             let status = one.get(&format!("{PATIENT}{index}")).await;
             let (after, sent) = (one.counts(PATIENT), one.sent_quota_messages());
@@ -244,6 +257,8 @@
                 && after.waited == before.waited + 1
                 && after.asked == before.asked + 1
                 && (index == coordinator || sent == sent_before + 1);
+            let messages = sent - sent_before;
+            last = format!("{status}, {messages} messages, {before:?}, then {after:?}");
         }
     }
     let metrics = fleet.boxes[0].context.metrics_text();
