--- a/crates/daemon/src/traffic/proxy.rs
+++ b/crates/daemon/src/traffic/proxy.rs
@@ -394,11 +394,11 @@
             connection,
             progress,
         } = answered;
-        let shows_its_end = head_method || shows_its_end(&response);
+        let is_framed = head_method || shows_its_end(&response);
         let (mut parts, body) = response.into_parts();
         let echoed = parts.headers.get(REQUEST_ID_HEADER);
         let crossed = echoed.is_some_and(|id| id.as_bytes() != self.request_id.as_bytes());
-        if crossed || !shows_its_end {
+        if crossed || !is_framed {
             emit(
                 Event::CallerCut,
                 format_args!("{}: crossed or endless answer", self.service.key),
--- a/crates/edge/src/active_attempt.rs
+++ b/crates/edge/src/active_attempt.rs
@@ -20,12 +20,16 @@
     grant: Grant,
     /// Reports the outcome to the coordinator that was asked where to send the request.
     completion_guard: Option<CompletionGuard>,
+    /// The request's digest, if it has been computed for the quarantine.
     digest: Option<RequestDigest>,
+    /// The client's id of the request, which the response must name.
     request_id: Option<HeaderValue>,
+    /// What is recorded when it is dropped.
     pub(crate) outcome: UpstreamOutcome,
 }
 
 impl ActiveAttempt {
+    /// Counts a request that is about to be sent to the chosen upstream.
     pub(crate) fn new(context: &Arc<Context>, chosen: Chosen, outgoing: &Outgoing<'_>) -> Self {
         let Chosen {
             choice,
@@ -47,21 +51,7 @@
             outcome: UpstreamOutcome::Abandoned,
         }
     }
-}
-
-impl Drop for ActiveAttempt {
-    fn drop(&mut self) {
-        let now = self.context.clock.now();
-        let mut placement = self.context.placement();
-        placement.ended(&self.choice, self.outcome, now);
-        drop(placement);
-        if let Some(completion_guard) = &mut self.completion_guard {
-            completion_guard.ended(self.outcome);
-        }
-    }
-}
 
-impl ActiveAttempt {
     /// Reports to the quarantine that the upstream completed its response.
     pub(crate) fn report_completed(&self) {
         if let Some(digest) = self.digest {
@@ -108,11 +98,13 @@
         }
     }
 
+    /// Logs and counts an invalid response, and returns the outcome of its attempt.
     pub(crate) fn discard(&self, reason: &InvalidResponse) -> AttemptOutcome {
         self.log_discarded(reason);
         AttemptOutcome::InvalidResponse
     }
 
+    /// Logs and counts an invalid response.
     pub(crate) fn log_discarded(&self, reason: &InvalidResponse) {
         self.context.metrics.count_discarded(reason);
         let upstream = &self.choice.upstream;
@@ -123,3 +115,15 @@
         );
     }
 }
+
+impl Drop for ActiveAttempt {
+    fn drop(&mut self) {
+        let now = self.context.clock.now();
+        let mut placement = self.context.placement();
+        placement.ended(&self.choice, self.outcome, now);
+        drop(placement);
+        if let Some(completion_guard) = &mut self.completion_guard {
+            completion_guard.ended(self.outcome);
+        }
+    }
+}
--- a/crates/edge/src/peer_silence.rs
+++ b/crates/edge/src/peer_silence.rs
@@ -69,8 +69,10 @@
         } else {
             SHORT_TIMEOUT
         };
-        // A socket that takes the option once takes it again, unless its connection has failed.
         let set = SockRef::from(socket).set_tcp_user_timeout(Some(timeout));
-        self.has_long_timeout = needs_long_timeout == set.is_ok();
+        // It fails only if the connection has failed, which the next call on it reports.
+        if set.is_ok() {
+            self.has_long_timeout = needs_long_timeout;
+        }
     }
 }
--- a/crates/edge/src/upstream_response.rs
+++ b/crates/edge/src/upstream_response.rs
@@ -70,7 +70,7 @@
     if let Some(seconds) = signals.idle_limit_s {
         connection.set_idle_limit(seconds);
     }
-    if let Err(reason) = check_word(&parts, &signals) {
+    if let Err(reason) = check_claims(&parts, &signals) {
         return active.discard(&reason);
     }
     let refused = signals.is_refusal();
@@ -112,7 +112,7 @@
 }
 
 /// Checks that a response says no more to the client than the upstream vouches for.
-fn check_word(parts: &Parts, signals: &UpstreamSignals) -> Result<(), InvalidResponse> {
+fn check_claims(parts: &Parts, signals: &UpstreamSignals) -> Result<(), InvalidResponse> {
     if signals.is_refusal() {
         return Ok(());
     }
