--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -505,8 +505,8 @@
         check
     }
 
-    /// Refuses a request whose response isn't expected before the process ends. `may_wait` tells
-    /// whether it may have to wait for a slot.
+    /// Refuses a request whose response isn't expected before the process ends. `may_wait`: it may
+    /// have to wait for a slot.
     // A stop may begin after the request has arrived: while it is read, waits for its quota, or is
     // at an upstream that refuses it. So each attempt is checked anew.
     fn check_expected_end(&self, may_wait: bool) -> Result<(), ErrorKind> {
--- a/crates/edge/src/invalid_response.rs
+++ b/crates/edge/src/invalid_response.rs
@@ -16,8 +16,8 @@
     /// It is a success without the upstream's mark.
     #[error("it is not marked as the upstream's")]
     Unsigned,
-    /// Its status promises the client that the request has not run, and the upstream doesn't say so.
-    #[error("status {0} without the upstream's word that the request has not run")]
+    /// Its status means that the request has not run, but it lacks the header that says so.
+    #[error("status {0} without the header of requests that have not run")]
     UnfoundedPromise(StatusCode),
     /// Its body ended early.
     #[error("{0}")]
--- a/crates/edge/src/peer_silence.rs
+++ b/crates/edge/src/peer_silence.rs
@@ -2,9 +2,9 @@
 //! no connection.
 //!
 //! The kernel's timeout (`TCP_USER_TIMEOUT`) runs while sent bytes are unacknowledged, and also
-//! while the peer acknowledges all of them and takes no more, because its program doesn't read. It
-//! can't be told which it is, so the timeout is short only while few bytes are on their way: these
-//! fit into the buffers of any peer that is alive.
+//! while the peer acknowledges all of them and takes no more, because its program doesn't read. The
+//! two look alike, so the timeout is short only while few bytes are on their way: these fit into the
+//! buffers of any peer that is alive.
 
 use socket2::{SockRef, TcpKeepalive};
 use std::os::fd::AsFd;
@@ -57,7 +57,7 @@
         self.unanswered_bytes = 0;
     }
 
-    /// Records that bytes have been handed to the socket, and adapts its timeout.
+    /// Records that bytes were written to the socket, and adapts its timeout.
     pub(crate) fn sent(&mut self, socket: &impl AsFd, bytes: usize) {
         self.unanswered_bytes = self.unanswered_bytes.saturating_add(bytes);
         let needs_long_timeout = self.unanswered_bytes > MAX_UNREAD_BYTES;
--- a/crates/edge/src/upstream_response.rs
+++ b/crates/edge/src/upstream_response.rs
@@ -26,11 +26,11 @@
 /// Maximum length of the body of a successful response.
 const MAX_RESPONSE_BYTES: u64 = 1 << 32;
 
-/// Maximum length of the body of an unsuccessful response. A longer one is cut off: its status has
-/// told the client all that it can use.
+/// Maximum length of the body of an unsuccessful response. A longer one is cut off: clients act
+/// on its status alone.
 const MAX_ERROR_BYTES: u64 = 1024 * 1024;
 
-/// Statuses that clients take for the promise that their request has not run and never will.
+/// Statuses that mean to clients that their request has not run and never will.
 const PROMISES: [StatusCode; 3] = [
     StatusCode::REQUEST_TIMEOUT,
     StatusCode::TOO_MANY_REQUESTS,
@@ -111,7 +111,7 @@
     AttemptOutcome::Response(response)
 }
 
-/// Checks that a response says no more to the client than the upstream vouches for.
+/// Checks that the status of a response agrees with the upstream's own headers.
 fn check_claims(parts: &Parts, signals: &UpstreamSignals) -> Result<(), InvalidResponse> {
     if signals.is_refusal() {
         return Ok(());
--- a/crates/edge/tests/spoilt_responses.rs
+++ b/crates/edge/tests/spoilt_responses.rs
@@ -299,10 +299,40 @@
     check_all(heads.chain(bodies).chain(pieces)).await;
 }
 
+/// A length that can't be read, or that HTTP/1.0 doesn't allow, was guessed.
+#[tokio::test]
+async fn an_unreadable_length_is_guessed() {
+    use Expected::{Discarded, Whole};
+    let length = BODY.len();
+    let heads = [
+        (
+            format!("content-length: {length}\r\ncontent-length: 3\r\n"),
+            Discarded,
+        ),
+        (format!("content-length: {length}, 3\r\n"), Discarded),
+        (format!("content-length: +{length}\r\n"), Discarded),
+        (format!("content-length: -{length}\r\n"), Discarded),
+        (
+            format!("content-length: {length}\r\ncontent-length: {length}\r\n"),
+            Whole,
+        ),
+    ];
+    let forms = heads.map(|(headers, expected)| {
+        let bytes = response("200", &headers, BODY);
+        Form::closing(&headers, bytes, [expected; 2])
+    });
+    let old = response("200", CHUNKED, &chunks(BODY)).replacen("HTTP/1.1", "HTTP/1.0", 1);
+    let old = Form::closing("chunks in HTTP/1.0", old, [Discarded; 2]);
+    let lone = response("200", &format!("content-length: {length}\r\n"), BODY);
+    let lone = lone.replacen("Said\r\n", "Said\r", 1);
+    let lone = Form::closing("a lone CR", lone, [Discarded; 2]);
+    check_all(forms.into_iter().chain([old, lone])).await;
+}
+
 /// Bytes came without end, in heads and bodies.
 #[tokio::test]
 async fn a_response_without_end_passes_for_whole() {
-    use Expected::{Discarded, Incomplete, TimedOut};
+    use Expected::{Discarded, Incomplete, TimedOut, Whole};
     let start = "HTTP/1.1 200 Said\r\n";
     let chunked = response("200", CHUNKED, "");
     check_all([
@@ -333,6 +363,13 @@
             "a",
             [Discarded; 2],
         ),
+        Form::endless("a body", response("200", "", ""), BODY, [Incomplete; 2]),
+        Form::endless(
+            "bytes behind a whole response",
+            response("200", &format!("content-length: {}\r\n", BODY.len()), BODY),
+            "surplus",
+            [Whole; 2],
+        ),
         Form::endless(
             "trailers",
             format!("{chunked}e\r\n{BODY}\r\n0\r\n"),
